Add the workspace, core types and checked settings

Sets the shape: three distributions, a package for each peer, core attrs types, transport over httpcore and uvicorn, the log client and its stand-in, and a runner that executes each folder of features in a process of its own.

--- /dev/null
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' library of laburnumstep."""
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, the demo and the load tool."""
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -0,0 +1,61 @@
+"""Runs one stand-in as a process, as `python -m laburnumstep_standins`.
+
+The first line on standard output is a JSON object with the address.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import typing
+
+import anyio
+import typer
+
+from laburnumstep import core
+from laburnumstep import transport
+from laburnumstep_standins import log
+
+if typing.TYPE_CHECKING:
+    from uvicorn import _types
+
+app = typer.Typer(help='Stand-ins for outside systems.', no_args_is_help=True)
+Address = typing.Annotated[
+    str, typer.Option(help='IP number and port; port 0 picks one.')
+]
+
+
+async def serve(application: _types.ASGIApplication, address: str) -> None:
+    """Serve a stand-in until SIGTERM."""
+    server = transport.HttpServer(application, address)
+    print(json.dumps({'address': server.address}), flush=True)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run)
+        with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+            async for _ in signals:
+                break
+        server.abort()
+        tasks.cancel_scope.cancel()
+
+
+@app.callback()
+def configure() -> None:
+    """Send logs to standard error."""
+    core.configure_logging('info', 'text')
+
+
+@app.command('log')
+def run_log(
+    address: Address = '127.0.0.1:0',
+    appends_per_second: float = 300.0,
+    retention_seconds: float = 3600.0,
+) -> None:
+    """Run the append-only log."""
+    stand_in = log.LogStandIn(
+        core.SystemClock(), appends_per_second, retention_seconds
+    )
+    anyio.run(serve, stand_in.app, address)
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/__init__.py
@@ -0,0 +1,8 @@
+"""Stand-in of the platform's append-only log."""
+
+from laburnumstep_standins.log._app import LogStandIn
+from laburnumstep_standins.log._streams import LogFaults
+from laburnumstep_standins.log._streams import RateExceeded
+from laburnumstep_standins.log._streams import Stream
+
+__all__ = ['LogFaults', 'LogStandIn', 'RateExceeded', 'Stream']
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
@@ -0,0 +1,128 @@
+"""HTTP front of the log's stand-in."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import attrs
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from laburnumstep_standins import faults
+from laburnumstep_standins.log import _streams
+
+if typing.TYPE_CHECKING:
+    from laburnumstep import core
+
+DEFAULT_APPENDS_PER_SECOND = 300.0
+"""Appends a second over all streams."""
+DEFAULT_RETENTION_SECONDS = 3600.0
+"""How long records are kept, in seconds."""
+_MAX_WAIT_SECONDS = 30.0
+
+
+class LogStandIn:
+    """An append-only log with offsets, a rate, retention and faults.
+
+    Args:
+        clock: Gives records their time and ends their retention.
+        appends_per_second: Rate over all streams.
+        retention_seconds: How long records are kept, in seconds.
+    """
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        appends_per_second: float = DEFAULT_APPENDS_PER_SECOND,
+        retention_seconds: float = DEFAULT_RETENTION_SECONDS,
+    ) -> None:
+        self._clock = clock
+        self._retention_seconds = retention_seconds
+        self._rate = _streams.AppendRate(appends_per_second)
+        self._streams: dict[str, _streams.Stream] = {}
+        self._held_ends: dict[str, int] = {}
+        self.faults = _streams.LogFaults()
+        """Faults in force."""
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route(
+                    '/v1/streams/{stream}/records',
+                    self._append,
+                    methods=['POST'],
+                ),
+                routing.Route(
+                    '/v1/streams/{stream}/records',
+                    self._read,
+                    methods=['GET'],
+                ),
+                routing.Route('/control', self._control, methods=['POST']),
+            ]
+        )
+        """The ASGI application."""
+
+    def find_stream(self, name: str) -> _streams.Stream:
+        """Return a stream, made at its first use."""
+        if name not in self._streams:
+            self._streams[name] = _streams.Stream(
+                self._clock, self._retention_seconds
+            )
+        return self._streams[name]
+
+    def set_faults(self, **changes: typing.Any) -> None:
+        """Switch faults by their name."""
+        self.faults = attrs.evolve(self.faults, **changes)
+        self._held_ends = {
+            name: stream.end for name, stream in self._streams.items()
+        }
+
+    async def _append(self, request: requests.Request) -> responses.Response:
+        if self.faults.outage:
+            return responses.JSONResponse({'code': 'outage'}, 503)
+        records = json.loads(await request.body())['records']
+        try:
+            self._rate.take(self._clock.now())
+        except _streams.RateExceeded as error:
+            wait = str(error.retry_at - self._clock.now())
+            return responses.JSONResponse(
+                {'code': 'rate'}, 429, {'Retry-After': wait}
+            )
+        stream = self.find_stream(request.path_params['stream'])
+        first = stream.append(records)
+        if self.faults.lost_replies > 0:
+            self.faults.lost_replies -= 1
+            return faults.CutResponse()
+        return responses.JSONResponse({'first_offset': first})
+
+    async def _read(self, request: requests.Request) -> responses.Response:
+        if self.faults.outage:
+            return responses.JSONResponse({'code': 'outage'}, 503)
+        name = request.path_params['stream']
+        stream = self.find_stream(name)
+        start = int(request.query_params.get('from', '0'))
+        limit = int(request.query_params.get('limit', '1000'))
+        wait = float(request.query_params.get('wait', '0'))
+        end = stream.end
+        if self.faults.hold_reads:
+            end = self._held_ends.get(name, 0)
+        elif wait > 0:
+            await stream.wait_beyond(start, min(wait, _MAX_WAIT_SECONDS))
+            end = stream.end
+        if self.faults.outage:
+            return responses.JSONResponse({'code': 'outage'}, 503)
+        found = [r for r in stream.read(start, limit) if r.offset < end]
+        following = found[-1].offset + 1 if found else max(start, stream.first)
+        return responses.JSONResponse(
+            {
+                'records': [attrs.asdict(record) for record in found],
+                'next': following,
+                'first': stream.first,
+                'end': end,
+            }
+        )
+
+    async def _control(self, request: requests.Request) -> responses.Response:
+        self.set_faults(**json.loads(await request.body()))
+        return responses.JSONResponse(attrs.asdict(self.faults))
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/__init__.py
@@ -0,0 +1,1 @@
+"""Entry VM of laburnumstep: serves callers from crowded targets."""
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -0,0 +1,89 @@
+"""Types that every part shares; no input or output of its own."""
+
+from laburnumstep.core._clock import Clock
+from laburnumstep.core._clock import ManualClock
+from laburnumstep.core._clock import SystemClock
+from laburnumstep.core._deployment import Deployment
+from laburnumstep.core._deployment import digest_secret
+from laburnumstep.core._deployment import DocumentObject
+from laburnumstep.core._deployment import EngineTarget
+from laburnumstep.core._deployment import LinkBudget
+from laburnumstep.core._deployment import Operation
+from laburnumstep.core._deployment import Place
+from laburnumstep.core._deployment import PolicyWeights
+from laburnumstep.core._deployment import Service
+from laburnumstep.core._deployment import ServiceTarget
+from laburnumstep.core._deployment import Target
+from laburnumstep.core._deployment import VersionedDeployment
+from laburnumstep.core._deployment import Workspace
+from laburnumstep.core._documents import decode_document
+from laburnumstep.core._documents import digest_deployment
+from laburnumstep.core._documents import encode_document
+from laburnumstep.core._documents import load_json
+from laburnumstep.core._errors import CodedError
+from laburnumstep.core._errors import ErrorCode
+from laburnumstep.core._errors import Outcome
+from laburnumstep.core._findings import Finding
+from laburnumstep.core._findings import FindingsError
+from laburnumstep.core._findings import SourcePosition
+from laburnumstep.core._keys import choose_by_rendezvous
+from laburnumstep.core._keys import KEY_SKEW_SECONDS
+from laburnumstep.core._keys import KEY_VALID_SECONDS
+from laburnumstep.core._keys import RequestKey
+from laburnumstep.core._keys import stable_hash
+from laburnumstep.core._logs import configure_logging
+from laburnumstep.core._logs import get_logger
+from laburnumstep.core._logs import PrefixAdapter
+from laburnumstep.core._metrics import Metrics
+from laburnumstep.core._requests import CallResult
+from laburnumstep.core._requests import Delivery
+from laburnumstep.core._requests import Generation
+from laburnumstep.core._requests import ServiceCall
+from laburnumstep.core._settings import load_settings
+from laburnumstep.core._settings import parse_settings
+from laburnumstep.core._settings import Settings
+
+__all__ = [
+    'CallResult',
+    'Clock',
+    'CodedError',
+    'Delivery',
+    'Deployment',
+    'DocumentObject',
+    'EngineTarget',
+    'ErrorCode',
+    'Finding',
+    'FindingsError',
+    'Generation',
+    'KEY_SKEW_SECONDS',
+    'KEY_VALID_SECONDS',
+    'LinkBudget',
+    'ManualClock',
+    'Metrics',
+    'Operation',
+    'Outcome',
+    'Place',
+    'PolicyWeights',
+    'PrefixAdapter',
+    'RequestKey',
+    'Service',
+    'ServiceCall',
+    'ServiceTarget',
+    'Settings',
+    'SourcePosition',
+    'SystemClock',
+    'Target',
+    'VersionedDeployment',
+    'Workspace',
+    'choose_by_rendezvous',
+    'configure_logging',
+    'decode_document',
+    'digest_deployment',
+    'digest_secret',
+    'encode_document',
+    'get_logger',
+    'load_json',
+    'load_settings',
+    'parse_settings',
+    'stable_hash',
+]
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/core/_deployment.py
@@ -0,0 +1,184 @@
+"""The configuration document: one deployment."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import typing
+
+import attrs
+
+
+@attrs.frozen
+class Place:
+    """A region with its data centres."""
+
+    region: str
+    """Name of the region."""
+    data_centres: list[str]
+    """Names of the data centres, unique in the deployment."""
+
+
+@attrs.frozen
+class EngineTarget:
+    """A model engine."""
+
+    name: str
+    """Name, unique in the deployment."""
+    data_centre: str
+    """Data centre in which it stands."""
+    address: str
+    """IP number and port."""
+    models: list[str]
+    """Models that it is declared to serve."""
+    kv_tokens: int
+    """Memory for running generations, in tokens."""
+    checks_fence: bool
+    """Whether it refuses orders with an old fencing number."""
+    version: str = ''
+    """Declared version of its models."""
+    leaving: bool = False
+    """Whether operators are draining it."""
+
+
+@attrs.frozen
+class ServiceTarget:
+    """A server of a plain service."""
+
+    name: str
+    """Name, unique in the deployment."""
+    data_centre: str
+    """Data centre in which it stands."""
+    address: str
+    """IP number and port."""
+    service: str
+    """Name of the service that it serves."""
+    leaving: bool = False
+    """Whether operators are draining it."""
+
+
+Target = EngineTarget | ServiceTarget
+
+
+@attrs.frozen
+class Operation:
+    """One operation of a plain service."""
+
+    idempotent: bool
+    """Whether it may be repeated."""
+    outcome_query: bool = False
+    """Whether the service tells an operation's outcome by key."""
+
+
+@attrs.frozen
+class Service:
+    """A plain service."""
+
+    operations: dict[str, Operation]
+    """Operations by name."""
+
+
+@attrs.frozen
+class Workspace:
+    """A customer's share of a deployment."""
+
+    name: str
+    """Name, unique in the deployment."""
+    key_digest: str
+    """SHA-256 of the secret, in hexadecimal."""
+    requests_per_second: float
+    """Rate limit across all VMs."""
+    concurrency: int
+    """Limit of requests in progress across all VMs."""
+    tokens_per_second: float
+    """Limit of generated tokens across all VMs."""
+    priority: int = 0
+    """Default priority; higher goes first."""
+    secret_expires_at: float | None = None
+    """Time after which the secret is refused, in epoch seconds."""
+
+    def accepts(self, secret: str, now: float) -> bool:
+        """Tell whether a secret is this workspace's and still valid."""
+        if self.secret_expires_at is not None:
+            if now >= self.secret_expires_at:
+                return False
+        return hmac.compare_digest(digest_secret(secret), self.key_digest)
+
+
+@attrs.frozen
+class PolicyWeights:
+    """How much each measure counts for a deployment."""
+
+    stall: float = 1.0
+    """Weight of stall time."""
+    preemption: float = 1.0
+    """Weight of preemptions."""
+    tail: float = 1.0
+    """Weight of the tail time between tokens."""
+
+
+@attrs.frozen
+class LinkBudget:
+    """What the links between regions may carry."""
+
+    bytes_per_second: dict[str, float] = attrs.field(factory=dict)
+    """Budget of each direction, by '<from region>><to region>'."""
+
+    def find(self, source: str, destination: str) -> float | None:
+        """Return the budget of a direction, or None where it is open."""
+        return self.bytes_per_second.get(f'{source}>{destination}')
+
+
+@attrs.frozen
+class Deployment:
+    """A deployment as its operators declare it."""
+
+    name: str
+    """Name of the deployment."""
+    places: dict[str, Place] = attrs.field(factory=dict)
+    """Places by name."""
+    targets: dict[str, Target] = attrs.field(factory=dict)
+    """Targets by name."""
+    services: dict[str, Service] = attrs.field(factory=dict)
+    """Plain services by name."""
+    workspaces: dict[str, Workspace] = attrs.field(factory=dict)
+    """Workspaces by name."""
+    weights: PolicyWeights = attrs.field(factory=PolicyWeights)
+    """How much each measure counts."""
+    links: LinkBudget = attrs.field(factory=LinkBudget)
+    """Budgets of the links between regions."""
+
+    def find_region(self, data_centre: str) -> str | None:
+        """Return the region of a data centre, or None if not declared."""
+        for place in self.places.values():
+            if data_centre in place.data_centres:
+                return place.region
+        return None
+
+    def find_operation(self, service: str, name: str) -> Operation | None:
+        """Return a declared operation, or None."""
+        declared = self.services.get(service)
+        return declared.operations.get(name) if declared else None
+
+
+@attrs.frozen
+class VersionedDeployment:
+    """A configuration with its version and position in the log."""
+
+    version: int
+    """Version, from 1."""
+    digest: str
+    """Digest of the encoded deployment."""
+    through: int
+    """Log offset up to which records are taken into account."""
+    deployment: Deployment
+    """The configuration itself."""
+
+
+def digest_secret(secret: str) -> str:
+    """Return the digest of a workspace's secret, in hexadecimal."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+DocumentObject = dict[str, typing.Any]
+"""A JSON object, decoded."""
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/core/_documents.py
@@ -0,0 +1,98 @@
+"""Encoding of the configuration document as JSON."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import typing
+
+import attrs
+import cattrs
+import cattrs.preconf.json
+import cattrs.strategies
+
+from laburnumstep.core import _deployment
+from laburnumstep.core import _findings
+
+
+def _build_converter() -> cattrs.preconf.json.JsonConverter:
+    converter = cattrs.preconf.json.make_converter(
+        forbid_extra_keys=True, detailed_validation=True
+    )
+    cattrs.strategies.configure_tagged_union(
+        _deployment.Target,
+        converter,
+        tag_generator=lambda cls: (
+            'engine' if cls is _deployment.EngineTarget else 'service'
+        ),
+        tag_name='kind',
+    )
+    return converter
+
+
+_CONVERTER = _build_converter()
+_T = typing.TypeVar('_T')
+
+
+def encode_document(value: attrs.AttrsInstance) -> typing.Any:
+    """Return an instance as a JSON object."""
+    return _CONVERTER.unstructure(value, unstructure_as=type(value))
+
+
+def decode_document(data: typing.Any, cls: type[_T], source: str) -> _T:
+    """Read an instance from a JSON object.
+
+    Args:
+        data: The decoded JSON.
+        cls: The expected class or union.
+        source: Name of the input, for findings.
+
+    Raises:
+        FindingsError: With every mistake in the object.
+    """
+    try:
+        return _CONVERTER.structure(data, cls)
+    except Exception as error:
+        raise _findings.FindingsError(_explain(error, source)) from error
+
+
+def _explain(error: Exception, source: str) -> list[_findings.Finding]:
+    findings = []
+    for line in cattrs.transform_error(error, path='document'):
+        message, _, path = line.rpartition(' @ ')
+        position = _findings.SourcePosition(source, key=path)
+        findings.append(
+            _findings.Finding(position, 'bad_document', message or line)
+        )
+    return findings
+
+
+def digest_deployment(deployment: _deployment.Deployment) -> str:
+    """Return a digest that is equal for equal deployments."""
+    text = json.dumps(encode_document(deployment), sort_keys=True)
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def load_json(text: str | bytes, source: str) -> typing.Any:
+    """Decode JSON and refuse objects with a key given twice.
+
+    Raises:
+        FindingsError: When the text is no JSON or repeats a key.
+    """
+
+    def build(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
+        result = dict(pairs)
+        if len(result) != len(pairs):
+            names = [name for name, _ in pairs]
+            twice = sorted({n for n in names if names.count(n) > 1})
+            raise ValueError(f'key given twice: {", ".join(twice)}')
+        return result
+
+    try:
+        return json.loads(text, object_pairs_hook=build)
+    except (ValueError, RecursionError) as error:
+        position = _findings.SourcePosition(
+            source, line=getattr(error, 'lineno', None)
+        )
+        finding = _findings.Finding(position, 'bad_json', str(error))
+        raise _findings.FindingsError([finding]) from error
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/core/_errors.py
@@ -0,0 +1,92 @@
+"""Errors with stable codes, and what a caller is told with them."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Outcome(enum.Enum):
+    """Whether a request ran on a target."""
+
+    NOT_RUN = 'not_run'
+    """No target can have begun the request."""
+    RAN = 'ran'
+    """A target began the request."""
+    UNKNOWN = 'unknown'
+    """A target may have begun the request."""
+
+
+class ErrorCode(enum.Enum):
+    """Stable codes of errors."""
+
+    BAD_REQUEST = 'bad_request'
+    """The request does not follow the interface."""
+    UNAUTHORIZED = 'unauthorized'
+    """The credentials are missing, wrong or expired."""
+    NO_CONFIGURATION = 'no_configuration'
+    """The VM does not know the configuration in force yet."""
+    OVERLOADED = 'overloaded'
+    """There is no room on the targets before the deadline."""
+    LIMIT_EXCEEDED = 'limit_exceeded'
+    """The workspace is over one of its limits."""
+    NO_TARGET = 'no_target'
+    """No live target serves the model or service."""
+    LOG_UNAVAILABLE = 'log_unavailable'
+    """A claim cannot be recorded because the log does not answer."""
+    KEY_EXPIRED = 'key_expired'
+    """The request key was issued too long ago to be claimed."""
+    KEY_NOT_VALID_YET = 'key_not_valid_yet'
+    """The request key carries a time of issue in the future."""
+    KEY_IN_USE = 'key_in_use'
+    """Another request with the same key has been claimed."""
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    """The operation was sent and its reply was lost."""
+    GENERATION_LOST = 'generation_lost'
+    """The engine lost the generation after tokens were sent."""
+    GENERATION_UNKNOWN = 'generation_unknown'
+    """The engine does not hold the generation."""
+    GENERATION_CANCELLED = 'generation_cancelled'
+    """The generation was cancelled."""
+    REQUEST_CRASHES_TARGETS = 'request_crashes_targets'
+    """The request is suspected of crashing each target that runs it."""
+    HANDLE_INVALID = 'handle_invalid'
+    """The resume handle is forged, expired or of another workspace."""
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    """The caller's deadline passed."""
+    TARGET_FAILED = 'target_failed'
+    """The target failed while it ran the request."""
+    VM_STOPPING = 'vm_stopping'
+    """The VM is stopping."""
+    INTERNAL = 'internal'
+    """A fault of laburnumstep itself."""
+    LOG_APPEND_RATE = 'log_append_rate'
+    """The log refused an append because of its rate."""
+    CONFIGURATION_CONFLICT = 'configuration_conflict'
+    """Another publication was accepted first."""
+
+
+class CodedError(Exception):
+    """An error with a stable code.
+
+    Args:
+        code: The stable code.
+        message: What happened, for people.
+        outcome: Whether the request ran.
+        resend: Whether sending the request again can help.
+        resend_at: Earliest time to send it again, in epoch seconds.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        outcome: Outcome = Outcome.NOT_RUN,
+        resend: bool = False,
+        resend_at: float | None = None,
+    ) -> None:
+        super().__init__(f'{code.value}: {message}')
+        self.code = code
+        self.message = message
+        self.outcome = outcome
+        self.resend = resend
+        self.resend_at = resend_at
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/log/_client.py
@@ -0,0 +1,138 @@
+"""Client of the platform's append-only log."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from laburnumstep import core
+from laburnumstep import transport
+from laburnumstep.log import _codec
+
+if typing.TYPE_CHECKING:
+    from laburnumstep.log import _records
+
+REPLY_MARGIN_SECONDS = 2.0
+"""Time for a reply beyond the wait asked for, in seconds."""
+
+
+class LogUnavailable(core.CodedError):
+    """The log does not answer, or its answer was lost.
+
+    Args:
+        message: What happened.
+        may_have_landed: Whether an append may have taken effect.
+    """
+
+    def __init__(self, message: str, may_have_landed: bool) -> None:
+        super().__init__(core.ErrorCode.LOG_UNAVAILABLE, message, resend=True)
+        self.may_have_landed = may_have_landed
+
+
+class AppendRateExceeded(core.CodedError):
+    """The log refused an append because of its rate.
+
+    Args:
+        retry_at: Earliest time for another try, in epoch seconds.
+    """
+
+    def __init__(self, retry_at: float) -> None:
+        super().__init__(
+            core.ErrorCode.LOG_APPEND_RATE,
+            'the log refused the append because of its rate',
+            resend=True,
+            resend_at=retry_at,
+        )
+        self.retry_at = retry_at
+
+
+@attrs.frozen
+class AppendedAt:
+    """Where an append landed."""
+
+    first_offset: int
+    """Offset of the first record."""
+
+
+class LogClient:
+    """Reads and appends to the streams of the log.
+
+    Args:
+        address: IP number and port of the log.
+        clock: Tells when a refused append may be tried again.
+    """
+
+    def __init__(self, address: str, clock: core.Clock) -> None:
+        self._http = transport.JsonClient(address)
+        self._clock = clock
+
+    async def append(
+        self,
+        stream: str,
+        records: list[core.DocumentObject],
+        deadline: float,
+    ) -> AppendedAt:
+        """Append records in one call.
+
+        Args:
+            stream: Name of the stream.
+            records: JSON objects, at least one.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: The append may have landed or not; see there.
+            AppendRateExceeded: It has not landed.
+        """
+        path = f'/v1/streams/{stream}/records'
+        body = {'records': records}
+        try:
+            reply = await self._http.request('POST', path, deadline, body)
+        except transport.ConnectFailed as error:
+            raise LogUnavailable(str(error), False) from error
+        except transport.ExchangeFailed as error:
+            raise LogUnavailable(str(error), True) from error
+        if reply.status == 429:
+            wait = float(reply.headers.get('retry-after', '1'))
+            raise AppendRateExceeded(self._clock.now() + wait)
+        if reply.status != 200:
+            message = f'the log answered {reply.status}'
+            raise LogUnavailable(message, reply.status >= 500)
+        return AppendedAt(int(reply.body['first_offset']))
+
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        limit: int,
+        wait: float,
+        deadline: float,
+    ) -> _records.LogPage:
+        """Read records from an offset on.
+
+        Args:
+            stream: Name of the stream.
+            start: First offset wanted; earlier ones may be retained no more.
+            limit: Most records to return.
+            wait: How long the log may wait for a record, in seconds.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: The log does not answer.
+        """
+        path = (
+            f'/v1/streams/{stream}/records'
+            f'?from={start}&limit={limit}&wait={wait}'
+        )
+        try:
+            reply = await self._http.request('GET', path, deadline)
+        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
+            raise LogUnavailable(str(error), False) from error
+        if reply.status != 200:
+            message = f'the log answered {reply.status}'
+            raise LogUnavailable(message, False)
+        return _codec.decode_page(reply.body)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
@@ -0,0 +1,1 @@
+"""Peer package: siblings."""
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/transport/_bodies.py
@@ -0,0 +1,32 @@
+"""Reading of request bodies within bounds."""
+
+from __future__ import annotations
+
+import typing
+
+from laburnumstep import core
+
+if typing.TYPE_CHECKING:
+    from starlette import requests
+
+MAX_BODY_BYTES = 1024 * 1024
+"""Largest accepted body, in bytes."""
+
+
+async def read_body(request: requests.Request) -> bytes:
+    """Return the body of a request.
+
+    Raises:
+        CodedError: `bad_request` when the body is larger than allowed.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.stream():
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            raise core.CodedError(
+                core.ErrorCode.BAD_REQUEST,
+                f'the body is larger than {MAX_BODY_BYTES} bytes',
+            )
+        chunks.append(chunk)
+    return b''.join(chunks)
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the steps of several folders."""
--- /dev/null
+++ b/tests/support/hooks.py
@@ -0,0 +1,32 @@
+"""Hooks that give each scenario an event loop in a thread of its own.
+
+A folder's `environment.py` imports `before_scenario` and `after_scenario`
+from here. Steps run coroutines with `context.portal.call(...)` and enter
+asynchronous contexts with `enter(context, ...)`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio.from_thread
+
+
+def before_scenario(context: typing.Any, scenario: typing.Any) -> None:
+    """Start the event loop of a scenario."""
+    context.stack = contextlib.ExitStack()
+    context.portal = context.stack.enter_context(
+        anyio.from_thread.start_blocking_portal('asyncio')
+    )
+
+
+def after_scenario(context: typing.Any, scenario: typing.Any) -> None:
+    """Leave the contexts of a scenario and stop its event loop."""
+    context.stack.close()
+
+
+def enter(context: typing.Any, manager: typing.Any) -> typing.Any:
+    """Enter an asynchronous context until the scenario ends."""
+    wrapped = context.portal.wrap_async_context_manager(manager)
+    return context.stack.enter_context(wrapped)
