Order the imports of the log client as the linter asks

Cause: hacking H306 compares full dotted names, so laburnumstep.log sorts before laburnumstep.transport.

--- a/packages/laburnumstep/src/laburnumstep/log/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_client.py
@@ -7,8 +7,8 @@
 import attrs
 
 from laburnumstep import core
-from laburnumstep import transport
 from laburnumstep.log import _codec
+from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
     from laburnumstep.log import _records
