Type ASGI applications with Starlette's own type

Cause: uvicorn's ASGI type names other message classes than Starlette's, so mypy rejected every application.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -17,7 +17,7 @@
 from laburnumstep_standins import log
 
 if typing.TYPE_CHECKING:
-    from uvicorn import _types
+    from starlette import types
 
 app = typer.Typer(help='Stand-ins for outside systems.', no_args_is_help=True)
 Address = typing.Annotated[
@@ -25,7 +25,7 @@
 ]
 
 
-async def serve(application: _types.ASGIApplication, address: str) -> None:
+async def serve(application: types.ASGIApp, address: str) -> None:
     """Serve a stand-in until SIGTERM."""
     server = transport.HttpServer(application, address)
     print(json.dumps({'address': server.address}), flush=True)
--- a/packages/laburnumstep/src/laburnumstep/transport/_server.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_server.py
@@ -12,7 +12,7 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
-    from uvicorn import _types
+    from starlette import types
 
 _BACKLOG = 2048
 """Connections that may wait to be accepted."""
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        app: _types.ASGIApplication,
+        app: types.ASGIApp,
         address: str,
         certificate: str | None = None,
         private_key: str | None = None,
@@ -53,7 +53,7 @@
         )
         self._host = host
         config = uvicorn.Config(
-            app,
+            typing.cast(typing.Any, app),
             http='h11',
             ws='none',
             lifespan='off',
@@ -87,7 +87,7 @@
 
 @contextlib.asynccontextmanager
 async def serve_app(
-    app: _types.ASGIApplication, address: str = '127.0.0.1:0'
+    app: types.ASGIApp, address: str = '127.0.0.1:0'
 ) -> collections.abc.AsyncIterator[HttpServer]:
     """Serve an application while the context is open."""
     server = HttpServer(app, address)
