Add routing, limits and retries as plain decisions

The callers' front end and the engine client need placement, admission, limits and retry decisions that know no encoding.

Callers get the admission queue, workspace limits held by shares with deadlines, and the allocator of shares.

--- a/packages/laburnumstep/src/laburnumstep/callers/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/__init__.py
@@ -1,1 +1,29 @@
-"""Peer package: callers."""
+"""Callers of a deployment."""
+
+from laburnumstep.callers._admission import Admission
+from laburnumstep.callers._admission import AdmissionRequest
+from laburnumstep.callers._admission import AdmissionResult
+from laburnumstep.callers._admission import Admitted
+from laburnumstep.callers._admission import Shed
+from laburnumstep.callers._limits import Allowed
+from laburnumstep.callers._limits import LimitResult
+from laburnumstep.callers._limits import Refused
+from laburnumstep.callers._limits import WorkspaceLimits
+from laburnumstep.callers._shares import Demand
+from laburnumstep.callers._shares import Share
+from laburnumstep.callers._shares import ShareAllocator
+
+__all__ = [
+    'Admission',
+    'AdmissionRequest',
+    'AdmissionResult',
+    'Admitted',
+    'Allowed',
+    'Demand',
+    'LimitResult',
+    'Refused',
+    'Share',
+    'ShareAllocator',
+    'Shed',
+    'WorkspaceLimits',
+]
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/_lengths.py
@@ -0,0 +1,181 @@
+"""Lengths of answers, learned online for each workspace and model."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import attrs
+
+BUCKETS_PER_OCTAVE = 2
+"""Buckets for each doubling of the length; each is 41% wide."""
+BUCKET_COUNT = 40
+"""Number of buckets; the last one begins above 700,000 tokens."""
+MAX_WEIGHT = 2000.0
+"""Weight at which older observations begin to be forgotten."""
+PRIOR_WEIGHT = 8.0
+"""Weight of the model's distribution where a workspace is little known."""
+PRIOR_LENGTHS = (16, 64, 128, 256, 512, 1024)
+"""Lengths assumed of a model of which nothing is known, in tokens."""
+MAX_SKETCHES = 20_000
+"""Pairs of workspace and model that are kept."""
+
+
+def find_bucket(tokens: float) -> int:
+    """Return the bucket of a length in tokens."""
+    if tokens < 1:
+        return 0
+    index = int(math.log2(tokens) * BUCKETS_PER_OCTAVE)
+    return min(index, BUCKET_COUNT - 1)
+
+
+def find_lower_bound(bucket: int) -> float:
+    """Return the shortest length of a bucket, in tokens."""
+    return float(2 ** (bucket / BUCKETS_PER_OCTAVE)) if bucket else 0.0
+
+
+@attrs.define
+class LengthSketch:
+    """A distribution of lengths in logarithmic buckets."""
+
+    counts: dict[int, float] = attrs.field(factory=dict)
+    """Weight of each bucket."""
+    sums: dict[int, float] = attrs.field(factory=dict)
+    """Weighted sum of the lengths of each bucket, in tokens."""
+    weight: float = 0.0
+    """Weight of all buckets."""
+
+    def observe(self, tokens: int, weight: float = 1.0) -> None:
+        """Add one length."""
+        bucket = find_bucket(tokens)
+        self.counts[bucket] = self.counts.get(bucket, 0.0) + weight
+        self.sums[bucket] = self.sums.get(bucket, 0.0) + tokens * weight
+        self.weight += weight
+        if self.weight > MAX_WEIGHT:
+            self._scale(0.5)
+
+    def merge(self, other: LengthSketch) -> None:
+        """Add the observations of another sketch."""
+        for bucket, count in other.counts.items():
+            self.counts[bucket] = self.counts.get(bucket, 0.0) + count
+            added = other.sums.get(bucket, 0.0)
+            self.sums[bucket] = self.sums.get(bucket, 0.0) + added
+        self.weight += other.weight
+        while self.weight > MAX_WEIGHT:
+            self._scale(0.5)
+
+    def list_tail(self, so_far: float) -> list[tuple[float, float]]:
+        """Return (remaining length, weight) of lengths beyond `so_far`."""
+        tail = []
+        first = find_bucket(so_far)
+        for bucket, count in self.counts.items():
+            if bucket < first or count <= 0:
+                continue
+            mean = self.sums[bucket] / count
+            if bucket > first:
+                tail.append((mean - so_far, count))
+                continue
+            low = find_lower_bound(bucket)
+            high = find_lower_bound(bucket + 1)
+            # Lengths are taken as even within the bucket of `so_far`.
+            share = min(1.0, (high - so_far) / (high - low))
+            if share > 0:
+                if so_far <= low:
+                    left = mean - so_far
+                else:
+                    left = (high - so_far) / 2
+                tail.append((max(left, 0.0), count * share))
+        return tail
+
+    def _scale(self, factor: float) -> None:
+        for bucket in self.counts:
+            self.counts[bucket] *= factor
+            self.sums[bucket] *= factor
+        self.weight *= factor
+
+
+class LengthEstimator:
+    """Expected remaining lengths without an oracle.
+
+    A workspace's own distribution for a model is blended with the model's,
+    which counts as `PRIOR_WEIGHT` observations.
+    """
+
+    def __init__(self) -> None:
+        self._pairs: dict[tuple[str, str], LengthSketch] = {}
+        self._models: dict[str, LengthSketch] = {}
+
+    def observe(self, workspace: str, model: str, tokens: int) -> None:
+        """Record the length of a complete answer, in tokens."""
+        self._find_pair(workspace, model).observe(tokens)
+        self._models.setdefault(model, LengthSketch()).observe(tokens)
+
+    def merge(self, workspace: str, model: str, sketch: LengthSketch) -> None:
+        """Add observations that another VM made."""
+        self._find_pair(workspace, model).merge(sketch)
+        self._models.setdefault(model, LengthSketch()).merge(sketch)
+
+    def get_sketch(self, workspace: str, model: str) -> LengthSketch | None:
+        """Return the distribution of a workspace and model, if any."""
+        return self._pairs.get((workspace, model))
+
+    def list_pairs(self) -> typing.Iterable[tuple[str, str]]:
+        """Return the known pairs of workspace and model."""
+        return self._pairs.keys()
+
+    def expect_remaining(
+        self, workspace: str, model: str, so_far: float
+    ) -> float:
+        """Return the mean number of tokens still to come."""
+        tail = self._list_tail(workspace, model, so_far)
+        weight = sum(count for _, count in tail)
+        if weight <= 0:
+            # Beyond all that was seen: heavy tails grow with what is past.
+            return max(1.0, so_far)
+        return sum(left * count for left, count in tail) / weight
+
+    def find_quantile(
+        self, workspace: str, model: str, so_far: float, quantile: float
+    ) -> float:
+        """Return a quantile of the number of tokens still to come."""
+        tail = sorted(self._list_tail(workspace, model, so_far))
+        weight = sum(count for _, count in tail)
+        if weight <= 0:
+            return max(1.0, so_far)
+        reached = 0.0
+        for left, count in tail:
+            reached += count
+            if reached >= quantile * weight:
+                return left
+        return tail[-1][0]
+
+    def _list_tail(
+        self, workspace: str, model: str, so_far: float
+    ) -> list[tuple[float, float]]:
+        pair = self._pairs.get((workspace, model))
+        tail = pair.list_tail(so_far) if pair is not None else []
+        known = self._models.get(model)
+        if known is not None:
+            scale = PRIOR_WEIGHT / max(known.weight, PRIOR_WEIGHT)
+            tail += [
+                (left, count * scale)
+                for left, count in known.list_tail(so_far)
+            ]
+        if known is None or known.weight < PRIOR_WEIGHT:
+            tail += [
+                (float(length - so_far), 1.0 / len(PRIOR_LENGTHS))
+                for length in PRIOR_LENGTHS
+                if length > so_far
+            ]
+        return tail
+
+    def _find_pair(self, workspace: str, model: str) -> LengthSketch:
+        pair = (workspace, model)
+        sketch = self._pairs.pop(pair, None)
+        if sketch is None:
+            sketch = LengthSketch()
+            while len(self._pairs) >= MAX_SKETCHES:
+                del self._pairs[next(iter(self._pairs))]
+        # The pair moves to the end: the least recently used one is dropped.
+        self._pairs[pair] = sketch
+        return sketch
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -0,0 +1,226 @@
+"""What a VM knows of the targets of its deployment."""
+
+from __future__ import annotations
+
+import heapq
+import typing
+
+from laburnumstep import core
+from laburnumstep.targets import _hints
+from laburnumstep.targets import _links
+from laburnumstep.targets import _pools
+from laburnumstep.targets import _sends
+from laburnumstep.targets import _states
+
+if typing.TYPE_CHECKING:
+    from laburnumstep.targets import _reports
+
+RoomListener = typing.Callable[[], None]
+"""Called when a target may have got room for new work."""
+
+
+class FleetView:
+    """Targets with their load, as one VM sees them.
+
+    Args:
+        clock: Tells the time.
+        vm_data_centre: Data centre of this VM.
+    """
+
+    def __init__(self, clock: core.Clock, vm_data_centre: str) -> None:
+        self._clock = clock
+        self._data_centre = vm_data_centre
+        self._region: str | None = None
+        self._states: dict[str, _states.TargetState] = {}
+        self._pools: dict[str, _pools.TargetPool] = {}
+        self._members: dict[str, tuple[str, ...]] = {}
+        self._recovering: list[tuple[float, str]] = []
+        self._leaving: set[str] = set()
+        self._listeners: list[RoomListener] = []
+        self._known_vms = 1
+        self._budget = core.LinkBudget()
+        self.hints = _hints.PrefixHints()
+        """Prefixes that engines probably hold."""
+        self.links = _links.LinkMeter(clock)
+        """Budgets of the links between regions."""
+
+    @property
+    def clock(self) -> core.Clock:
+        """The clock of the view."""
+        return self._clock
+
+    @property
+    def region(self) -> str | None:
+        """Region of this VM, once a configuration is known."""
+        return self._region
+
+    @property
+    def known_vms(self) -> int:
+        """How many VMs send to the same targets, this one included."""
+        return self._known_vms
+
+    def subscribe(self, listener: RoomListener) -> None:
+        """Call a function whenever there may be new room."""
+        self._listeners.append(listener)
+
+    def set_known_vms(self, count: int) -> None:
+        """Set how many VMs send to the same targets."""
+        self._known_vms = max(1, count)
+        self.links.apply_budget(self._budget, 1.0 / self._known_vms)
+
+    def apply_deployment(self, deployment: core.Deployment) -> None:
+        """Use a new configuration; sends in progress are kept."""
+        self._region = deployment.find_region(self._data_centre)
+        self._budget = deployment.links
+        self.links.apply_budget(deployment.links, 1.0 / self._known_vms)
+        for name in list(self._states):
+            if name not in deployment.targets:
+                self._remove(name)
+        for name, target in deployment.targets.items():
+            state = self._states.get(name)
+            region = deployment.find_region(target.data_centre)
+            near = region == self._region
+            if state is None:
+                state = _states.TargetState(target, region, near)
+                state.observed_leaving = name in self._leaving
+                self._states[name] = state
+            elif state.declared == target and state.near == near:
+                continue
+            state.declared = target
+            state.region = region
+            state.near = near
+            self._index(name, state)
+        self._notify()
+
+    def record_report(
+        self, target_name: str, report: _reports.LoadReport
+    ) -> None:
+        """Take in a load report; older ones than the last are ignored."""
+        state = self._states.get(target_name)
+        if state is not None and state.accept_report(report):
+            self._index(target_name, state)
+            self._notify()
+
+    def set_leaving(self, target_name: str, leaving: bool) -> None:
+        """Record whether some source says that a target is leaving."""
+        if leaving:
+            self._leaving.add(target_name)
+        else:
+            self._leaving.discard(target_name)
+        state = self._states.get(target_name)
+        if state is not None:
+            state.observed_leaving = leaving
+            self._index(target_name, state)
+            self._notify()
+
+    def set_failed(self, target_name: str, until: float) -> None:
+        """Give a target no work until a time in epoch seconds."""
+        state = self._states.get(target_name)
+        if state is not None:
+            state.failed_until = until
+            heapq.heappush(self._recovering, (until, target_name))
+            self._index(target_name, state)
+
+    def begin(
+        self,
+        target_name: str,
+        generation_id: str,
+        workspace: str,
+        model: str,
+        prompt_tokens: int,
+        expected_tokens: float,
+    ) -> _sends.Send:
+        """Count a send at once, before the engine reports it."""
+        send = _sends.Send(
+            target_name,
+            generation_id,
+            workspace,
+            model,
+            prompt_tokens,
+            expected_tokens,
+            self._clock.now(),
+        )
+        state = self._states.get(target_name)
+        if state is not None:
+            state.sends[generation_id] = send
+        return send
+
+    def record_tokens(self, send: _sends.Send, count: int) -> None:
+        """Count tokens that a send has produced."""
+        send.tokens += count
+
+    def end(self, send: _sends.Send) -> None:
+        """Count the end of a send; a second call has no effect."""
+        if send.ended_at is not None:
+            return
+        send.ended_at = self._clock.now()
+        state = self._states.get(send.target)
+        if state is None:
+            return
+        if state.sends.get(send.generation_id) is send:
+            del state.sends[send.generation_id]
+            if send.begun_at <= state.measured_at:
+                state.ended.append(send)
+        self._notify()
+
+    def find(self, target_name: str) -> _states.TargetState | None:
+        """Return what is known of a target."""
+        return self._states.get(target_name)
+
+    def get_pool(self, subject: str) -> _pools.TargetPool:
+        """Return the usable targets of a model or a plain service."""
+        self._restore_recovered()
+        pool = self._pools.get(subject)
+        return pool if pool is not None else _pools.TargetPool()
+
+    def find_recovery(self) -> float | None:
+        """Return when the next failed target gets work again, if any."""
+        self._restore_recovered()
+        return self._recovering[0][0] if self._recovering else None
+
+    def _restore_recovered(self) -> None:
+        now = self._clock.now()
+        while self._recovering and self._recovering[0][0] <= now:
+            _, name = heapq.heappop(self._recovering)
+            state = self._states.get(name)
+            if state is not None:
+                self._index(name, state)
+
+    def _index(self, name: str, state: _states.TargetState) -> None:
+        subjects: tuple[str, ...] = ()
+        if state.is_usable(self._clock.now()):
+            subjects = _list_subjects(state)
+        near = state.near
+        for subject in self._members.get(name, ()):
+            if subject not in subjects:
+                self._pools[subject].discard(name)
+        for subject in subjects:
+            pool = self._pools.setdefault(subject, _pools.TargetPool())
+            pool.add(name, near)
+        self._members[name] = subjects
+
+    def _remove(self, name: str) -> None:
+        for subject in self._members.pop(name, ()):
+            self._pools[subject].discard(name)
+        del self._states[name]
+        self.hints.forget(name)
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def get_service_subject(service: str) -> str:
+    """Return the name of a service's pool, apart from those of models."""
+    return f'service:{service}'
+
+
+def _list_subjects(state: _states.TargetState) -> tuple[str, ...]:
+    match state.declared:
+        case core.EngineTarget(models=declared):
+            models = state.report.models if state.report else declared
+            return tuple(models)
+        case core.ServiceTarget(service=service):
+            return (get_service_subject(service),)
+        case _ as other:
+            typing.assert_never(other)
