--- a/packages/laburnumstep/src/laburnumstep/callers/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/__init__.py
@@ -1,10 +1,10 @@
 """Callers of a deployment."""
 
 from laburnumstep.callers._admission import Admission
-from laburnumstep.callers._admission import AdmissionRequest
-from laburnumstep.callers._admission import AdmissionResult
-from laburnumstep.callers._admission import Admitted
-from laburnumstep.callers._admission import Shed
+from laburnumstep.callers._admission_queue import AdmissionRequest
+from laburnumstep.callers._admission_queue import AdmissionResult
+from laburnumstep.callers._admission_queue import Admitted
+from laburnumstep.callers._admission_queue import Shed
 from laburnumstep.callers._limits import Allowed
 from laburnumstep.callers._limits import LimitResult
 from laburnumstep.callers._limits import Refused
--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -7,68 +7,23 @@
 import typing
 
 import anyio
-import attrs
 
+from laburnumstep.callers import _admission_queue
 from laburnumstep import core
 from laburnumstep import targets
 
 MAX_WAITING_PER_MODEL = 1000
 """Requests that may wait for one model; more are shed."""
-AGING_SECONDS = 10.0
-"""Time of waiting that raises a request by one priority, in seconds."""
-LONG_ANSWER_TOKENS = 128.0
-"""Each doubling of the expected length beyond this lowers the rank."""
-MAX_SKIPPED = 8
-"""Requests that may be looked at behind one that finds no room."""
+MAX_SKIPPED = 4
+"""Requests without room behind which smaller ones are still looked at."""
+PATIENCE_SECONDS = 10.0
+"""How long after it was due a request may be passed by smaller ones;
+afterwards the room that comes free is kept for it."""
 MIN_RESEND_SECONDS = 1.0
 """Shortest time before a shed request is sent again, in seconds."""
-
-
-@attrs.frozen
-class AdmissionRequest:
-    """A generation that asks for a place on an engine."""
-
-    placement: targets.PlacementRequest
-    """What placement needs to know."""
-    generation_id: str
-    """Identifier of the generation on the engine."""
-    deadline: float
-    """Time after which the answer is useless, in epoch seconds."""
-    max_tokens: int
-    """Upper bound of the answer, in tokens."""
-
-
-@attrs.frozen(eq=False)
-class Admitted:
-    """A generation may be sent to a target now."""
-
-    placed: targets.Placed
-    """The target and why it was chosen."""
-    send: targets.Send
-    """The send, already counted by the view."""
-
-
-@attrs.frozen
-class Shed:
-    """A generation is refused and was sent to no target."""
-
-    code: core.ErrorCode
-    """Why it is refused."""
-    resend_at: float
-    """Earliest time to send it again, in epoch seconds."""
-
-
-AdmissionResult = Admitted | Shed
-
-
-@attrs.define(eq=False)
-class _Waiter:
-    request: AdmissionRequest
-    rank: float
-    order: int
-    event: anyio.Event
-    result: AdmissionResult | None = None
-    retry_at: float = math.inf
+MAX_RESEND_SECONDS = 30.0
+"""Longest time before a shed request is sent again, in seconds."""
+_logger = core.get_logger('callers')
 
 
 class Admission:
@@ -79,6 +34,7 @@
         view: Targets and their load.
         lengths: Expected lengths of answers.
         rng: Source of random numbers.
+        metrics: Receives counts of admitted and shed requests.
     """
 
     def __init__(
@@ -87,16 +43,18 @@
         view: targets.FleetView,
         lengths: targets.LengthEstimator,
         rng: random.Random | None = None,
+        metrics: core.Metrics | None = None,
     ) -> None:
         self._clock = clock
         self._view = view
         self._lengths = lengths
         self._rng = rng if rng is not None else random.Random()
+        self._metrics = metrics or core.Metrics(None, '')
         self._weights = core.PolicyWeights()
-        self._queues: dict[str, list[_Waiter]] = {}
+        self._queues: dict[str, _admission_queue.WaitQueue] = {}
         self._order = 0
         self._dispatching = False
-        view.subscribe(self._dispatch_all)
+        view.subscribe(self._dispatch_models)
 
     @property
     def waiting(self) -> int:
@@ -106,9 +64,11 @@
     def apply_deployment(self, deployment: core.Deployment) -> None:
         """Use the weights of a new configuration."""
         self._weights = deployment.weights
-        self._dispatch_all()
+        self._dispatch_models(self._queues)
 
-    async def admit(self, request: AdmissionRequest) -> AdmissionResult:
+    async def admit(
+        self, request: _admission_queue.AdmissionRequest
+    ) -> _admission_queue.AdmissionResult:
         """Wait until the generation has a target or is refused.
 
         An `Admitted` must be handed to `release` when the generation has
@@ -116,136 +76,184 @@
         """
         waiter = self._enqueue(request)
         try:
-            self._dispatch(request.placement.model)
             while waiter.result is None:
                 await self._wait(waiter)
         except BaseException:
-            match waiter.result:
-                case Admitted() as admitted:
-                    self.release(admitted)
-                case _:
-                    self._remove(waiter)
+            self._abandon(waiter)
             raise
         return waiter.result
 
-    def release(self, admitted: Admitted) -> None:
+    def release(self, admitted: _admission_queue.Admitted) -> None:
         """Give back the place of a generation that has ended."""
         self._view.end(admitted.send)
 
-    def _enqueue(self, request: AdmissionRequest) -> _Waiter:
-        queue = self._queues.setdefault(request.placement.model, [])
-        self._order += 1
-        waiter = _Waiter(
-            request, self._rank(request), self._order, anyio.Event()
-        )
-        if len(queue) >= MAX_WAITING_PER_MODEL:
-            resend_at = self._clock.now() + MIN_RESEND_SECONDS
-            waiter.result = Shed(core.ErrorCode.OVERLOADED, resend_at)
+    def _enqueue(
+        self, request: _admission_queue.AdmissionRequest
+    ) -> _admission_queue.Waiter:
+        """Place a request at once, refuse it or let it wait."""
+        model = request.placement.model
+        queue = self._queues.get(model)
+        if queue is None:
+            queue = self._queues[model] = _admission_queue.WaitQueue()
+        waiter = self._make_waiter(request, queue)
+        queue.add(waiter)
+        self._view.set_waiting(model, len(queue))
+        if request.deadline <= self._clock.now():
+            self._shed(waiter, 0.0)
             return waiter
-        queue.append(waiter)
-        queue.sort(key=lambda item: (item.rank, item.order))
+        self._dispatch(model)
+        if waiter.result is None:
+            self._shed_early(waiter, queue)
         return waiter
 
-    def _rank(self, request: AdmissionRequest) -> float:
-        """Return the virtual time at which a request is due.
-
-        Ordering by arrival plus a handicap ages all waiters alike, so the
-        order of two waiters never changes and the queue stays sorted.
-        """
-        placement = request.placement
-        expected = self._expect_tokens(request)
-        length = max(0.0, math.log2(expected / LONG_ANSWER_TOKENS))
-        handicap = length - placement.priority
-        return self._clock.now() + AGING_SECONDS * handicap
-
-    def _expect_tokens(self, request: AdmissionRequest) -> float:
+    def _make_waiter(
+        self,
+        request: _admission_queue.AdmissionRequest,
+        queue: _admission_queue.WaitQueue,
+    ) -> _admission_queue.Waiter:
         placement = request.placement
+        now = self._clock.now()
+        limit = float(request.max_tokens)
         expected = self._lengths.expect_remaining(
             placement.workspace, placement.model, 0
         )
-        return max(1.0, min(expected, float(request.max_tokens)))
+        median = self._lengths.find_quantile(
+            placement.workspace, placement.model, 0, 0.5
+        )
+        # A few long answers raise the mean; the median tells whether this
+        # one more likely than not ends before its deadline.
+        pace = self._view.token_seconds or 0.0
+        latest_start = request.deadline - pace * min(median, limit)
+        expected = min(expected, limit)
+        due_at = queue.find_due(request, expected, now)
+        self._order += 1
+        return _admission_queue.Waiter(
+            request, expected, latest_start, due_at, self._order
+        )
 
-    async def _wait(self, waiter: _Waiter) -> None:
-        """Wait for a result, the deadline or the next time to look."""
-        until = min(waiter.request.deadline, waiter.retry_at)
+    def _shed_early(
+        self,
+        waiter: _admission_queue.Waiter,
+        queue: _admission_queue.WaitQueue,
+    ) -> None:
+        """Refuse a request at once that would wait for nothing."""
+        now = self._clock.now()
+        wait = queue.estimate_wait(waiter.due_at, now)
+        full = len(queue) > MAX_WAITING_PER_MODEL
+        late = wait is not None and now + wait > waiter.latest_start
+        if full or late or waiter.latest_start <= now:
+            self._shed(waiter, wait or 0.0)
+
+    async def _wait(self, waiter: _admission_queue.Waiter) -> None:
+        """Wait for a result, the latest start or the next time to look."""
+        now = self._clock.now()
+        if waiter.latest_start <= now:
+            self._shed(waiter, 0.0)
+            return
+        if waiter.retry_at <= now:
+            waiter.retry_at = math.inf
+            self._dispatch(waiter.request.placement.model)
+            return
+        waiter.armed_until = min(waiter.latest_start, waiter.retry_at)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._wake_at, waiter, until)
+            group.start_soon(self._wake_at, waiter, waiter.armed_until)
             await waiter.event.wait()
             group.cancel_scope.cancel()
         waiter.event = anyio.Event()
-        if waiter.result is not None:
-            return
-        now = self._clock.now()
-        if waiter.request.deadline <= now:
-            self._remove(waiter)
-            resend_at = now + MIN_RESEND_SECONDS
-            waiter.result = Shed(core.ErrorCode.OVERLOADED, resend_at)
-            return
-        self._dispatch(waiter.request.placement.model)
+        waiter.armed_until = -math.inf
 
-    async def _wake_at(self, waiter: _Waiter, until: float) -> None:
+    async def _wake_at(
+        self, waiter: _admission_queue.Waiter, until: float
+    ) -> None:
         await self._clock.sleep_until(until)
         waiter.event.set()
 
-    def _remove(self, waiter: _Waiter) -> None:
-        queue = self._queues.get(waiter.request.placement.model, [])
-        if waiter in queue:
-            queue.remove(waiter)
+    def _abandon(self, waiter: _admission_queue.Waiter) -> None:
+        """Undo the admission of a caller that is gone."""
+        match waiter.result:
+            case _admission_queue.Admitted() as admitted:
+                self.release(admitted)
+            case _admission_queue.Shed():
+                pass
+            case None:
+                self._remove(waiter)
+            case _ as other:
+                typing.assert_never(other)
 
-    def _dispatch_all(self) -> None:
-        for model in list(self._queues):
-            self._dispatch(model)
+    def _dispatch_models(self, models: typing.Iterable[str]) -> None:
+        for model in list(models):
+            if model in self._queues:
+                self._dispatch(model)
 
     def _dispatch(self, model: str) -> None:
-        """Give room to waiters in order; small ones may pass a large one."""
-        if self._dispatching:
+        """Give room to waiters in order; small ones may pass large ones."""
+        queue = self._queues[model]
+        if self._dispatching or not len(queue):
             return
         self._dispatching = True
         try:
-            skipped = 0
-            for waiter in list(self._queues.get(model, [])):
-                if not self._try_place(waiter):
-                    skipped += 1
-                if skipped > MAX_SKIPPED:
-                    break
+            self._place_waiters(queue)
         finally:
             self._dispatching = False
-        if not self._queues.get(model):
-            self._queues.pop(model, None)
-
-    def _try_place(self, waiter: _Waiter) -> bool:
-        """Place a waiter; return False when there is no room for it."""
-        request = waiter.request
+        self._view.set_waiting(model, len(queue))
+        first = queue.first
+        if first is not None and first.retry_at < first.armed_until:
+            # Only the first waiter looks again by time; its task sleeps
+            # until later and must be told.
+            first.event.set()
+
+    def _place_waiters(self, queue: _admission_queue.WaitQueue) -> None:
         now = self._clock.now()
-        if request.deadline <= now:
-            self._finish(waiter, Shed(core.ErrorCode.OVERLOADED, now + 1.0))
+        skipped = 0
+        smallest = math.inf
+        for waiter in queue:
+            if waiter.size >= smallest:
+                continue
+            if self._try_place(waiter, queue):
+                continue
+            skipped += 1
+            placement = waiter.request.placement
+            if not placement.suspect and not placement.excluded:
+                smallest = waiter.size
+            overdue = now > waiter.due_at + PATIENCE_SECONDS
+            if overdue or skipped >= MAX_SKIPPED:
+                return
+
+    def _try_place(
+        self,
+        waiter: _admission_queue.Waiter,
+        queue: _admission_queue.WaitQueue,
+    ) -> bool:
+        """Place or refuse a waiter; return False when it has no room."""
+        now = self._clock.now()
+        if waiter.request.deadline <= now:
+            self._shed(waiter, 0.0)
             return True
         placement = targets.choose_engine(
             self._view,
-            request.placement,
+            waiter.request.placement,
             self._lengths,
             self._weights,
             self._rng,
         )
         match placement:
             case targets.Placed():
-                self._finish(waiter, self._begin(request, placement))
+                queue.record_departure(now)
+                self._finish(waiter, self._begin(waiter, placement))
                 return True
             case targets.NoRoom(retry_at=retry_at):
                 waiter.retry_at = retry_at
                 return False
-            case targets.NoTarget():
-                self._finish(
-                    waiter,
-                    Shed(core.ErrorCode.NO_TARGET, now + MIN_RESEND_SECONDS),
-                )
+            case targets.NoTarget(reason=reason):
+                self._refuse(waiter, core.ErrorCode.NO_TARGET, 0.0, reason)
                 return True
             case _ as other:
                 typing.assert_never(other)
 
     def _begin(
-        self, request: AdmissionRequest, placed: targets.Placed
-    ) -> Admitted:
+        self, waiter: _admission_queue.Waiter, placed: targets.Placed
+    ) -> _admission_queue.Admitted:
+        request = waiter.request
         placement = request.placement
         send = self._view.begin(
             placed.target,
@@ -253,11 +261,57 @@
             placement.workspace,
             placement.model,
             placement.prompt_tokens,
-            self._expect_tokens(request),
+            waiter.expected,
+            request.max_tokens,
+            placement.suspect,
+        )
+        self._metrics.count('admission.admitted')
+        _logger.info(
+            'placed request %s of workspace %s on target %s: %s; '
+            'runners-up: %s',
+            placement.request,
+            placement.workspace,
+            placed.target,
+            placed.reason,
+            ', '.join(placed.runners_up) or 'none',
         )
-        return Admitted(placed, send)
+        return _admission_queue.Admitted(placed, send)
 
-    def _finish(self, waiter: _Waiter, result: AdmissionResult) -> None:
+    def _shed(self, waiter: _admission_queue.Waiter, wait: float) -> None:
+        reason = 'no room before its deadline'
+        self._refuse(waiter, core.ErrorCode.OVERLOADED, wait, reason)
+
+    def _refuse(
+        self,
+        waiter: _admission_queue.Waiter,
+        code: core.ErrorCode,
+        wait: float,
+        reason: str,
+    ) -> None:
+        delay = min(max(wait, MIN_RESEND_SECONDS), MAX_RESEND_SECONDS)
+        resend_at = self._clock.now() + delay
+        placement = waiter.request.placement
+        self._metrics.count('admission.shed')
+        _logger.info(
+            'refused request %s of workspace %s with %s: %s',
+            placement.request,
+            placement.workspace,
+            code.value,
+            reason,
+        )
+        self._finish(waiter, _admission_queue.Shed(code, resend_at))
+
+    def _finish(
+        self,
+        waiter: _admission_queue.Waiter,
+        result: _admission_queue.AdmissionResult,
+    ) -> None:
         waiter.result = result
         self._remove(waiter)
         waiter.event.set()
+
+    def _remove(self, waiter: _admission_queue.Waiter) -> None:
+        model = waiter.request.placement.model
+        queue = self._queues[model]
+        queue.remove(waiter)
+        self._view.set_waiting(model, len(queue))
--- a/packages/laburnumstep/src/laburnumstep/callers/_limits.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_limits.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import math
+import typing
 
 import attrs
 
+from laburnumstep.callers import _shares
 from laburnumstep import core
 
 BURST_SECONDS = 1.0
 """Time over which a rate is averaged, in seconds."""
 CONCURRENCY_RETRY_SECONDS = 1.0
 """When to resend after too many requests in progress, in seconds."""
+QUIET_PART = 0.5
+"""Part of an equal share below which a demand is not worth reporting."""
 
 
 @attrs.frozen
@@ -51,10 +55,13 @@
 
     requests: _Bucket
     tokens: _Bucket
+    measured_at: float
+    share: _shares.Share | None = None
     in_progress: int = 0
-    fraction: float = 0.0
-    share_until: float = 0.0
-    demanded: float = 0.0
+    peak: int = 0
+    attempts: int = 0
+    generated: int = 0
+    refused: int = 0
 
 
 class WorkspaceLimits:
@@ -87,12 +94,14 @@
         Args:
             workspace: Name of the workspace.
             fraction: From 0 to 1.
-            until: In epoch seconds; an equal share holds afterwards.
+            until: In epoch seconds; an equal share holds afterwards. A
+                share that expires before the one held is a late one.
         """
-        if workspace in self._workspaces:
-            usage = self._find_usage(workspace, self._clock.now())
-            usage.fraction = fraction
-            usage.share_until = until
+        if workspace not in self._workspaces:
+            return
+        usage = self._find_usage(workspace, self._clock.now())
+        if usage.share is None or until >= usage.share.until:
+            usage.share = _shares.Share(fraction, until)
 
     def try_begin(self, workspace: str, now: float) -> LimitResult:
         """Count a request that begins, unless a limit is reached."""
@@ -100,8 +109,23 @@
         if limits is None:
             return Refused(core.ErrorCode.UNAUTHORIZED, now)
         usage = self._find_usage(workspace, now)
-        usage.demanded += 1
-        fraction = self.get_fraction(workspace, now)
+        usage.attempts += 1
+        usage.peak = max(usage.peak, usage.in_progress + 1)
+        result = self._check(limits, usage, now)
+        match result:
+            case Allowed():
+                usage.requests.available -= 1
+                usage.in_progress += 1
+            case Refused():
+                usage.refused += 1
+            case _ as other:
+                typing.assert_never(other)
+        return result
+
+    def _check(
+        self, limits: core.Workspace, usage: _Usage, now: float
+    ) -> LimitResult:
+        fraction = self._get_fraction(usage, now)
         if usage.in_progress >= self._limit_concurrency(limits, usage, now):
             return _refuse(now + CONCURRENCY_RETRY_SECONDS)
         rate = limits.tokens_per_second * fraction
@@ -112,8 +136,6 @@
         usage.requests.refill(rate, max(1.0, rate * BURST_SECONDS), now)
         if usage.requests.available < 1:
             return _refuse(_find_refill(usage.requests, 1.0, rate, now))
-        usage.requests.available -= 1
-        usage.in_progress += 1
         return Allowed()
 
     def record_tokens(self, workspace: str, count: int) -> None:
@@ -125,6 +147,7 @@
         usage = self._usages.get(workspace)
         if usage is not None:
             usage.tokens.available -= count
+            usage.generated += count
 
     def end(self, workspace: str) -> None:
         """Count the end of a request that was allowed."""
@@ -135,17 +158,42 @@
     def get_fraction(self, workspace: str, now: float) -> float:
         """Return the part of the limits that holds on this VM."""
         usage = self._usages.get(workspace)
-        if usage is not None and usage.share_until > now:
-            return usage.fraction
+        if usage is None:
+            return 1.0 / self._known_vms
+        return self._get_fraction(usage, now)
+
+    def measure_demands(self, now: float) -> dict[str, _shares.Demand]:
+        """Return the demand of each workspace since the last call.
+
+        Workspaces that need less than `QUIET_PART` of an equal share are
+        left out, unless they hold a share, whose aggregator waits for a
+        confirmation. So most workspaces cause no traffic between VMs.
+        """
+        demands = {}
+        for name, usage in self._usages.items():
+            fraction = self._get_fraction(usage, now)
+            amount = _measure(self._workspaces[name], usage, fraction, now)
+            held = usage.share
+            if held is not None and held.until <= now:
+                held = usage.share = None
+            quiet = amount * self._known_vms < QUIET_PART
+            if held is not None or not quiet:
+                demands[name] = _shares.Demand(amount, held)
+        return demands
+
+    def _get_fraction(self, usage: _Usage, now: float) -> float:
+        if usage.share is not None and usage.share.until > now:
+            return usage.share.fraction
         return 1.0 / self._known_vms
 
     def _limit_concurrency(
         self, limits: core.Workspace, usage: _Usage, now: float
     ) -> int:
-        if usage.share_until > now:
-            return math.floor(limits.concurrency * usage.fraction + 1e-9)
-        # Cut off, a VM may run one request even where the equal share is
-        # less than one; otherwise it would refuse all of them.
+        share = usage.share
+        if share is not None and share.until > now:
+            return math.floor(limits.concurrency * share.fraction + 1e-9)
+        # Without a share, a VM may run one request even where the equal
+        # share is less than one; otherwise it would refuse all of them.
         return max(1, limits.concurrency // self._known_vms)
 
     def _find_usage(self, workspace: str, now: float) -> _Usage:
@@ -156,11 +204,32 @@
             usage = _Usage(
                 _Bucket(max(1.0, limits.requests_per_second * part), now),
                 _Bucket(max(1.0, limits.tokens_per_second * part), now),
+                now,
             )
             self._usages[workspace] = usage
         return usage
 
 
+def _measure(
+    limits: core.Workspace, usage: _Usage, fraction: float, now: float
+) -> float:
+    """Return the wanted part of the limits, and begin a new measurement."""
+    seconds = max(now - usage.measured_at, 0.1)
+    amount = max(
+        usage.attempts / seconds / max(limits.requests_per_second, 1e-9),
+        usage.generated / seconds / max(limits.tokens_per_second, 1e-9),
+        usage.peak / max(limits.concurrency, 1),
+    )
+    if usage.refused:
+        # What is refused does not show in the use, which stays at the
+        # share held; so the demand is taken to be twice that.
+        amount = max(amount, 2.0 * fraction)
+    usage.measured_at = now
+    usage.attempts = usage.generated = usage.refused = 0
+    usage.peak = usage.in_progress
+    return amount
+
+
 def _refuse(resend_at: float) -> Refused:
     return Refused(core.ErrorCode.LIMIT_EXCEEDED, resend_at)
 
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -8,16 +8,23 @@
 from laburnumstep.targets._lengths import LengthEstimator
 from laburnumstep.targets._lengths import LengthSketch
 from laburnumstep.targets._links import LinkMeter
+from laburnumstep.targets._pace import EventRate
 from laburnumstep.targets._placement import choose_engine
 from laburnumstep.targets._placement import choose_service
-from laburnumstep.targets._placement import MemoryPolicy
-from laburnumstep.targets._placement import NoRoom
-from laburnumstep.targets._placement import NoTarget
-from laburnumstep.targets._placement import Placed
-from laburnumstep.targets._placement import Placement
-from laburnumstep.targets._placement import PlacementRequest
+from laburnumstep.targets._policy import MemoryPolicy
+from laburnumstep.targets._reclaims import list_unfinished
 from laburnumstep.targets._reports import LoadReport
+from laburnumstep.targets._results import NoRoom
+from laburnumstep.targets._results import NoTarget
+from laburnumstep.targets._results import Placed
+from laburnumstep.targets._results import Placement
+from laburnumstep.targets._results import PlacementRequest
 from laburnumstep.targets._retries import RetryBudget
+from laburnumstep.targets._retry_decisions import decide_retry
+from laburnumstep.targets._retry_decisions import FailedAttempt
+from laburnumstep.targets._retry_decisions import GiveUp
+from laburnumstep.targets._retry_decisions import Retry
+from laburnumstep.targets._retry_decisions import RetryDecision
 from laburnumstep.targets._sends import Send
 from laburnumstep.targets._states import TargetState
 from laburnumstep.targets._suspects import Crash
@@ -31,7 +38,10 @@
     'CacheEventKind',
     'Crash',
     'CrashSuspects',
+    'EventRate',
+    'FailedAttempt',
     'FleetView',
+    'GiveUp',
     'LengthEstimator',
     'LengthSketch',
     'LinkMeter',
@@ -43,13 +53,17 @@
     'Placement',
     'PlacementRequest',
     'PrefixHints',
+    'Retry',
     'RetryBudget',
+    'RetryDecision',
     'Send',
     'TargetState',
     'choose_engine',
     'choose_service',
+    'decide_retry',
     'decode_lengths',
     'encode_lengths',
     'fingerprint_call',
     'fingerprint_generation',
+    'list_unfinished',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_forecast.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_forecast.py
@@ -27,7 +27,10 @@
         left = lengths.find_quantile(
             send.workspace, send.model, send.tokens, quantile
         )
-        send.forecast = send.tokens + left
+        total = send.tokens + left
+        if send.max_tokens is not None:
+            total = min(total, float(send.max_tokens))
+        send.forecast = total
         send.forecast_bucket = bucket
         send.forecast_quantile = quantile
     return max(send.forecast, float(send.tokens))
@@ -38,6 +41,7 @@
     lengths: _lengths.LengthEstimator,
     quantile: float,
     added: tuple[float, float],
+    model: str,
     now: float,
 ) -> float:
     """Return the most memory that will be in use, in tokens.
@@ -51,41 +55,45 @@
         lengths: Expected lengths.
         quantile: Quantile of the lengths, from 0 to 1.
         added: Memory and remaining length of the request to be placed.
+        model: Model of the request to be placed.
         now: In epoch seconds.
     """
-    parts = [added]
+    parts = [(added[1], added[0], 1.0)]
     own = 0.0
     for send in state.sends.values():
         held = float(send.kv_tokens)
         own += held
         total = expect_total(send, lengths, quantile)
-        parts.append((held, total - send.tokens))
+        parts.append((total - send.tokens, held, 1.0))
     others = max(0.0, state.estimate_kv(now) - own)
     count = state.estimate_requests() - len(state.sends)
-    parts += _spread_others(others, count, added[1])
-    parts.sort(key=lambda part: -part[1])
-    held = peak = 0.0
-    for index, (kv_tokens, remaining) in enumerate(parts, 1):
+    if count > 0:
+        residual = lengths.expect_residual(model)
+        parts += _spread_others(others, count, residual)
+    parts.sort(reverse=True)
+    held = 0.0 if count > 0 else others
+    growing = peak = 0.0
+    for remaining, kv_tokens, size in parts:
         held += kv_tokens
-        peak = max(peak, held + index * remaining)
+        growing += size
+        peak = max(peak, held + growing * remaining)
     return peak
 
 
 def _spread_others(
-    kv_tokens: float, count: int, typical: float
-) -> list[tuple[float, float]]:
+    kv_tokens: float, count: int, residual: float
+) -> list[tuple[float, float, float]]:
     """Divide the memory of other VMs' requests among likely lengths.
 
     They are somewhere between their begin and their end, so remaining
-    lengths are spread evenly from nothing to the typical one.
+    lengths are spread evenly around the mean one.
     """
-    if count <= 0:
-        return [(kv_tokens, 0.0)] if kv_tokens else []
     groups = min(count, MAX_UNKNOWN_GROUPS)
-    parts = []
-    for group in range(groups):
-        remaining = typical * (group + 0.5) / groups
-        size = count / groups
-        # The growth of a group counts once for each of its requests.
-        parts.append((kv_tokens / groups + (size - 1) * remaining, remaining))
-    return parts
+    return [
+        (
+            2.0 * residual * (group + 0.5) / groups,
+            kv_tokens / groups,
+            count / groups,
+        )
+        for group in range(groups)
+    ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_hints.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_hints.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import enum
+import itertools
+import typing
 
 import attrs
 
-MAX_PREFIXES_PER_TARGET = 4096
+MAX_PREFIXES_PER_TARGET = 512
 """Prefixes kept for each target; the oldest are dropped first."""
+MAX_PREFIXES = 50_000
+"""Prefixes kept in all; a VM has 128 MB for all of its control state."""
 
 
 class CacheEventKind(enum.Enum):
@@ -41,7 +45,8 @@
     def __init__(self) -> None:
         self._held: dict[str, dict[str, None]] = {}
         self._next: dict[str, int] = {}
-        self._holders: dict[str, set[str]] = {}
+        self._holders: dict[str, dict[str, None]] = {}
+        self._count = 0
 
     def get_next(self, target: str) -> int:
         """Return the number of the next event wanted of a target."""
@@ -75,7 +80,9 @@
 
     def forget(self, target: str) -> None:
         """Drop all that is known of a target."""
-        for prefix in self._held.pop(target, {}):
+        held = self._held.pop(target, {})
+        self._count -= len(held)
+        for prefix in held:
             self._drop_holder(prefix, target)
         self._next.pop(target, None)
 
@@ -99,26 +106,34 @@
         for prefix in reversed(prefixes):
             holders = self._holders.get(prefix)
             if holders:
-                return sorted(holders)[:limit]
+                return list(itertools.islice(holders, limit))
         return []
 
     def _apply(self, target: str, event: CacheEvent) -> None:
         held = self._held.setdefault(target, {})
         match event.kind:
             case CacheEventKind.STORED:
+                if event.prefix not in held:
+                    self._count += 1
                 held[event.prefix] = None
-                self._holders.setdefault(event.prefix, set()).add(target)
-                if len(held) > MAX_PREFIXES_PER_TARGET:
-                    oldest = next(iter(held))
-                    del held[oldest]
-                    self._drop_holder(oldest, target)
+                self._holders.setdefault(event.prefix, {})[target] = None
+                full = self._count > MAX_PREFIXES
+                if full or len(held) > MAX_PREFIXES_PER_TARGET:
+                    self._drop(target, next(iter(held)))
             case CacheEventKind.EVICTED:
-                held.pop(event.prefix, None)
-                self._drop_holder(event.prefix, target)
+                if event.prefix in held:
+                    self._drop(target, event.prefix)
+            case _ as other:
+                typing.assert_never(other)
+
+    def _drop(self, target: str, prefix: str) -> None:
+        del self._held[target][prefix]
+        self._count -= 1
+        self._drop_holder(prefix, target)
 
     def _drop_holder(self, prefix: str, target: str) -> None:
         holders = self._holders.get(prefix)
         if holders is not None:
-            holders.discard(target)
+            holders.pop(target, None)
             if not holders:
                 del self._holders[prefix]
--- a/packages/laburnumstep/src/laburnumstep/targets/_lengths.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_lengths.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import typing
 
 import attrs
 
@@ -64,6 +63,16 @@
         while self.weight > MAX_WEIGHT:
             self._scale(0.5)
 
+    def expect_residual(self) -> float:
+        """Return the second moment over twice the mean, in tokens."""
+        first = sum(self.sums.values())
+        second = sum(
+            total * total / self.counts[bucket]
+            for bucket, total in self.sums.items()
+            if self.counts[bucket] > 0
+        )
+        return second / (2.0 * first) if first > 0 else 0.0
+
     def list_tail(self, so_far: float) -> list[tuple[float, float]]:
         """Return (remaining length, weight) of lengths beyond `so_far`."""
         tail = []
@@ -104,11 +113,28 @@
     def __init__(self) -> None:
         self._pairs: dict[tuple[str, str], LengthSketch] = {}
         self._models: dict[str, LengthSketch] = {}
+        self._changes: dict[tuple[str, str], LengthSketch] = {}
+        self._residuals: dict[str, tuple[float, float]] = {}
 
     def observe(self, workspace: str, model: str, tokens: int) -> None:
         """Record the length of a complete answer, in tokens."""
+        pair = (workspace, model)
         self._find_pair(workspace, model).observe(tokens)
         self._models.setdefault(model, LengthSketch()).observe(tokens)
+        if pair in self._changes or len(self._changes) < MAX_SKETCHES:
+            self._changes.setdefault(pair, LengthSketch()).observe(tokens)
+
+    def take_changes(self, limit: int) -> list[tuple[str, str, LengthSketch]]:
+        """Return own observations that siblings were not told of yet.
+
+        Each is returned once, so a sibling that merges what it receives
+        counts no observation twice.
+
+        Args:
+            limit: Most pairs of workspace and model to return.
+        """
+        pairs = list(self._changes)[:limit]
+        return [(*pair, self._changes.pop(pair)) for pair in pairs]
 
     def merge(self, workspace: str, model: str, sketch: LengthSketch) -> None:
         """Add observations that another VM made."""
@@ -119,9 +145,23 @@
         """Return the distribution of a workspace and model, if any."""
         return self._pairs.get((workspace, model))
 
-    def list_pairs(self) -> typing.Iterable[tuple[str, str]]:
-        """Return the known pairs of workspace and model."""
-        return self._pairs.keys()
+    def expect_residual(self, model: str) -> float:
+        """Return the mean remaining length of requests seen in progress.
+
+        Long answers are in progress for longer, so the mean of what is
+        left is the second moment over twice the mean, not half the mean.
+        """
+        sketch = self._models.get(model)
+        if sketch is None or sketch.weight < PRIOR_WEIGHT:
+            squares = sum(length**2 for length in PRIOR_LENGTHS)
+            return squares / (2.0 * sum(PRIOR_LENGTHS))
+        known = self._residuals.get(model)
+        # A few more observations do not change the value much.
+        if known is not None and 1 <= sketch.weight / known[0] < 1.05:
+            return known[1]
+        residual = sketch.expect_residual()
+        self._residuals[model] = (sketch.weight, residual)
+        return residual
 
     def expect_remaining(
         self, workspace: str, model: str, so_far: float
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -6,25 +6,34 @@
 
 import attrs
 
-from laburnumstep import core
 from laburnumstep.targets import _forecast
+from laburnumstep.targets import _policy
+from laburnumstep.targets import _results
 from laburnumstep.targets import _view
 
 if typing.TYPE_CHECKING:
     import random
 
+    from laburnumstep import core
     from laburnumstep.targets import _lengths
     from laburnumstep.targets import _states
 
 SAMPLES = 3
-"""Candidates compared; two or more keep VMs with equally stale reports
-from choosing the same target."""
+"""Candidates compared first; more than one finds room sooner, and fewer
+than all keep VMs with the same reports from choosing the same target."""
+FAR_SAMPLES = 1
+"""Candidates of other regions beside those of the VM's own."""
 HINTED_SAMPLES = 2
 """Further candidates that probably hold the prompt's prefix."""
-ROOM_RETRY_SECONDS = 1.0
+MORE_SAMPLES = 16
+"""Candidates looked at when none of the first has room. It bounds the
+time of a decision in a large deployment without room."""
+ROOM_RETRY_SECONDS = 5.0
 """When to look again for room without any news, in seconds."""
 FAR_COST = 0.3
-"""Cost of another region, as a part of a target's memory."""
+"""Cost of another region over an unused link, as a part of memory."""
+LINK_COST = 0.7
+"""Further cost of a link whose budget is used up, as a part of memory."""
 PREFIX_GAIN = 0.3
 """Gain of a prompt that is fully cached, as a part of memory."""
 WAITING_COST = 0.05
@@ -32,117 +41,139 @@
 
 
 @attrs.frozen
-class PlacementRequest:
-    """A request for a target."""
-
-    request: str
-    """Identifier of the request, for logs."""
-    workspace: str
-    """Name of the workspace."""
-    model: str
-    """Name of the model."""
-    prompt_tokens: int
-    """Length of the prompt, in tokens."""
-    prefixes: list[str] = attrs.field(factory=list)
-    """Prefixes of the prompt, shortest first."""
-    priority: int = 0
-    """Higher goes first."""
-    excluded: frozenset[str] = frozenset()
-    """Targets on which it has failed."""
-
-
-@attrs.frozen
-class Placed:
-    """A target was chosen."""
-
-    target: str
-    """Name of the target."""
-    reason: str
-    """Why it was chosen."""
-    runners_up: list[str]
-    """Other candidates, best first."""
-
-
-@attrs.frozen
-class NoRoom:
-    """Targets serve the model, but none has room."""
-
-    retry_at: float
-    """When to look again without news, in epoch seconds."""
-
-
-@attrs.frozen
-class NoTarget:
-    """No usable target serves the model or service."""
-
-    reason: str
-    """What is missing."""
-
+class _Candidate:
+    name: str
+    cost: float
+    fill: float
+    held: float
+    near: bool
 
-Placement = Placed | NoRoom | NoTarget
+    def explain(self) -> str:
+        where = 'region' if self.near else 'another region'
+        return f'{self.fill:.0%} memory, {self.held:.0%} prefix, {where}'
 
 
 @attrs.frozen
-class MemoryPolicy:
-    """How much of an engine's memory is planned for."""
-
-    quantile: float
-    """Quantile of the remaining lengths."""
-    threshold: float
-    """Part of the memory that may be expected to be in use."""
+class _Question:
+    view: _view.FleetView
+    request: _results.PlacementRequest
+    lengths: _lengths.LengthEstimator
+    policy: _policy.MemoryPolicy
+    rng: random.Random
+    expected: float
+    now: float
+
+    def rank(self, names: list[str]) -> list[_Candidate]:
+        """Return the candidates with room, best first."""
+        found = [self._examine(name) for name in names]
+        candidates = [item for item in found if item is not None]
+        candidates.sort(key=lambda item: item.cost)
+        return candidates
+
+    def _examine(self, name: str) -> _Candidate | None:
+        state = self.view.find(name)
+        if state is None or not state.is_usable(self.now):
+            return None
+        if self.request.suspect and state.runs_suspect():
+            return None
+        far_cost = 0.0 if state.near else self._price_link(state)
+        if far_cost is None:
+            return None
+        added = (float(self.request.prompt_tokens), self.expected)
+        peak = _forecast.forecast_peak(
+            state,
+            self.lengths,
+            self.policy.quantile,
+            added,
+            self.request.model,
+            self.now,
+        )
+        # A request whose expected length exceeds an engine's memory runs
+        # on an idle engine rather than nowhere.
+        idle = state.estimate_requests() == 0
+        room = self.policy.threshold * state.memory - peak
+        if not idle and (room < 0 or not self._may_take(state, room)):
+            return None
+        held = self.view.hints.match(name, self.request.prefixes)
+        fill = peak / max(1, state.memory)
+        waiting = state.report.waiting if state.report is not None else 0
+        cost = fill - PREFIX_GAIN * held + WAITING_COST * waiting + far_cost
+        return _Candidate(name, cost, fill, held, state.near)
 
-    @classmethod
-    def weigh(cls, weights: core.PolicyWeights) -> MemoryPolicy:
-        """Derive the policy from the weights of a deployment.
+    def _may_take(self, state: _states.TargetState, room: float) -> bool:
+        """Tell whether this VM may use some of the room that it sees.
 
-        Weight on preemptions plans for longer answers and leaves more
-        memory free; weight on stall time admits sooner.
+        All VMs see the same room until the next report. Where they want
+        more than there is, each takes its part of it; a fraction of a
+        request is taken with that probability, drawn once a report.
         """
-        total = weights.stall + weights.preemption + weights.tail
-        caution = weights.preemption / total if total > 0 else 1 / 3
-        return cls(0.5 + 0.3 * caution, 0.98 - 0.1 * caution)
-
-
-@attrs.frozen
-class _Candidate:
-    name: str
-    cost: float
-    reason: str
+        vms = self.view.known_vms
+        if vms <= 1:
+            return True
+        if state.drawn_for != state.measured_at:
+            state.draw = self.rng.random()
+            state.drawn_for = state.measured_at
+        size = max(1.0, self.request.prompt_tokens + self.expected)
+        taken = state.count_begun_since_report()
+        taken -= state.count_ended_since_report()
+        slots = room / size + 1 + max(0, taken)
+        demand = self.view.estimate_demand(
+            self.request.model, state.measured_at
+        )
+        part = slots / vms * max(1.0, slots / demand)
+        return taken + 1 <= part + state.draw
+
+    def _price_link(self, state: _states.TargetState) -> float | None:
+        """Return the cost of a target's region; None if over budget."""
+        here = self.view.region
+        if here is None or state.region is None:
+            return FAR_COST
+        links = self.view.links
+        fill = max(
+            links.get_fill(here, state.region),
+            links.get_fill(state.region, here),
+        )
+        return None if fill >= 1.0 else FAR_COST + LINK_COST * fill
 
 
 def choose_engine(
     view: _view.FleetView,
-    request: PlacementRequest,
+    request: _results.PlacementRequest,
     lengths: _lengths.LengthEstimator,
     weights: core.PolicyWeights,
     rng: random.Random,
-) -> Placement:
-    """Choose an engine that is expected to have memory for a request."""
-    pool = view.get_pool(request.model)
-    usable = [name for name in request.excluded if view.find(name) is not None]
-    if len(pool) == 0:
-        return _explain_missing(view, request.model)
-    policy = MemoryPolicy.weigh(weights)
+) -> _results.Placement:
+    """Choose an engine that is expected to have memory for a request.
+
+    Args:
+        view: Targets and their load.
+        request: The request.
+        lengths: Expected lengths of answers.
+        weights: How much each measure counts for the deployment.
+        rng: Source of random numbers.
+    """
+    if len(view.get_pool(request.model)) == 0:
+        return _explain_missing(view, request.model, request.excluded)
+    policy = _policy.MemoryPolicy.weigh(weights)
     expected = lengths.find_quantile(
         request.workspace, request.model, 0, policy.quantile
     )
+    if request.max_tokens is not None:
+        expected = min(expected, float(request.max_tokens))
+    now = view.clock.now()
+    question = _Question(view, request, lengths, policy, rng, expected, now)
     names = _sample(view, request, rng)
-    best = _rank(view, request, lengths, policy, expected, names)
-    if not best:
-        rest = [
-            name
-            for near in (True, False)
-            for name in pool.get_names(near)
-            if name not in names and name not in request.excluded
-        ]
-        if not rest and not names:
-            return NoTarget(f'all targets failed it: {sorted(usable)}')
-        rng.shuffle(rest)
-        best = _rank(view, request, lengths, policy, expected, rest)
-    if not best:
-        return NoRoom(view.clock.now() + ROOM_RETRY_SECONDS)
-    return Placed(
-        best[0].name, best[0].reason, [item.name for item in best[1:4]]
+    ranked = question.rank(names)
+    if not ranked:
+        more = _sample_more(view, request, rng, names)
+        if not names and not more:
+            return _explain_missing(view, request.model, request.excluded)
+        ranked = question.rank(more)
+    if not ranked:
+        return _results.NoRoom(_find_retry(view, request.model))
+    best = ranked[0]
+    return _results.Placed(
+        best.name, best.explain(), [item.name for item in ranked[1:4]]
     )
 
 
@@ -151,7 +182,7 @@
     service: str,
     excluded: frozenset[str],
     rng: random.Random,
-) -> Placement:
+) -> _results.Placement:
     """Choose a server of a plain service, the less busy of two."""
     subject = _view.get_service_subject(service)
     pool = view.get_pool(subject)
@@ -163,85 +194,40 @@
         loads = [_count_sends(view, name) for name in pair]
         first = loads.index(min(loads))
         where = 'region' if near else 'another region'
-        reason = f'{loads[first]} own calls, in {where}'
-        return Placed(
-            pair[first], reason, [n for n in pair if n != pair[first]]
-        )
-    return _explain_missing(view, subject)
+        reason = f'{loads[first]} own calls, {where}'
+        others = [name for name in pair if name != pair[first]]
+        return _results.Placed(pair[first], reason, others)
+    return _explain_missing(view, subject, excluded)
 
 
 def _sample(
-    view: _view.FleetView, request: PlacementRequest, rng: random.Random
+    view: _view.FleetView,
+    request: _results.PlacementRequest,
+    rng: random.Random,
 ) -> list[str]:
     pool = view.get_pool(request.model)
-    near = pool.sample(True, SAMPLES + len(request.excluded), rng)
-    far = pool.sample(False, 1 if near else SAMPLES, rng)
+    extra = len(request.excluded)
+    near = pool.sample(True, SAMPLES + extra, rng)
+    far = pool.sample(False, FAR_SAMPLES if near else SAMPLES + extra, rng)
     hinted = view.hints.list_holders(request.prefixes, HINTED_SAMPLES)
-    members = pool.get_names(True) if hinted else []
-    names = near + far + [name for name in hinted if name in members]
+    names = near + far + [name for name in hinted if name in pool]
     return [
         name for name in dict.fromkeys(names) if name not in request.excluded
     ]
 
 
-def _rank(
+def _sample_more(
     view: _view.FleetView,
-    request: PlacementRequest,
-    lengths: _lengths.LengthEstimator,
-    policy: MemoryPolicy,
-    expected: float,
-    names: list[str],
-) -> list[_Candidate]:
-    now = view.clock.now()
-    added = (float(request.prompt_tokens), expected)
-    candidates = []
-    for name in names:
-        state = view.find(name)
-        if state is None or not state.is_usable(now):
-            continue
-        if not _is_link_open(view, state):
-            continue
-        total = _get_memory(state)
-        peak = _forecast.forecast_peak(
-            state, lengths, policy.quantile, added, now
-        )
-        if peak > policy.threshold * total and not _is_idle(state):
-            continue
-        held = view.hints.match(name, request.prefixes)
-        fill = peak / max(1, total)
-        waiting = state.report.waiting if state.report is not None else 0
-        cost = fill - PREFIX_GAIN * held + WAITING_COST * waiting
-        cost += 0.0 if state.near else FAR_COST
-        where = 'region' if state.near else 'another region'
-        reason = f'{fill:.0%} memory, {held:.0%} prefix, in {where}'
-        candidates.append(_Candidate(name, cost, reason))
-    return sorted(candidates, key=lambda item: item.cost)
-
-
-def _is_link_open(view: _view.FleetView, state: _states.TargetState) -> bool:
-    if state.near or view.region is None or state.region is None:
-        return True
-    return view.links.has_room(
-        view.region, state.region
-    ) and view.links.has_room(state.region, view.region)
-
-
-def _get_memory(state: _states.TargetState) -> int:
-    if state.report is not None and state.report.kv_total > 0:
-        return state.report.kv_total
-    match state.declared:
-        case core.EngineTarget(kv_tokens=kv_tokens):
-            return kv_tokens
-        case core.ServiceTarget():
-            return 0
-        case _ as other:
-            typing.assert_never(other)
-
-
-def _is_idle(state: _states.TargetState) -> bool:
-    # A request whose expected length exceeds an engine's memory runs on an
-    # idle engine rather than nowhere.
-    return state.estimate_requests() == 0
+    request: _results.PlacementRequest,
+    rng: random.Random,
+    seen: list[str],
+) -> list[str]:
+    pool = view.get_pool(request.model)
+    count = MORE_SAMPLES + len(seen) + len(request.excluded)
+    near = pool.sample(True, count, rng)
+    names = near + pool.sample(False, max(0, count - len(near)), rng)
+    skipped = request.excluded.union(seen)
+    return [name for name in names if name not in skipped]
 
 
 def _count_sends(view: _view.FleetView, name: str) -> int:
@@ -249,8 +235,20 @@
     return len(state.sends) if state is not None else 0
 
 
-def _explain_missing(view: _view.FleetView, subject: str) -> NoRoom | NoTarget:
-    retry_at = view.find_recovery()
-    if retry_at is not None:
-        return NoRoom(retry_at)
-    return NoTarget(f'no usable target serves {subject}')
+def _find_retry(view: _view.FleetView, subject: str) -> float:
+    retry_at = view.clock.now() + ROOM_RETRY_SECONDS
+    recovery = view.find_recovery(subject)
+    return retry_at if recovery is None else min(retry_at, recovery)
+
+
+def _explain_missing(
+    view: _view.FleetView, subject: str, excluded: frozenset[str]
+) -> _results.NoRoom | _results.NoTarget:
+    """Tell a target that comes back soon from none at all."""
+    recovery = view.find_recovery(subject, excluded)
+    if recovery is not None:
+        return _results.NoRoom(recovery)
+    if excluded:
+        names = ', '.join(sorted(excluded))
+        return _results.NoTarget(f'no target but those it failed on: {names}')
+    return _results.NoTarget(f'no usable target serves {subject}')
--- a/packages/laburnumstep/src/laburnumstep/targets/_pools.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_pools.py
@@ -18,8 +18,13 @@
     def __len__(self) -> int:
         return len(self._positions)
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._positions
+
     def add(self, name: str, near: bool) -> None:
         """Add a target; `near` tells whether it is in the VM's region."""
+        if self._positions.get(name, (not near,))[0] == near:
+            return
         self.discard(name)
         names = self._names[near]
         self._positions[name] = (near, len(names))
--- a/packages/laburnumstep/src/laburnumstep/targets/_sends.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_sends.py
@@ -23,6 +23,10 @@
     """Expected length of the whole answer, in tokens."""
     begun_at: float
     """When it was sent, in epoch seconds."""
+    max_tokens: int | None = None
+    """Upper bound of the answer, in tokens, if known."""
+    suspect: bool = False
+    """Whether it has crashed a target before."""
     tokens: int = 0
     """Tokens received so far."""
     ended_at: float | None = None
@@ -44,7 +48,7 @@
 
         Tokens are assumed to have arrived at a steady rate.
         """
-        if moment <= self.begun_at:
+        if moment < self.begun_at:
             return 0.0
         end = self.ended_at if self.ended_at is not None else now
         if moment >= end:
--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -6,11 +6,15 @@
 
 import attrs
 
+from laburnumstep import core
+
 if typing.TYPE_CHECKING:
-    from laburnumstep import core
     from laburnumstep.targets import _reports
     from laburnumstep.targets import _sends
 
+REPORT_LAG_SECONDS = 30.0
+"""Longest lag of a report that is corrected by ended sends, in seconds."""
+
 
 @attrs.define(eq=False)
 class TargetState:
@@ -31,7 +35,11 @@
     sends: dict[str, _sends.Send] = attrs.field(factory=dict)
     """This VM's sends in progress, by generation."""
     ended: list[_sends.Send] = attrs.field(factory=list)
-    """Sends that the last report may still count, though they ended."""
+    """Sends that a report may still count, though they ended."""
+    draw: float = 0.0
+    """Random number that holds until the next report, from 0 to 1."""
+    drawn_for: float = -1.0
+    """Measuring time of the report for which the number was drawn."""
 
     @property
     def leaving(self) -> bool:
@@ -46,37 +54,75 @@
         """When the last report was measured, in epoch seconds."""
         return self.report.measured_at if self.report is not None else 0.0
 
+    @property
+    def memory(self) -> int:
+        """Memory for running generations, in tokens."""
+        if self.report is not None and self.report.kv_total > 0:
+            return self.report.kv_total
+        match self.declared:
+            case core.EngineTarget(kv_tokens=kv_tokens):
+                return kv_tokens
+            case core.ServiceTarget():
+                return 0
+            case _ as other:
+                typing.assert_never(other)
+
     def is_usable(self, now: float) -> bool:
         """Tell whether the target may get new work."""
         return not self.leaving and self.failed_until <= now
 
+    def runs_suspect(self) -> bool:
+        """Tell whether a request that crashed a target runs here."""
+        return any(send.suspect for send in self.sends.values())
+
     def accept_report(self, report: _reports.LoadReport) -> bool:
         """Keep a report unless it is older than the last one."""
         if report.measured_at < self.measured_at:
             return False
         self.report = report
-        # The engine has counted these ends; counting them again would
-        # show room that is not there.
+        # The engine has seen these ends; counting them again would show
+        # room that is not there.
         self.ended = [
             send
             for send in self.ended
-            if send.ended_at is not None
-            and send.ended_at > report.measured_at
-            and send.begun_at <= report.measured_at
+            if send.ended_at is not None and send.ended_at > report.measured_at
         ]
         return True
 
+    def add_ended(self, send: _sends.Send, now: float) -> None:
+        """Remember an end until a report has seen it.
+
+        A send that began after the last report is kept as well: the next
+        report may have been measured between its begin and its end.
+        """
+        self.ended.append(send)
+        oldest = now - REPORT_LAG_SECONDS
+        first = self.ended[0].ended_at
+        if first is not None and first < oldest:
+            self.ended = [
+                item
+                for item in self.ended
+                if item.ended_at is not None and item.ended_at >= oldest
+            ]
+
+    def count_begun_since_report(self) -> int:
+        """Return own sends in progress that the report does not count."""
+        moment = self.measured_at
+        return sum(1 for s in self.sends.values() if s.begun_at > moment)
+
+    def count_ended_since_report(self) -> int:
+        """Return own sends that the report counts, though they ended."""
+        moment = self.measured_at
+        return sum(1 for send in self.ended if send.begun_at <= moment)
+
     def estimate_requests(self) -> int:
         """Return the requests on the target, own sends counted at once."""
         if self.report is None:
             return len(self.sends)
-        begun = sum(
-            1
-            for send in self.sends.values()
-            if send.begun_at > self.measured_at
-        )
         reported = self.report.running + self.report.waiting
-        return max(len(self.sends), reported + begun - len(self.ended))
+        begun = self.count_begun_since_report()
+        ended = self.count_ended_since_report()
+        return max(len(self.sends), reported + begun - ended)
 
     def estimate_kv(self, now: float) -> float:
         """Return the memory in use, in tokens, corrected by own sends."""
--- a/packages/laburnumstep/src/laburnumstep/targets/_suspects.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_suspects.py
@@ -9,7 +9,7 @@
 
 from laburnumstep import core
 
-SUSPECT_SECONDS = 3600.0
+SUSPECT_SECONDS = 1800.0
 """How long a crash counts against a request, in seconds."""
 MAX_FINGERPRINTS = 10_000
 """Fingerprints that are kept; the oldest are dropped first."""
@@ -60,6 +60,31 @@
             del self._crashes[next(iter(self._crashes))]
         self._crashes[crash.fingerprint] = targets
 
+    def record_target_crash(
+        self, target: str, fingerprints: list[str]
+    ) -> list[Crash]:
+        """Count a crash against the requests that may have caused it.
+
+        Where one of them crashed another target before, it explains the
+        crash, and the others are not counted. Placement keeps suspects
+        apart, so healthy requests do not collect two crashes.
+
+        Args:
+            target: Name of the target.
+            fingerprints: Requests that ran on it.
+        """
+        suspects = [name for name in fingerprints if self.is_suspect(name)]
+        blamed = dict.fromkeys(suspects or fingerprints)
+        return [self.record_crash(name, target) for name in blamed]
+
+    def record_completion(self, fingerprint: str) -> None:
+        """Clear a request that has run to its end on a target."""
+        self._crashes.pop(fingerprint, None)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Tell whether a request has crashed a target."""
+        return bool(self.list_targets(fingerprint))
+
     def list_targets(self, fingerprint: str) -> list[str]:
         """Return the targets that a request has crashed."""
         targets = self._crashes.get(fingerprint)
@@ -74,8 +99,17 @@
         return list(live)
 
     def is_refused(self, fingerprint: str) -> bool:
-        """Tell whether a request has crashed too many targets."""
-        return len(self.list_targets(fingerprint)) >= self._limit
+        """Tell whether a request has crashed too many targets.
+
+        A request that is sent again and again stays refused: each refusal
+        renews the time for which its crashes count.
+        """
+        if len(self.list_targets(fingerprint)) < self._limit:
+            return False
+        until = self._clock.now() + SUSPECT_SECONDS
+        for target in self._crashes[fingerprint]:
+            self._crashes[fingerprint][target] = until
+        return True
 
 
 def fingerprint_generation(generation: core.Generation) -> str:
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -8,6 +8,7 @@
 from laburnumstep import core
 from laburnumstep.targets import _hints
 from laburnumstep.targets import _links
+from laburnumstep.targets import _pace
 from laburnumstep.targets import _pools
 from laburnumstep.targets import _sends
 from laburnumstep.targets import _states
@@ -15,8 +16,11 @@
 if typing.TYPE_CHECKING:
     from laburnumstep.targets import _reports
 
-RoomListener = typing.Callable[[], None]
-"""Called when a target may have got room for new work."""
+TOKEN_PACE_WEIGHT = 0.05
+"""Weight of one ended send in the mean time between tokens."""
+RoomListener = typing.Callable[[typing.Iterable[str]], None]
+"""Called with the models and services that may have got room."""
+_EMPTY_POOL = _pools.TargetPool()
 
 
 class FleetView:
@@ -33,12 +37,15 @@
         self._region: str | None = None
         self._states: dict[str, _states.TargetState] = {}
         self._pools: dict[str, _pools.TargetPool] = {}
-        self._members: dict[str, tuple[str, ...]] = {}
+        self._subjects: dict[str, tuple[str, ...]] = {}
         self._recovering: list[tuple[float, str]] = []
         self._leaving: set[str] = set()
         self._listeners: list[RoomListener] = []
         self._known_vms = 1
         self._budget = core.LinkBudget()
+        self._waiting: dict[str, int] = {}
+        self._paces: dict[str, _pace.EventRate] = {}
+        self._token_seconds: float | None = None
         self.hints = _hints.PrefixHints()
         """Prefixes that engines probably hold."""
         self.links = _links.LinkMeter(clock)
@@ -59,6 +66,11 @@
         """How many VMs send to the same targets, this one included."""
         return self._known_vms
 
+    @property
+    def token_seconds(self) -> float | None:
+        """Mean time between tokens of ended sends, in seconds, if any."""
+        return self._token_seconds
+
     def subscribe(self, listener: RoomListener) -> None:
         """Call a function whenever there may be new room."""
         self._listeners.append(listener)
@@ -68,29 +80,29 @@
         self._known_vms = max(1, count)
         self.links.apply_budget(self._budget, 1.0 / self._known_vms)
 
+    def set_waiting(self, model: str, count: int) -> None:
+        """Set how many requests for a model wait at this VM."""
+        if count:
+            self._waiting[model] = count
+        else:
+            self._waiting.pop(model, None)
+
     def apply_deployment(self, deployment: core.Deployment) -> None:
         """Use a new configuration; sends in progress are kept."""
         self._region = deployment.find_region(self._data_centre)
         self._budget = deployment.links
         self.links.apply_budget(deployment.links, 1.0 / self._known_vms)
+        regions = {
+            data_centre: place.region
+            for place in deployment.places.values()
+            for data_centre in place.data_centres
+        }
         for name in list(self._states):
             if name not in deployment.targets:
                 self._remove(name)
         for name, target in deployment.targets.items():
-            state = self._states.get(name)
-            region = deployment.find_region(target.data_centre)
-            near = region == self._region
-            if state is None:
-                state = _states.TargetState(target, region, near)
-                state.observed_leaving = name in self._leaving
-                self._states[name] = state
-            elif state.declared == target and state.near == near:
-                continue
-            state.declared = target
-            state.region = region
-            state.near = near
-            self._index(name, state)
-        self._notify()
+            self._apply_target(name, target, regions.get(target.data_centre))
+        self._notify(self._pools)
 
     def record_report(
         self, target_name: str, report: _reports.LoadReport
@@ -99,7 +111,7 @@
         state = self._states.get(target_name)
         if state is not None and state.accept_report(report):
             self._index(target_name, state)
-            self._notify()
+            self._notify(self._subjects[target_name])
 
     def set_leaving(self, target_name: str, leaving: bool) -> None:
         """Record whether some source says that a target is leaving."""
@@ -111,7 +123,7 @@
         if state is not None:
             state.observed_leaving = leaving
             self._index(target_name, state)
-            self._notify()
+            self._notify(self._subjects[target_name])
 
     def set_failed(self, target_name: str, until: float) -> None:
         """Give a target no work until a time in epoch seconds."""
@@ -120,6 +132,7 @@
             state.failed_until = until
             heapq.heappush(self._recovering, (until, target_name))
             self._index(target_name, state)
+            self._notify(self._subjects[target_name])
 
     def begin(
         self,
@@ -129,8 +142,11 @@
         model: str,
         prompt_tokens: int,
         expected_tokens: float,
+        max_tokens: int | None = None,
+        suspect: bool = False,
     ) -> _sends.Send:
         """Count a send at once, before the engine reports it."""
+        now = self._clock.now()
         send = _sends.Send(
             target_name,
             generation_id,
@@ -138,8 +154,11 @@
             model,
             prompt_tokens,
             expected_tokens,
-            self._clock.now(),
+            now,
+            max_tokens,
+            suspect,
         )
+        self._paces.setdefault(model, _pace.EventRate()).record(now)
         state = self._states.get(target_name)
         if state is not None:
             state.sends[generation_id] = send
@@ -153,15 +172,16 @@
         """Count the end of a send; a second call has no effect."""
         if send.ended_at is not None:
             return
-        send.ended_at = self._clock.now()
+        now = self._clock.now()
+        send.ended_at = now
+        self._learn_pace(send, now)
         state = self._states.get(send.target)
         if state is None:
             return
         if state.sends.get(send.generation_id) is send:
             del state.sends[send.generation_id]
-            if send.begun_at <= state.measured_at:
-                state.ended.append(send)
-        self._notify()
+            state.add_ended(send, now)
+        self._notify(self._subjects[send.target])
 
     def find(self, target_name: str) -> _states.TargetState | None:
         """Return what is known of a target."""
@@ -170,13 +190,65 @@
     def get_pool(self, subject: str) -> _pools.TargetPool:
         """Return the usable targets of a model or a plain service."""
         self._restore_recovered()
-        pool = self._pools.get(subject)
-        return pool if pool is not None else _pools.TargetPool()
+        return self._pools.get(subject, _EMPTY_POOL)
 
-    def find_recovery(self) -> float | None:
-        """Return when the next failed target gets work again, if any."""
-        self._restore_recovered()
-        return self._recovering[0][0] if self._recovering else None
+    def estimate_demand(self, model: str, since: float) -> float:
+        """Return how many requests all VMs may have for each target.
+
+        The other VMs are taken to have as much traffic as this one.
+
+        Args:
+            model: Name of the model.
+            since: Time from which on requests count, in epoch seconds.
+        """
+        now = self._clock.now()
+        pace = self._paces.get(model)
+        rate = pace.measure(now) if pace is not None else 0.0
+        own = rate * min(_states.REPORT_LAG_SECONDS, max(0.0, now - since))
+        own += self._waiting.get(model, 0) + 1
+        return self._known_vms * own / max(1, len(self.get_pool(model)))
+
+    def find_recovery(
+        self, subject: str, excluded: frozenset[str] = frozenset()
+    ) -> float | None:
+        """Return when a failed target of a pool gets work again, if any."""
+        times = [
+            until
+            for until, name in self._recovering
+            if name not in excluded
+            and (state := self._states.get(name)) is not None
+            and state.failed_until == until
+            and not state.leaving
+            and subject in list_subjects(state)
+        ]
+        return min(times, default=None)
+
+    def _apply_target(
+        self, name: str, target: core.Target, region: str | None
+    ) -> None:
+        state = self._states.get(name)
+        near = region == self._region
+        if state is None:
+            state = _states.TargetState(target, region, near)
+            state.observed_leaving = name in self._leaving
+            self._states[name] = state
+        elif state.declared == target and state.region == region:
+            if state.near == near:
+                return
+        state.declared = target
+        state.region = region
+        state.near = near
+        self._index(name, state)
+
+    def _learn_pace(self, send: _sends.Send, now: float) -> None:
+        if not send.tokens:
+            return
+        pace = (now - send.begun_at) / send.tokens
+        if self._token_seconds is None:
+            self._token_seconds = pace
+        else:
+            change = pace - self._token_seconds
+            self._token_seconds += TOKEN_PACE_WEIGHT * change
 
     def _restore_recovered(self) -> None:
         now = self._clock.now()
@@ -189,25 +261,24 @@
     def _index(self, name: str, state: _states.TargetState) -> None:
         subjects: tuple[str, ...] = ()
         if state.is_usable(self._clock.now()):
-            subjects = _list_subjects(state)
-        near = state.near
-        for subject in self._members.get(name, ()):
+            subjects = list_subjects(state)
+        for subject in self._subjects.get(name, ()):
             if subject not in subjects:
                 self._pools[subject].discard(name)
         for subject in subjects:
             pool = self._pools.setdefault(subject, _pools.TargetPool())
-            pool.add(name, near)
-        self._members[name] = subjects
+            pool.add(name, state.near)
+        self._subjects[name] = subjects
 
     def _remove(self, name: str) -> None:
-        for subject in self._members.pop(name, ()):
+        for subject in self._subjects.pop(name, ()):
             self._pools[subject].discard(name)
         del self._states[name]
         self.hints.forget(name)
 
-    def _notify(self) -> None:
+    def _notify(self, subjects: typing.Iterable[str]) -> None:
         for listener in self._listeners:
-            listener()
+            listener(subjects)
 
 
 def get_service_subject(service: str) -> str:
@@ -215,7 +286,8 @@
     return f'service:{service}'
 
 
-def _list_subjects(state: _states.TargetState) -> tuple[str, ...]:
+def list_subjects(state: _states.TargetState) -> tuple[str, ...]:
+    """Return the models or the service that a target serves."""
     match state.declared:
         case core.EngineTarget(models=declared):
             models = state.report.models if state.report else declared
