Add the configuration follower and the operators' library

Cause: VMs need one answer to which configuration is in force, and operators need a typed way to declare one.

Change: publications carry one change for each item; acceptance is a replay of the log (ConfigurationReplay) that knows nothing of the encoding.

Seen failing first: a change whose kind is a JSON array ended the follower's task (TypeError: unhashable), scenario row 1.6 of 'A record that does not follow is skipped'; the decoder now checks the type.

--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -1,17 +1,69 @@
 """The platform's append-only log."""
 
+from laburnumstep.log._changes import apply_changes
+from laburnumstep.log._changes import Change
+from laburnumstep.log._changes import diff_deployments
+from laburnumstep.log._changes import PutPlace
+from laburnumstep.log._changes import PutService
+from laburnumstep.log._changes import PutTarget
+from laburnumstep.log._changes import PutWorkspace
+from laburnumstep.log._changes import RemovePlace
+from laburnumstep.log._changes import RemoveService
+from laburnumstep.log._changes import RemoveTarget
+from laburnumstep.log._changes import RemoveWorkspace
+from laburnumstep.log._changes import SetLinks
+from laburnumstep.log._changes import SetWeights
 from laburnumstep.log._client import AppendedAt
 from laburnumstep.log._client import AppendRateExceeded
 from laburnumstep.log._client import LogClient
 from laburnumstep.log._client import LogUnavailable
+from laburnumstep.log._configuration_codec import encode_change
+from laburnumstep.log._configuration_codec import encode_publication
+from laburnumstep.log._configuration_codec import encode_snapshot
+from laburnumstep.log._follower import CONFIGURATION_STREAM
+from laburnumstep.log._follower import ConfigurationFollower
+from laburnumstep.log._publications import Publication
+from laburnumstep.log._publications import Snapshot
+from laburnumstep.log._publications import SnapshotHeader
+from laburnumstep.log._publisher import ConfigurationPublisher
+from laburnumstep.log._publisher import Conflict
+from laburnumstep.log._publisher import Published
+from laburnumstep.log._publisher import PublishResult
 from laburnumstep.log._records import LogPage
 from laburnumstep.log._records import LogRecord
+from laburnumstep.log._replay import ConfigurationReplay
 
 __all__ = [
     'AppendRateExceeded',
     'AppendedAt',
+    'CONFIGURATION_STREAM',
+    'Change',
+    'ConfigurationFollower',
+    'ConfigurationPublisher',
+    'ConfigurationReplay',
+    'Conflict',
     'LogClient',
     'LogPage',
     'LogRecord',
     'LogUnavailable',
+    'Publication',
+    'PublishResult',
+    'Published',
+    'PutPlace',
+    'PutService',
+    'PutTarget',
+    'PutWorkspace',
+    'RemovePlace',
+    'RemoveService',
+    'RemoveTarget',
+    'RemoveWorkspace',
+    'SetLinks',
+    'SetWeights',
+    'Snapshot',
+    'SnapshotHeader',
+    'apply_changes',
+    'diff_deployments',
+    'encode_change',
+    'encode_publication',
+    'encode_snapshot',
 ]
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/log/_publisher.py
@@ -0,0 +1,192 @@
+"""Publishes a configuration and tells what became of it."""
+
+from __future__ import annotations
+
+import secrets
+
+import attrs
+
+from laburnumstep import core
+from laburnumstep.log import _changes
+from laburnumstep.log import _client
+from laburnumstep.log import _configuration_codec
+from laburnumstep.log import _follower
+from laburnumstep.log import _publications
+from laburnumstep.log import _replay
+
+_NONCE_BYTES = 8
+_RETRY_SECONDS = 0.3
+"""Delay before another try after the log failed, in seconds."""
+
+
+@attrs.frozen
+class Published:
+    """The publication is in force."""
+
+    version: int
+    """Its version."""
+
+
+@attrs.frozen
+class Conflict:
+    """Another publication was accepted first."""
+
+    made_from: int
+    """Version that the publication was made from."""
+    in_force: int
+    """Version in force."""
+
+
+PublishResult = Published | Conflict
+
+
+class ConfigurationPublisher:
+    """Appends publications and reads back what became of them.
+
+    Args:
+        client: Client of the log.
+        clock: Tells the deadlines of requests.
+        stream: Name of the stream.
+    """
+
+    def __init__(
+        self,
+        client: _client.LogClient,
+        clock: core.Clock,
+        stream: str = _follower.CONFIGURATION_STREAM,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._stream = stream
+        self._replay = _replay.ConfigurationReplay()
+        self._verdicts: dict[str, _replay.Accepted | _replay.Refused] = {}
+
+    async def read_in_force(
+        self, deadline: float
+    ) -> core.VersionedDeployment | None:
+        """Read the log to its end.
+
+        Args:
+            deadline: When to give up, in epoch seconds.
+
+        Returns:
+            The configuration in force, or None if nothing is published.
+
+        Raises:
+            LogUnavailable: The log did not answer before the deadline.
+            CodedError: `no_configuration` when the retained records do not
+                tell which version is in force.
+        """
+        while await self._read_page(deadline):
+            pass
+        if not self._replay.complete:
+            raise core.CodedError(
+                core.ErrorCode.NO_CONFIGURATION,
+                'the retained records of the log do not tell the version'
+                ' in force; wait for the next snapshot of a VM',
+            )
+        return self._replay.state
+
+    async def publish(
+        self,
+        deployment: core.Deployment,
+        made_from: int,
+        deadline: float,
+    ) -> PublishResult:
+        """Publish a deployment as the version after `made_from`.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version from which it was made; 0 for the first.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: The log did not answer before the deadline; if
+                `may_have_landed`, the publication may be in force.
+            CodedError: As `read_in_force`.
+        """
+        state = await self.read_in_force(deadline)
+        in_force = state.version if state else 0
+        if in_force != made_from:
+            return Conflict(made_from, in_force)
+        base = state.deployment if state else core.Deployment('')
+        publication = _publications.Publication(
+            deployment.name,
+            made_from + 1,
+            made_from,
+            secrets.token_hex(_NONCE_BYTES),
+            _changes.diff_deployments(base, deployment),
+        )
+        return await self._append(publication, deadline)
+
+    async def _append(
+        self, publication: _publications.Publication, deadline: float
+    ) -> PublishResult:
+        record = _configuration_codec.encode_publication(publication)
+        may_have_landed = False
+        while True:
+            try:
+                await self._client.append(self._stream, [record], deadline)
+                may_have_landed = True
+            except _client.AppendRateExceeded as error:
+                await self._wait_until(error.retry_at, deadline, error)
+            except _client.LogUnavailable as error:
+                may_have_landed = may_have_landed or error.may_have_landed
+                await self._wait_to_retry(deadline, error, may_have_landed)
+            await self._read_back(deadline, may_have_landed)
+            match self._verdicts.get(publication.nonce):
+                case _replay.Accepted(version=version):
+                    return Published(version)
+                case _replay.Refused(made_from=made_from, in_force=in_force):
+                    return Conflict(made_from, in_force)
+                case None:
+                    # The record has not landed. It can be sent again: if
+                    # the first one lands late, the rule refuses the other.
+                    continue
+
+    async def _read_back(self, deadline: float, may_have_landed: bool) -> None:
+        while True:
+            try:
+                await self.read_in_force(deadline)
+            except _client.LogUnavailable as error:
+                await self._wait_to_retry(deadline, error, may_have_landed)
+            else:
+                return
+
+    async def _wait_to_retry(
+        self,
+        deadline: float,
+        error: _client.LogUnavailable,
+        may_have_landed: bool,
+    ) -> None:
+        error.may_have_landed = may_have_landed
+        retry_at = self._clock.now() + _RETRY_SECONDS
+        await self._wait_until(retry_at, deadline, error)
+
+    async def _wait_until(
+        self, retry_at: float, deadline: float, error: core.CodedError
+    ) -> None:
+        if retry_at >= deadline:
+            raise error
+        await self._clock.sleep_until(retry_at)
+
+    async def _read_page(self, deadline: float) -> bool:
+        page = await self._client.read(
+            self._stream,
+            self._replay.position,
+            _follower.PAGE_RECORDS,
+            0,
+            deadline,
+        )
+        for record in page.records:
+            try:
+                decoded = _configuration_codec.decode_record(record.data)
+            except _configuration_codec.BadRecord:
+                decoded = None
+            verdict = self._replay.observe(record.offset, decoded)
+            if isinstance(verdict, (_replay.Accepted, _replay.Refused)):
+                # A repeated record is refused; the first verdict counts.
+                self._verdicts.setdefault(verdict.nonce, verdict)
+        if not page.records and page.first > self._replay.position:
+            self._replay.skip_to(page.first)
+        return self._replay.position < page.end
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/log/_replay.py
@@ -0,0 +1,224 @@
+"""Acceptance of publications, as a replay of the log's records."""
+
+from __future__ import annotations
+
+import typing
+
+import attrs
+
+from laburnumstep import core
+from laburnumstep.log import _changes
+from laburnumstep.log import _publications
+
+
+@attrs.frozen
+class Accepted:
+    """A publication became the version in force."""
+
+    version: int
+    """The new version."""
+    nonce: str
+    """Nonce of the publication."""
+
+
+@attrs.frozen
+class Refused:
+    """A publication did not follow the version in force."""
+
+    made_from: int
+    """Version that it was made from."""
+    in_force: int
+    """Version that was in force at its position in the log."""
+    nonce: str
+    """Nonce of the publication."""
+
+
+@attrs.frozen
+class Loaded:
+    """A snapshot gave the configuration."""
+
+    version: int
+    """Version of the snapshot."""
+    restored: bool
+    """Whether it restored a version that the log had lost."""
+
+
+@attrs.frozen
+class Unusable:
+    """A snapshot is malformed or does not match its digest."""
+
+    reason: str
+    """What is wrong."""
+
+
+@attrs.frozen
+class Unchanged:
+    """A record had no effect yet."""
+
+
+Verdict = Accepted | Refused | Loaded | Unusable | Unchanged
+
+
+class ConfigurationReplay:
+    """Replays one stream of records to the configuration in force.
+
+    The result depends on nothing but the records: every reader that has
+    read up to the same offset holds the same version. A reader that cannot
+    tell which publications were accepted before the retained records
+    accepts none of them until a snapshot covers the missing part.
+    """
+
+    def __init__(self) -> None:
+        self._position = 0
+        self._searched_from = 0
+        self._state: core.VersionedDeployment | None = _make_empty()
+        self._waiting: list[tuple[int, _publications.ConfigurationRecord]] = []
+
+    @property
+    def position(self) -> int:
+        """Offset of the next record to read."""
+        return self._position
+
+    @property
+    def complete(self) -> bool:
+        """Whether the outcome of every record so far is known."""
+        return self._state is not None
+
+    @property
+    def state(self) -> core.VersionedDeployment | None:
+        """The configuration in force, or None where none is known."""
+        if self._state is None or self._state.version == 0:
+            return None
+        if self._state.through == self._position - 1:
+            return self._state
+        return attrs.evolve(self._state, through=self._position - 1)
+
+    def skip_to(self, offset: int) -> None:
+        """Continue behind records that are no longer retained."""
+        self._position = offset
+        self._searched_from = offset
+        self._state = None
+        self._waiting = []
+
+    def rebase(self, state: core.VersionedDeployment) -> bool:
+        """Continue from a configuration that another VM holds.
+
+        Returns:
+            Whether the configuration could be connected to the records.
+        """
+        if state.through + 1 >= self._position:
+            self._position = state.through + 1
+            self._waiting = []
+        elif self.complete or state.through + 1 < self._searched_from:
+            return False
+        self._start_from(state)
+        return True
+
+    def observe(
+        self,
+        offset: int,
+        record: _publications.ConfigurationRecord | None,
+    ) -> Verdict:
+        """Take one record into account.
+
+        Args:
+            offset: Offset of the record; a record read twice has no effect.
+            record: The record, or None if it cannot be read.
+        """
+        if offset < self._position:
+            return Unchanged()
+        if offset > self._position:
+            self.skip_to(offset)
+        self._position = offset + 1
+        if record is None:
+            return Unchanged()
+        if self._state is not None:
+            return self._apply(self._state, offset, record)
+        return self._search(offset, record)
+
+    def _search(
+        self, offset: int, record: _publications.ConfigurationRecord
+    ) -> Verdict:
+        match record:
+            case _publications.Snapshot(header=header) if (
+                self._searched_from - 1 <= header.through < offset
+            ):
+                state = _read_snapshot(record)
+                if isinstance(state, Unusable):
+                    return state
+                self._start_from(state)
+                return Loaded(header.version, False)
+            case _:
+                self._waiting.append((offset, record))
+                return Unchanged()
+
+    def _start_from(self, state: core.VersionedDeployment) -> None:
+        self._state = state
+        waiting, self._waiting = self._waiting, []
+        for offset, record in waiting:
+            if offset > state.through:
+                self._apply(self._state, offset, record)
+
+    def _apply(
+        self,
+        state: core.VersionedDeployment,
+        offset: int,
+        record: _publications.ConfigurationRecord,
+    ) -> Verdict:
+        match record:
+            case _publications.Publication():
+                return self._judge(state, offset, record)
+            case _publications.Snapshot(header=header):
+                restores = header.through == _publications.RESTORED_THROUGH
+                if not restores or header.version <= state.version:
+                    return Unchanged()
+                restored = _read_snapshot(record)
+                if isinstance(restored, Unusable):
+                    return restored
+                self._state = attrs.evolve(restored, through=offset)
+                return Loaded(header.version, True)
+            case _:
+                typing.assert_never(record)
+
+    def _judge(
+        self,
+        state: core.VersionedDeployment,
+        offset: int,
+        publication: _publications.Publication,
+    ) -> Verdict:
+        known = state.version == 0
+        known = known or publication.deployment == state.deployment.name
+        follows = publication.made_from == state.version
+        follows = follows and publication.version == state.version + 1
+        if not known or not follows:
+            return Refused(
+                publication.made_from, state.version, publication.nonce
+            )
+        deployment = _changes.apply_changes(
+            attrs.evolve(state.deployment, name=publication.deployment),
+            publication.changes,
+        )
+        digest = core.digest_deployment(deployment)
+        self._state = core.VersionedDeployment(
+            publication.version, digest, offset, deployment
+        )
+        return Accepted(publication.version, publication.nonce)
+
+
+def _make_empty() -> core.VersionedDeployment:
+    return core.VersionedDeployment(0, '', -1, core.Deployment(''))
+
+
+def _read_snapshot(
+    snapshot: _publications.Snapshot,
+) -> core.VersionedDeployment | Unusable:
+    header = snapshot.header
+    try:
+        deployment = snapshot.read_deployment()
+    except core.FindingsError as error:
+        return Unusable(str(error))
+    if core.digest_deployment(deployment) != header.digest:
+        return Unusable('the deployment does not match its digest')
+    return core.VersionedDeployment(
+        header.version, header.digest, header.through, deployment
+    )
--- /dev/null
+++ b/tests/laburnumstep/log/configuration.feature
@@ -0,0 +1,71 @@
+Feature: Every VM follows the same configuration
+  Guards against VMs that disagree about the version in force, and against
+  an accepted version that is reverted.
+
+  Background:
+    Given a log
+    And a VM "vm-1"
+
+  Scenario: A published configuration reaches a VM
+    When an operator publishes a deployment with 1 workspaces from 0
+    Then version 1 is in force at "vm-1"
+    And "vm-1" knows 1 workspaces
+
+  Scenario: Versions that follow each other reach a VM item by item
+    When an operator publishes a deployment with 3 workspaces from 0
+    And an operator publishes a deployment with 2 workspaces from 1
+    Then version 2 is in force at "vm-1"
+    And "vm-1" knows 2 workspaces
+
+  Scenario Outline: A record that does not follow is skipped
+    Guards against a bad or late record that changes the configuration or
+    blocks the records behind it.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And the record <record> is appended
+    When an operator publishes a deployment with 4 workspaces from 1
+    Then version 2 is in force at "vm-1"
+    And "vm-1" knows 4 workspaces
+
+    Examples:
+      | record                                                                                                                                    |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 1, "made_from": 0, "nonce": "n", "changes": []}                             |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 3, "made_from": 2, "nonce": "n", "changes": []}                             |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 5, "made_from": 1, "nonce": "n", "changes": []}                             |
+      | {"type": "publication", "deployment": "omake", "version": 2, "made_from": 1, "nonce": "n", "changes": []}                                 |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "nonce": "n", "changes": [{"change": "put_moon"}]}       |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "nonce": "n", "changes": [{"change": ["put_place"]}]}    |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "nonce": "n", "changes": [{"change": "remove_target"}]}  |
+      | {"type": "publication", "deployment": "cuadrilla", "version": true, "made_from": 1, "nonce": "n", "changes": []}                          |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "changes": []}                                           |
+      | {"type": "snapshot", "version": 9, "digest": "d", "through": 0, "deployment": {"name": "cuadrilla"}}                                      |
+      | {"type": "snapshot", "version": 9, "digest": "d", "through": -1, "deployment": {"name": "cuadrilla"}}                                     |
+      | {"type": "snapshot", "version": 9, "digest": "d", "through": -1, "deployment": 7}                                                         |
+      | {"type": "proposal"}                                                                                                                      |
+      | {"type": ["snapshot"]}                                                                                                                    |
+      | null                                                                                                                                      |
+      | "text"                                                                                                                                    |
+      | []                                                                                                                                        |
+
+  Scenario: A sibling gives the configuration while the log is down
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And the log has an outage
+    And a VM "vm-2"
+    When "vm-2" adopts the configuration of "vm-1"
+    Then version 1 is in force at "vm-2"
+
+  Scenario Outline: A sibling's configuration is refused
+    Guards against a sibling that reverts or corrupts the configuration.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And an operator publishes a deployment with 2 workspaces from 1
+    And version 2 is in force at "vm-1"
+    When "vm-1" is offered version <version> through <through> with <digest> digest
+    Then the offer is refused
+    And version 2 is in force at "vm-1"
+
+    Examples:
+      | version | through | digest     |
+      | 1       | 0       | a correct  |
+      | 2       | 5       | a correct  |
+      | 3       | 5       | a wrong    |
+      | 3       | 0       | a correct  |
--- /dev/null
+++ b/tests/support/deployments.py
@@ -0,0 +1,34 @@
+"""Small deployments for tests."""
+
+from __future__ import annotations
+
+from laburnumstep import core
+
+
+def make_workspace(name: str) -> core.Workspace:
+    """Return a valid workspace."""
+    digest = core.digest_secret(f'{name}-secret')
+    return core.Workspace(name, digest, 50.0, 20, 5000.0)
+
+
+def make_deployment(
+    name: str = 'cuadrilla', workspaces: int = 1
+) -> core.Deployment:
+    """Return a valid deployment with the given number of workspaces."""
+    names = [f'workspace-{number}' for number in range(workspaces)]
+    targets: dict[str, core.Target] = {
+        'gang-1': core.EngineTarget(
+            'gang-1', 'lima-1', '127.0.0.1:7001', ['plan'], 100_000, True
+        ),
+        'booking-1': core.ServiceTarget(
+            'booking-1', 'lima-1', '127.0.0.1:7002', 'booking'
+        ),
+    }
+    services = {'booking': core.Service({'confirm': core.Operation(False)})}
+    return core.Deployment(
+        name,
+        {'lima': core.Place('lima', ['lima-1', 'lima-2'])},
+        targets,
+        services,
+        {name: make_workspace(name) for name in names},
+    )
