Add the stand-in of a model engine

Cause: routing, relay and the load tool need an engine that batches, runs out of memory, preempts and fails as section 5.2 of the design says.

Ruled out: a background task that makes the decode steps. An application has no task of its own, and tests would have to start one. The steps that are due are made by whoever looks at the engine, so generations go on without a connection and a manual clock moves them.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import typing
 
@@ -14,6 +15,7 @@
 
 from laburnumstep import core
 from laburnumstep import transport
+from laburnumstep_standins import engine
 from laburnumstep_standins import log
 
 if typing.TYPE_CHECKING:
@@ -23,6 +25,8 @@
 Address = typing.Annotated[
     str, typer.Option(help='IP number and port; port 0 picks one.')
 ]
+_CRASH_STATUS = 70
+"""Exit status of a stand-in that a fault crashes."""
 
 
 async def serve(application: types.ASGIApp, address: str) -> None:
@@ -57,5 +61,18 @@
     anyio.run(serve, stand_in.app, address)
 
 
+@app.command('engine')
+def run_engine(address: Address = '127.0.0.1:0', config: str = '{}') -> None:
+    """Run a model engine; the configuration is a JSON object."""
+    stand_in = engine.EngineStandIn(
+        core.SystemClock(),
+        core.decode_document(
+            json.loads(config), engine.EngineConfig, '--config'
+        ),
+        lambda: os._exit(_CRASH_STATUS),
+    )
+    anyio.run(serve, stand_in.app, address)
+
+
 if __name__ == '__main__':
     app()
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool, run by `make bench`."""
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/processes.py
@@ -0,0 +1,87 @@
+"""Processes that the load tool starts."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import typing
+
+import anyio
+import attrs
+
+from laburnumstep import core
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+    from laburnumstep_standins import engine
+
+_START_SECONDS = 20.0
+_TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+
+
+@attrs.frozen
+class Child:
+    """A process of the load tool."""
+
+    process: anyio.abc.Process
+    """The running process."""
+    address: str
+    """IP number and port on which it listens."""
+
+    def read_cpu_seconds(self) -> float:
+        """Return the processor time that it has used, in seconds."""
+        return read_cpu_seconds(self.process.pid)
+
+
+def read_cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    fields = text.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_SECOND
+
+
+@contextlib.asynccontextmanager
+async def run_stand_in(
+    name: str, *arguments: str
+) -> collections.abc.AsyncIterator[Child]:
+    """Run a stand-in as a process while the context is open.
+
+    Args:
+        name: Subcommand of `python -m laburnumstep_standins`.
+        arguments: Options of the subcommand.
+
+    Raises:
+        TimeoutError: When it does not print its address in time.
+    """
+    command = [sys.executable, '-m', 'laburnumstep_standins', name]
+    async with await anyio.open_process(
+        [*command, *arguments], stderr=subprocess.DEVNULL
+    ) as process:
+        try:
+            with anyio.fail_after(_START_SECONDS):
+                line = await _read_line(process)
+            yield Child(process, json.loads(line)['address'])
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+
+def run_engine(
+    config: engine.EngineConfig,
+) -> contextlib.AbstractAsyncContextManager[Child]:
+    """Run an engine as a process while the context is open."""
+    text = json.dumps(core.encode_document(config))
+    return run_stand_in('engine', '--config', text)
+
+
+async def _read_line(process: anyio.abc.Process) -> bytes:
+    assert process.stdout is not None
+    line = b''
+    while not line.endswith(b'\n'):
+        line += await process.stdout.receive()
+    return line
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_batch.py
@@ -0,0 +1,193 @@
+"""Continuous batching in decode steps."""
+
+from __future__ import annotations
+
+import bisect
+import typing
+
+from laburnumstep_standins.engine import _cache
+from laburnumstep_standins.engine import _generations
+
+if typing.TYPE_CHECKING:
+    from laburnumstep_standins.engine import _config
+
+_RESERVE_DIVISOR = 100
+"""Part of the memory that a start leaves free.
+
+Without it a generation that was just preempted starts again in the memory
+that it gave up, and is preempted in the next step.
+"""
+
+
+def _rank(generation: _generations.Generation) -> tuple[int, int]:
+    return -generation.priority, generation.order
+
+
+class Batch:
+    """Generations that run or wait, and the memory they take.
+
+    Args:
+        config: Properties of the engine.
+        cache: Prefixes that need no prefill.
+    """
+
+    def __init__(
+        self, config: _config.EngineConfig, cache: _cache.PrefixCache
+    ) -> None:
+        self._config = config
+        self._cache = cache
+        self._order = 0
+        self.running: list[_generations.Generation] = []
+        """Generations that hold memory, in the order of their start."""
+        self.waiting: list[_generations.Generation] = []
+        """Generations without memory, the next one first."""
+        self.kv_used = 0
+        """Memory of the running generations, in tokens."""
+        self.preemptions = 0
+        """Preemptions since the start."""
+        self.out_of_memory_at: int | None = None
+        """Position at which every generation fails, or None."""
+
+    @property
+    def full(self) -> bool:
+        """Whether no further generation may wait."""
+        return len(self.waiting) >= self._config.max_waiting
+
+    def add(self, generation: _generations.Generation) -> None:
+        """Queue a generation behind those of its priority."""
+        generation.order = self._order
+        self._order += 1
+        bisect.insort(self.waiting, generation, key=_rank)
+
+    def cancel(self, generation: _generations.Generation, now: float) -> None:
+        """End a generation that was cancelled."""
+        self._end(generation, _generations.Failed('cancelled'), now)
+
+    def step(self, now: float) -> float:
+        """Run one step that ends now.
+
+        Returns:
+            The duration of the next step, in seconds.
+        """
+        self._start_waiting(now)
+        self._make_room(now)
+        prefilled = self._prefill(now)
+        decoding = self._decode(now)
+        return (
+            self._config.step_seconds
+            + decoding * self._config.step_seconds_per_running
+            + prefilled * self._config.prefill_seconds_per_token
+        )
+
+    def _start_waiting(self, now: float) -> None:
+        while self.waiting:
+            head = self.waiting[0]
+            needed = head.kv_tokens + self._config.tokens_per_step
+            if needed > self._config.kv_tokens:
+                self._end(head, _generations.Failed('out_of_memory'), now)
+                continue
+            if self.running:
+                needed += self._config.kv_tokens // _RESERVE_DIVISOR
+            if not self._free_for(head, needed):
+                return
+            self.waiting.pop(0)
+            cached = self._cache.count_cached(head.prefixes)
+            head.to_prefill = max(1, head.kv_tokens - cached)
+            self.kv_used += head.kv_tokens
+            self.running.append(head)
+
+    def _free_for(self, head: _generations.Generation, needed: int) -> bool:
+        free = self._config.kv_tokens - self.kv_used
+        places = self._config.max_running - len(self.running)
+        victims = []
+        lower = [g for g in self.running if g.priority < head.priority]
+        lower.sort(key=_rank, reverse=True)
+        for victim in lower:
+            if free >= needed and places > 0:
+                break
+            victims.append(victim)
+            free += victim.kv_tokens
+            places += 1
+        if free < needed or places < 1:
+            return False
+        for victim in victims:
+            self._preempt(victim)
+        return True
+
+    def _make_room(self, now: float) -> None:
+        gained = self._config.tokens_per_step
+        while self.running:
+            decoding = sum(1 for g in self.running if g.to_prefill <= 0)
+            needed = decoding * gained
+            if self.kv_used + needed <= self._config.kv_tokens:
+                return
+            victim = max(self.running, key=_rank)
+            alone = len(self.running) == 1
+            if alone or self._config.out_of_memory_fails:
+                ending = _generations.Failed('out_of_memory')
+                self._end(victim, ending, now)
+            else:
+                self._preempt(victim)
+
+    def _preempt(self, victim: _generations.Generation) -> None:
+        self.running.remove(victim)
+        self.kv_used -= victim.kv_tokens
+        victim.preemptions += 1
+        self.preemptions += 1
+        self.add(victim)
+
+    def _prefill(self, now: float) -> int:
+        budget = self._config.prefill_chunk_tokens
+        for generation in self.running:
+            if generation.to_prefill <= 0:
+                continue
+            share = min(budget, generation.to_prefill)
+            generation.to_prefill -= share
+            budget -= share
+            if generation.to_prefill == 0:
+                self._cache.store(generation.prefixes, now)
+            if budget == 0:
+                break
+        return self._config.prefill_chunk_tokens - budget
+
+    def _decode(self, now: float) -> int:
+        gained = self._config.tokens_per_step
+        decoding = [g for g in self.running if g.to_prefill <= 0]
+        for generation in decoding:
+            end = generation.length
+            if generation.cancel_at is not None:
+                end = min(end, generation.cancel_at)
+            if self.out_of_memory_at is not None:
+                end = min(end, max(generation.produced, self.out_of_memory_at))
+            count = min(gained, end - generation.produced)
+            generation.produced += count
+            self.kv_used += count
+            if generation.produced >= end:
+                self._finish(generation, now)
+        return len(decoding)
+
+    def _finish(self, generation: _generations.Generation, now: float) -> None:
+        produced = generation.produced
+        ending: _generations.Ending
+        if produced >= generation.length:
+            reason = 'length' if generation.limited else 'stop'
+            ending = _generations.Done(produced, reason)
+        elif generation.cancel_at is not None:
+            ending = _generations.Failed('cancelled')
+        else:
+            ending = _generations.Failed('out_of_memory')
+        self._end(generation, ending, now)
+
+    def _end(
+        self,
+        generation: _generations.Generation,
+        ending: _generations.Ending,
+        now: float,
+    ) -> None:
+        if generation in self.running:
+            self.running.remove(generation)
+            self.kv_used -= generation.kv_tokens
+        elif generation in self.waiting:
+            self.waiting.remove(generation)
+        generation.ending = ending
+        generation.ended_at = now
