Add the sibling protocol, the gossip store and the VM list

Cause: entry VMs need to tell each other what they see, because the platform's list of VMs lags.

Change: the gRPC service with its key check, one connection task for each sibling, the store that merges entries by key, stamp and deadline, and the anti-entropy messages (root digest, 256 buckets, summaries, entries). The VM list has a client, a polling follower and a stand-in with a lag.

Ruled out: polling the VM list once a second at every size. A list of 370 entry VMs and 4,300 targets has about 560 KB by calculation, 56 times the control traffic a node may use, so the interval follows the list's size. Also ruled out: one digest of all keys for anti-entropy, which would send every stamp each time two stores differ in one entry.

Each guard of the store, the key check, the codec and the follower was broken by hand once and its scenario failed.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -15,6 +15,7 @@
 from laburnumstep import core
 from laburnumstep import transport
 from laburnumstep_standins import log
+from laburnumstep_standins import vmlist
 
 if typing.TYPE_CHECKING:
     from starlette import types
@@ -57,5 +58,15 @@
     anyio.run(serve, stand_in.app, address)
 
 
+@app.command('vmlist')
+def run_vmlist(
+    address: Address = '127.0.0.1:0', lag_seconds: float = 0.0
+) -> None:
+    """Run the VM list."""
+    stand_in = vmlist.VMListStandIn(core.SystemClock())
+    stand_in.set_faults(lag_seconds=lag_seconds)
+    anyio.run(serve, stand_in.app, address)
+
+
 if __name__ == '__main__':
     app()
--- a/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
@@ -1,1 +1,43 @@
-"""Peer package: siblings."""
+"""The other entry VMs: gossip, membership and forwarded claims."""
+
+from laburnumstep.siblings._connection import fetch_configuration
+from laburnumstep.siblings._connection import SiblingConnection
+from laburnumstep.siblings._connection import SiblingUnavailable
+from laburnumstep.siblings._entries import ConfigurationValue
+from laburnumstep.siblings._entries import DataValue
+from laburnumstep.siblings._entries import EntryKey
+from laburnumstep.siblings._entries import EntryKind
+from laburnumstep.siblings._entries import EntryValue
+from laburnumstep.siblings._entries import GossipEntry
+from laburnumstep.siblings._entries import TargetState
+from laburnumstep.siblings._entries import TargetValue
+from laburnumstep.siblings._entries import VMState
+from laburnumstep.siblings._entries import VMValue
+from laburnumstep.siblings._messages import ClaimForward
+from laburnumstep.siblings._messages import SiblingMessage
+from laburnumstep.siblings._server import SiblingHandler
+from laburnumstep.siblings._server import SiblingServer
+from laburnumstep.siblings._store import GossipStore
+from laburnumstep.siblings._store import MergeResult
+
+__all__ = [
+    'ClaimForward',
+    'ConfigurationValue',
+    'DataValue',
+    'EntryKey',
+    'EntryKind',
+    'EntryValue',
+    'GossipEntry',
+    'GossipStore',
+    'MergeResult',
+    'SiblingConnection',
+    'SiblingHandler',
+    'SiblingMessage',
+    'SiblingServer',
+    'SiblingUnavailable',
+    'TargetState',
+    'TargetValue',
+    'VMState',
+    'VMValue',
+    'fetch_configuration',
+]
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
@@ -0,0 +1,192 @@
+"""Connection to one sibling."""
+
+from __future__ import annotations
+
+import json
+import math
+import typing
+
+import anyio
+import grpc
+import grpc.aio
+
+from laburnumstep import core
+from laburnumstep.siblings import _auth
+from laburnumstep.siblings import _codec
+from laburnumstep.siblings import _messages
+from laburnumstep.siblings import _server
+from laburnumstep.siblings import siblings_pb2 as pb
+from laburnumstep.siblings import siblings_pb2_grpc as pb_grpc
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+OUTBOX_MESSAGES = 64
+"""Messages that wait for a slow sibling; anti-entropy repairs the rest."""
+_OPTIONS = [
+    ('grpc.max_receive_message_length', _server.MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', _server.MAX_MESSAGE_BYTES),
+    # Channels to one address would otherwise share a backoff that grows
+    # to two minutes, and a restarted sibling would be missed for as long.
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.enable_http_proxy', 0),
+]
+_LOG = core.get_logger('siblings')
+
+
+class SiblingUnavailable(core.CodedError):
+    """A sibling did not answer.
+
+    Args:
+        message: What happened.
+        may_have_acted: Whether it may have acted on the call.
+    """
+
+    def __init__(self, message: str, may_have_acted: bool) -> None:
+        super().__init__(core.ErrorCode.INTERNAL, message, resend=True)
+        self.may_have_acted = may_have_acted
+
+
+class SiblingConnection:
+    """Sends messages to one sibling and hands its answers over.
+
+    Args:
+        address: IP number and port of the sibling.
+        key: Key that every call carries.
+        receive: Takes an answer, and returns what to send back.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        key: str,
+        receive: collections.abc.Callable[
+            [_messages.SiblingMessage], list[_messages.SiblingMessage]
+        ],
+    ) -> None:
+        self._address = address
+        self._metadata = _auth.build_metadata(key)
+        self._receive = receive
+        self._sender, self._outbox = anyio.create_memory_object_stream[
+            _messages.SiblingMessage
+        ](math.inf)
+
+    @property
+    def address(self) -> str:
+        """IP number and port of the sibling."""
+        return self._address
+
+    def send(self, message: _messages.SiblingMessage) -> bool:
+        """Queue a message.
+
+        Returns:
+            False when the sibling is so slow that the message is dropped.
+        """
+        waiting = self._sender.statistics().current_buffer_used
+        if waiting >= OUTBOX_MESSAGES:
+            return False
+        self._sender.send_nowait(message)
+        return True
+
+    def close(self) -> None:
+        """Send what is queued and end the stream."""
+        self._sender.close()
+
+    async def run(self) -> None:
+        """Exchange messages until the stream ends or breaks."""
+        channel = open_channel(self._address)
+        try:
+            stub = pb_grpc.SiblingsStub(channel)
+            call = stub.Exchange(self._encode(), metadata=self._metadata)
+            async for encoded in call:
+                message, _ = _codec.decode_message(encoded)
+                if message is not None:
+                    for answer in self._receive(message):
+                        self.send(answer)
+        except grpc.aio.AioRpcError as error:
+            _LOG.info(
+                'exchange with %s ended: %s %s',
+                self._address,
+                error.code().name,
+                error.details(),
+            )
+        finally:
+            self._sender.close()
+            with anyio.CancelScope(shield=True):
+                await channel.close(grace=None)
+
+    async def _encode(self) -> typing.AsyncIterator[pb.SiblingMessage]:
+        async for message in self._outbox:
+            yield _codec.encode_message(message)
+
+
+async def fetch_configuration(
+    address: str, key: str, known_version: int, timeout: float
+) -> core.VersionedDeployment | None:
+    """Ask a sibling for a configuration newer than a version.
+
+    Args:
+        address: IP number and port of the sibling.
+        key: Key that the call carries.
+        known_version: Version in force here, 0 for none.
+        timeout: When to give up, in seconds from now.
+
+    Raises:
+        SiblingUnavailable: The sibling did not answer.
+        FindingsError: The document has mistakes or another digest.
+    """
+    async with open_channel(address) as channel:
+        stub = pb_grpc.SiblingsStub(channel)
+        try:
+            reply = await stub.FetchConfiguration(
+                pb.FetchRequest(known_version=known_version),
+                metadata=_auth.build_metadata(key),
+                timeout=timeout,
+            )
+        except grpc.aio.AioRpcError as error:
+            raise _describe(address, error) from error
+    return _codec.decode_configuration(reply, address)
+
+
+async def send_claim(
+    channel: grpc.aio.Channel,
+    address: str,
+    key: str,
+    request: _messages.ClaimForward,
+    timeout: float,
+) -> core.DocumentObject:
+    """Hand claim records to a sibling and return its answer.
+
+    Raises:
+        SiblingUnavailable: The sibling did not answer.
+        CodedError: The sibling refused the records.
+    """
+    stub = pb_grpc.SiblingsStub(channel)
+    try:
+        reply = await stub.Claim(
+            pb.ClaimRequest(
+                partition=request.partition,
+                body=json.dumps(request.body).encode(),
+                deadline=request.deadline,
+            ),
+            metadata=_auth.build_metadata(key),
+            timeout=timeout,
+        )
+    except grpc.aio.AioRpcError as error:
+        raise _describe(address, error) from error
+    if reply.WhichOneof('result') == 'body':
+        return json.loads(reply.body)
+    raise _codec.decode_refusal(reply.refusal)
+
+
+def open_channel(address: str) -> grpc.aio.Channel:
+    """Open a channel to a sibling."""
+    return grpc.aio.insecure_channel(address, options=_OPTIONS)
+
+
+def _describe(address: str, error: grpc.aio.AioRpcError) -> SiblingUnavailable:
+    refused = error.code() is grpc.StatusCode.UNAUTHENTICATED
+    message = f'{address}: {error.code().name}: {error.details()}'
+    return SiblingUnavailable(message, may_have_acted=not refused)
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_server.py
@@ -0,0 +1,147 @@
+"""The server that sibling VMs call."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import grpc
+import grpc.aio
+
+from laburnumstep import core
+from laburnumstep.siblings import _auth
+from laburnumstep.siblings import _codec
+from laburnumstep.siblings import _messages
+from laburnumstep.siblings import siblings_pb2 as pb
+from laburnumstep.siblings import siblings_pb2_grpc as pb_grpc
+
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+"""Largest message; a configuration of 10,000 workspaces has about 2 MB."""
+_OPTIONS = [
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+    # Without it two processes could share one port unnoticed.
+    ('grpc.so_reuseport', 0),
+]
+_LOG = core.get_logger('siblings')
+
+
+class SiblingHandler(typing.Protocol):
+    """What a VM does with the messages of its siblings."""
+
+    def receive(
+        self, message: _messages.SiblingMessage
+    ) -> list[_messages.SiblingMessage]:
+        """Take in a message and return the answers."""
+        ...
+
+    def report_malformed(self, count: int) -> None:
+        """Take note of entries that could not be read."""
+        ...
+
+    def read_configuration(
+        self, known_version: int
+    ) -> core.VersionedDeployment | None:
+        """Return the configuration in force if it is newer."""
+        ...
+
+    async def claim(
+        self, request: _messages.ClaimForward
+    ) -> core.DocumentObject:
+        """Handle claim records for a partition.
+
+        Raises:
+            CodedError: The records were refused.
+        """
+        ...
+
+
+class _Servicer(pb_grpc.SiblingsServicer):
+    """Decodes calls, hands them to the handler, encodes the answers."""
+
+    def __init__(self, handler: SiblingHandler) -> None:
+        self._handler = handler
+
+    async def Exchange(
+        self,
+        request_iterator: typing.AsyncIterator[pb.SiblingMessage],
+        context: grpc.aio.ServicerContext,
+    ) -> typing.AsyncIterator[pb.SiblingMessage]:
+        async for encoded in request_iterator:
+            message, malformed = _codec.decode_message(encoded)
+            if malformed or message is None:
+                self._handler.report_malformed(max(1, malformed))
+            if message is not None:
+                for answer in self._handler.receive(message):
+                    yield _codec.encode_message(answer)
+
+    async def FetchConfiguration(
+        self, request: pb.FetchRequest, context: grpc.aio.ServicerContext
+    ) -> pb.FetchReply:
+        held = self._handler.read_configuration(request.known_version)
+        context.set_compression(grpc.Compression.Gzip)
+        return _codec.encode_configuration(held)
+
+    async def Claim(
+        self, request: pb.ClaimRequest, context: grpc.aio.ServicerContext
+    ) -> pb.ClaimReply:
+        try:
+            body = core.load_json(request.body, 'claim')
+            forward = _messages.ClaimForward(
+                request.partition, body, request.deadline
+            )
+            answer = await self._handler.claim(forward)
+        except core.FindingsError as error:
+            refusal = core.CodedError(core.ErrorCode.BAD_REQUEST, str(error))
+            return _codec.encode_refusal(refusal)
+        except core.CodedError as error:
+            return _codec.encode_refusal(error)
+        return pb.ClaimReply(body=json.dumps(answer).encode())
+
+
+class SiblingServer:
+    """Serves sibling VMs over gRPC.
+
+    Args:
+        address: IP number and port; port 0 lets the system choose.
+        key: Key that every call must carry.
+        handler: Receives the decoded calls.
+    """
+
+    def __init__(
+        self, address: str, key: str, handler: SiblingHandler
+    ) -> None:
+        self._requested = address
+        self._key = key
+        self._handler = handler
+        self._server: grpc.aio.Server | None = None
+        self._port = 0
+
+    @property
+    def address(self) -> str:
+        """IP number and port on which the server listens, once started."""
+        host, _, _ = self._requested.rpartition(':')
+        return f'{host}:{self._port}'
+
+    async def start(self) -> None:
+        """Bind the address and begin to serve.
+
+        Raises:
+            RuntimeError: The address cannot be bound.
+        """
+        server = grpc.aio.server(
+            interceptors=[_auth.KeyInterceptor(self._key)], options=_OPTIONS
+        )
+        pb_grpc.add_SiblingsServicer_to_server(
+            _Servicer(self._handler), server
+        )
+        self._port = server.add_insecure_port(self._requested)
+        await server.start()
+        self._server = server
+        _LOG.info('serving siblings on %s', self.address)
+
+    async def stop(self) -> None:
+        """End the calls in progress and close the address."""
+        if self._server is not None:
+            await self._server.stop(grace=None)
+            self._server = None
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/vmlist/_client.py
@@ -0,0 +1,57 @@
+"""Client of the platform's VM list."""
+
+from __future__ import annotations
+
+import typing
+
+from laburnumstep import core
+from laburnumstep import transport
+from laburnumstep.vmlist import _codec
+
+if typing.TYPE_CHECKING:
+    from laburnumstep.vmlist import _records
+
+_LOG = core.get_logger('vmlist')
+
+
+class VMListUnavailable(Exception):
+    """The VM list does not answer, or its answer is no list."""
+
+
+class VMListClient:
+    """Reads the list of live and leaving VMs.
+
+    Args:
+        address: IP number and port of the VM list.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = transport.JsonClient(address)
+
+    async def read(self, deadline: float) -> _records.VMList:
+        """Read the list once.
+
+        Args:
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            VMListUnavailable: There is no usable answer.
+        """
+        try:
+            reply = await self._http.request('GET', '/v1/vms', deadline)
+        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
+            raise VMListUnavailable(str(error)) from error
+        if reply.status != 200:
+            raise VMListUnavailable(f'the VM list answered {reply.status}')
+        try:
+            size = int(reply.headers.get('content-length', '0'))
+            vm_list, skipped = _codec.decode_list(reply.body, size)
+        except ValueError as error:
+            raise VMListUnavailable(str(error)) from error
+        for message in skipped:
+            _LOG.warning('listed VM skipped: %s', message)
+        return vm_list
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/vmlist/_codec.py
@@ -0,0 +1,44 @@
+"""Encoding of the VM list as JSON."""
+
+from __future__ import annotations
+
+import typing
+
+from laburnumstep.vmlist import _records
+
+
+def decode_list(
+    body: typing.Any, encoded_bytes: int
+) -> tuple[_records.VMList, list[str]]:
+    """Read a list as the platform sends it.
+
+    Returns:
+        The list and a message for each VM that could not be read. One bad
+        VM must not hide the others.
+
+    Raises:
+        ValueError: The answer as a whole is no list.
+    """
+    try:
+        as_of = float(body['as_of'])
+        items = list(body['vms'])
+    except (KeyError, TypeError, ValueError) as error:
+        raise ValueError(f'the answer is no VM list: {error!r}') from error
+    vms = []
+    skipped = []
+    for item in items:
+        try:
+            vms.append(_decode_vm(item))
+        except (KeyError, TypeError, ValueError) as error:
+            skipped.append(f'{item!r:.120}: {error!r}')
+    return _records.VMList(as_of, vms, encoded_bytes), skipped
+
+
+def _decode_vm(item: typing.Any) -> _records.ListedVM:
+    return _records.ListedVM(
+        str(item['name']),
+        _records.VMKind(item['kind']),
+        str(item['address']),
+        str(item['data_centre']),
+        _records.ListedState(item['state']),
+    )
--- /dev/null
+++ b/tests/laburnumstep/siblings/server.feature
@@ -0,0 +1,41 @@
+Feature: Sibling calls over gRPC
+  Guards against calls from outside the deployment and against messages
+  that stop a sibling's server.
+
+  Background:
+    Given a sibling server with key "siblings-test-key"
+
+  Scenario Outline: A call without the right key is refused
+    When "<method>" is called with key "<key>"
+    Then the call fails with "<code>"
+    And the handler has received <received> calls
+
+    Examples:
+      | method             | key               | code            | received |
+      | Exchange           | another-key       | UNAUTHENTICATED | 0        |
+      | Exchange           | none              | UNAUTHENTICATED | 0        |
+      | Exchange           | twice             | UNAUTHENTICATED | 0        |
+      | FetchConfiguration | another-key       | UNAUTHENTICATED | 0        |
+      | FetchConfiguration | none              | UNAUTHENTICATED | 0        |
+      | Claim              | another-key       | UNAUTHENTICATED | 0        |
+      | Claim              | none              | UNAUTHENTICATED | 0        |
+      | Claim              | siblings-test-key | none            | 1        |
+
+  Scenario: A heartbeat is answered over a connection
+    When a connection sends a heartbeat
+    Then the connection receives its answer
+
+  Scenario: An entry of a kind that is not known leaves the stream open
+    When a connection sends an entry of an unknown kind and a heartbeat
+    Then the connection receives its answer
+    And the handler has counted 1 malformed entry
+
+  Scenario: A refusal of the claim handler reaches the caller
+    Given the claim handler refuses with "key_in_use"
+    When a claim is sent
+    Then the claim fails with "key_in_use"
+
+  Scenario: A configuration whose digest does not match is refused
+    Given the server announces a configuration with a wrong digest
+    When the configuration is fetched
+    Then the fetch fails with "wrong_digest"
--- /dev/null
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -0,0 +1,223 @@
+"""Steps for the server feature."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+import typing
+
+import anyio
+import behave
+import grpc
+
+from laburnumstep import core
+from laburnumstep import siblings
+from laburnumstep.siblings import _auth
+from laburnumstep.siblings import _connection
+from laburnumstep.siblings import _messages
+from laburnumstep.siblings import siblings_pb2 as pb
+from laburnumstep.siblings import siblings_pb2_grpc as pb_grpc
+from support import hooks
+
+KEY = 'siblings-test-key'
+
+
+class RecordingHandler:
+    """Answers heartbeats and keeps what it receives."""
+
+    def __init__(self) -> None:
+        self.received: list[typing.Any] = []
+        self.malformed = 0
+        self.configuration: core.VersionedDeployment | None = None
+        self.refusal: core.CodedError | None = None
+
+    def receive(self, message: typing.Any) -> list[typing.Any]:
+        self.received.append(message)
+        if isinstance(message, _messages.Heartbeat):
+            return [_messages.HeartbeatAck(message.sequence, 'vm-2')]
+        return []
+
+    def report_malformed(self, count: int) -> None:
+        self.malformed += count
+
+    def read_configuration(self, known: int) -> typing.Any:
+        return self.configuration
+
+    async def claim(self, request: typing.Any) -> dict[str, typing.Any]:
+        self.received.append(request)
+        if self.refusal:
+            raise self.refusal
+        return {'echo': request.body}
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    handler: RecordingHandler, key: str
+) -> typing.AsyncIterator[siblings.SiblingServer]:
+    server = siblings.SiblingServer('127.0.0.1:0', key, handler)
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.stop()
+
+
+@behave.given('a sibling server with key "{key}"')
+def step_server(context: typing.Any, key: str) -> None:
+    context.handler = RecordingHandler()
+    context.server = hooks.enter(context, serve(context.handler, key))
+
+
+def build_metadata(key: str) -> tuple[tuple[str, str], ...]:
+    if key == 'none':
+        return ()
+    if key == 'twice':
+        return _auth.build_metadata(KEY) + _auth.build_metadata('other')
+    return _auth.build_metadata(key)
+
+
+async def call(
+    address: str, method: str, metadata: tuple[tuple[str, str], ...]
+) -> str:
+    async with _connection.open_channel(address) as channel:
+        stub = pb_grpc.SiblingsStub(channel)
+        try:
+            match method:
+                case 'Exchange':
+                    beat = pb.SiblingMessage(heartbeat=pb.Heartbeat())
+                    stream = stub.Exchange(iter([beat]), metadata=metadata)
+                    async for _ in stream:
+                        pass
+                case 'FetchConfiguration':
+                    request = pb.FetchRequest()
+                    await stub.FetchConfiguration(request, metadata=metadata)
+                case 'Claim':
+                    claim = pb.ClaimRequest(body=b'{}')
+                    await stub.Claim(claim, metadata=metadata)
+        except grpc.aio.AioRpcError as error:
+            return error.code().name
+    return 'none'
+
+
+@behave.when('"{method}" is called with key "{key}"')
+def step_call(context: typing.Any, method: str, key: str) -> None:
+    context.code = context.portal.call(
+        call, context.server.address, method, build_metadata(key)
+    )
+
+
+@behave.then('the call fails with "{code}"')
+def step_code(context: typing.Any, code: str) -> None:
+    assert context.code == code, context.code
+
+
+@behave.then('the handler has received {count:d} calls')
+def step_received(context: typing.Any, count: int) -> None:
+    assert len(context.handler.received) == count, context.handler.received
+
+
+async def exchange(address: str, first: list[pb.SiblingMessage]) -> typing.Any:
+    async with _connection.open_channel(address) as channel:
+        stub = pb_grpc.SiblingsStub(channel)
+        stream = stub.Exchange(metadata=_auth.build_metadata(KEY))
+        for message in first:
+            await stream.write(message)
+        with anyio.fail_after(10):
+            return await stream.read()
+
+
+async def beat(address: str) -> typing.Any:
+    arrived = anyio.Event()
+    answers = []
+
+    def receive(message: typing.Any) -> list[typing.Any]:
+        answers.append(message)
+        arrived.set()
+        return []
+
+    connection = siblings.SiblingConnection(address, KEY, receive)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(connection.run)
+        connection.send(_messages.Heartbeat(7, 'vm-1'))
+        with anyio.fail_after(10):
+            await arrived.wait()
+        connection.close()
+    return answers[0].sequence
+
+
+@behave.when('a connection sends a heartbeat')
+def step_beat(context: typing.Any) -> None:
+    context.sequence = context.portal.call(beat, context.server.address)
+
+
+@behave.when('a connection sends an entry of an unknown kind and a heartbeat')
+def step_unknown(context: typing.Any) -> None:
+    unknown = pb.SiblingMessage(
+        entries=pb.Entries(entries=[pb.Entry(subject='x', origin='y')])
+    )
+    asked = pb.SiblingMessage(heartbeat=pb.Heartbeat(sequence=7))
+    answer = context.portal.call(
+        exchange, context.server.address, [unknown, asked]
+    )
+    context.sequence = answer.heartbeat_ack.sequence
+
+
+@behave.then('the connection receives its answer')
+def step_answer(context: typing.Any) -> None:
+    assert context.sequence == 7, context.sequence
+
+
+@behave.then('the handler has counted {count:d} malformed entry')
+def step_malformed_count(context: typing.Any, count: int) -> None:
+    assert context.handler.malformed == count, context.handler.malformed
+
+
+@behave.given('the claim handler refuses with "{code}"')
+def step_refuses(context: typing.Any, code: str) -> None:
+    context.handler.refusal = core.CodedError(
+        core.ErrorCode(code), 'held', resend=True, resend_at=7.0
+    )
+
+
+async def send_claim(address: str) -> typing.Any:
+    request = siblings.ClaimForward(1, {}, time.time() + 10)
+    async with _connection.open_channel(address) as channel:
+        try:
+            return await _connection.send_claim(
+                channel, address, KEY, request, 10
+            )
+        except core.CodedError as error:
+            return error
+
+
+@behave.when('a claim is sent')
+def step_claim(context: typing.Any) -> None:
+    context.error = context.portal.call(send_claim, context.server.address)
+
+
+@behave.then('the claim fails with "{code}"')
+def step_claim_fails(context: typing.Any, code: str) -> None:
+    assert context.error.code.value == code, context.error
+    assert (context.error.resend, context.error.resend_at) == (True, 7.0)
+
+
+@behave.given('the server announces a configuration with a wrong digest')
+def step_wrong_digest(context: typing.Any) -> None:
+    context.handler.configuration = core.VersionedDeployment(
+        3, 'wrong', 9, core.Deployment('cuadrilla')
+    )
+
+
+@behave.when('the configuration is fetched')
+def step_fetch(context: typing.Any) -> None:
+    try:
+        context.portal.call(
+            siblings.fetch_configuration, context.server.address, KEY, 0, 10
+        )
+    except core.FindingsError as error:
+        context.findings = error.findings
+
+
+@behave.then('the fetch fails with "{code}"')
+def step_fetch_fails(context: typing.Any, code: str) -> None:
+    assert [f.code for f in context.findings] == [code], context.findings
