Run operations of plain services, the non-idempotent ones once

Cause: a posting must not be repeated after a lost reply, while a read may go to another server, and "not_run" is only true where no server can have started the operation.

Change: ServiceClient turns an exchange into one of four answers (answered, not started, reply lost, not reached). CallRunner repeats idempotent operations within a retry budget and moves a claimed operation only past servers that cannot have started it. A bare 503 without the code not_started counts as a lost reply.

Ruled out: mapping every 503 to "not started"; a proxy in front of a failed server answers 503 as well.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import functools
 import json
+import os
 import signal
 import typing
 
@@ -15,10 +17,12 @@
 from laburnumstep import core
 from laburnumstep import transport
 from laburnumstep_standins import log
+from laburnumstep_standins import service
 
 if typing.TYPE_CHECKING:
     from starlette import types
 
+_EXIT_CRASHED = 70
 app = typer.Typer(help='Stand-ins for outside systems.', no_args_is_help=True)
 Address = typing.Annotated[
     str, typer.Option(help='IP number and port; port 0 picks one.')
@@ -57,5 +61,13 @@
     anyio.run(serve, stand_in.app, address)
 
 
+@app.command('service')
+def run_service(address: Address = '127.0.0.1:0') -> None:
+    """Run a plain service."""
+    crash = functools.partial(os._exit, _EXIT_CRASHED)
+    stand_in = service.ServiceStandIn(crash=crash)
+    anyio.run(serve, stand_in.app, address)
+
+
 if __name__ == '__main__':
     app()
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
@@ -0,0 +1,311 @@
+"""Runs the operations of plain services, each at most once where needed."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from laburnumstep import core
+from laburnumstep import log
+from laburnumstep.targets import _service_client
+
+_LOGGER = core.get_logger('targets')
+_QUERY_SECONDS = 2.0
+"""Longest time for an outcome query, in seconds."""
+_RESEND_SECONDS = 1.0
+"""When a caller may ask again for an unknown outcome, in seconds."""
+
+
+class RetryBudget(typing.Protocol):
+    """Bounds how much load retries may add."""
+
+    def try_spend(self, now: float) -> bool:
+        """Count one retry; False when there is none left."""
+        ...
+
+
+class ClaimKeeper(typing.Protocol):
+    """Claims keys, as `log.ClaimBook` does."""
+
+    async def claim(
+        self,
+        key: core.RequestKey,
+        workspace: str,
+        until: float,
+        request: str = '',
+    ) -> log.ClaimAnswer:
+        """Claim a key; raises `CodedError` when it cannot be recorded."""
+        ...
+
+    def release(self, claim: log.Granted) -> None:
+        """Free a key whose operation was not sent."""
+        ...
+
+    def settle(
+        self, claim: log.Granted | log.Held, result: core.CallResult
+    ) -> None:
+        """Record the answer of a key's operation."""
+        ...
+
+
+class CallRunner:
+    """Runs the operations of plain services.
+
+    Args:
+        clients: Connections to the services' servers.
+        claims: Claims of request keys.
+        budget: Bounds the retries.
+        clock: Compared with the callers' deadlines.
+        metrics: Counts the outcomes.
+    """
+
+    def __init__(
+        self,
+        clients: _service_client.ServiceClients,
+        claims: ClaimKeeper,
+        budget: RetryBudget,
+        clock: core.Clock,
+        metrics: core.Metrics,
+    ) -> None:
+        self._clients = clients
+        self._claims = claims
+        self._budget = budget
+        self._clock = clock
+        self._metrics = metrics
+
+    async def run(
+        self,
+        call: core.ServiceCall,
+        operation: core.Operation,
+        targets: list[core.ServiceTarget],
+    ) -> core.CallResult:
+        """Run one operation.
+
+        Args:
+            call: The operation with its key, payload and deadline.
+            operation: What the configuration says about the operation.
+            targets: Servers to try, best first.
+
+        Raises:
+            CodedError: With the outcome as far as it is known.
+        """
+        if not targets:
+            raise core.CodedError(
+                core.ErrorCode.NO_TARGET,
+                f'no live target serves {call.service}',
+                resend=True,
+            )
+        if operation.idempotent:
+            answer = await self._send(call, targets, repeatable=True)
+            return self._finish(call, answer)
+        return await self._run_once(call, operation, targets)
+
+    async def _run_once(
+        self,
+        call: core.ServiceCall,
+        operation: core.Operation,
+        targets: list[core.ServiceTarget],
+    ) -> core.CallResult:
+        request = _service_client.digest_call(call)
+        answer = await self._claims.claim(
+            call.key, call.workspace, call.deadline, request
+        )
+        self._metrics.count(f'claims.{type(answer).__name__.lower()}')
+        match answer:
+            case log.Granted():
+                # A caller that disconnects must not leave a claim without
+                # a settlement, so the rest cannot be cancelled; the call's
+                # deadline bounds it.
+                with anyio.CancelScope(shield=True):
+                    result = await self._send_claimed(
+                        answer, call, operation, targets
+                    )
+                return result
+            case log.Held():
+                return await self._find_outcome(
+                    answer, call, operation, targets
+                )
+            case log.Settled():
+                return _repeat_answer(answer)
+            case _:
+                raise _refuse_claim(answer)
+
+    async def _send_claimed(
+        self,
+        claim: log.Granted,
+        call: core.ServiceCall,
+        operation: core.Operation,
+        targets: list[core.ServiceTarget],
+    ) -> core.CallResult:
+        answer = await self._send(call, targets, repeatable=False)
+        match answer:
+            case _service_client.Answered():
+                self._claims.settle(claim, answer.result)
+            case _service_client.ReplyLost():
+                return await self._find_outcome(
+                    claim, call, operation, targets
+                )
+            case _service_client.NotStarted() | _service_client.NotReached():
+                self._claims.release(claim)
+            case _:
+                typing.assert_never(answer)
+        return self._finish(call, answer)
+
+    async def _find_outcome(
+        self,
+        claim: log.Granted | log.Held,
+        call: core.ServiceCall,
+        operation: core.Operation,
+        targets: list[core.ServiceTarget],
+    ) -> core.CallResult:
+        """Ask the service whether a claimed operation ran, and settle it."""
+        now = self._clock.now()
+        if operation.outcome_query:
+            until = now + _QUERY_SECONDS
+            for target in targets:
+                client = self._clients.find(target.address)
+                result = await client.find_posting(call.key, until)
+                if result is not None:
+                    self._claims.settle(claim, result)
+                    return result
+        self._metrics.count('calls.unknown')
+        _LOGGER.warning(
+            'call %s workspace=%s: the outcome is unknown',
+            call.key,
+            call.workspace,
+        )
+        raise core.CodedError(
+            core.ErrorCode.OUTCOME_UNKNOWN,
+            'the operation was claimed and its outcome is not known',
+            core.Outcome.UNKNOWN,
+            resend=True,
+            resend_at=now + _RESEND_SECONDS,
+        )
+
+    async def _send(
+        self,
+        call: core.ServiceCall,
+        targets: list[core.ServiceTarget],
+        repeatable: bool,
+    ) -> _service_client.ServiceAnswer:
+        """Try targets in turn until one answers.
+
+        An operation that is not repeatable moves on only from a target
+        that cannot have started it.
+        """
+        lost: _service_client.ReplyLost | None = None
+        answer: _service_client.ServiceAnswer = _service_client.NotReached(
+            'the deadline passed before the operation was sent'
+        )
+        for index, target in enumerate(targets):
+            now = self._clock.now()
+            if now >= call.deadline:
+                break
+            if index > 0 and not self._budget.try_spend(now):
+                break
+            later = len(targets) - index - 1
+            until = _bound_attempt(now, call, later if repeatable else 0)
+            client = self._clients.find(target.address)
+            answer = await client.call(call, until)
+            _log_answer(call, target, answer, targets[index + 1 :])
+            match answer:
+                case _service_client.Answered():
+                    return answer
+                case _service_client.ReplyLost():
+                    lost = answer
+                    if not repeatable:
+                        return answer
+        return lost or answer
+
+    def _finish(
+        self, call: core.ServiceCall, answer: _service_client.ServiceAnswer
+    ) -> core.CallResult:
+        """Return the answer, or raise what the caller is told."""
+        self._metrics.count(f'calls.{type(answer).__name__.lower()}')
+        expired = self._clock.now() >= call.deadline
+        match answer:
+            case _service_client.Answered():
+                return answer.result
+            case _service_client.ReplyLost():
+                code = core.ErrorCode.TARGET_FAILED
+                outcome = core.Outcome.UNKNOWN
+            case _service_client.NotStarted():
+                code = core.ErrorCode.OVERLOADED
+                outcome = core.Outcome.NOT_RUN
+            case _service_client.NotReached():
+                code = core.ErrorCode.NO_TARGET
+                outcome = core.Outcome.NOT_RUN
+            case _:
+                typing.assert_never(answer)
+        if expired:
+            code = core.ErrorCode.DEADLINE_EXCEEDED
+        raise core.CodedError(code, answer.reason, outcome, resend=not expired)
+
+
+def _bound_attempt(
+    now: float, call: core.ServiceCall, targets_left: int
+) -> float:
+    """Return when to give up on one target.
+
+    With targets left, half of the remaining time is kept for them, so that
+    a target that hangs does not use up the deadline.
+    """
+    if not targets_left:
+        return call.deadline
+    return now + (call.deadline - now) / 2
+
+
+def _repeat_answer(settled: log.Settled) -> core.CallResult:
+    if settled.result is not None:
+        return settled.result
+    raise core.CodedError(
+        core.ErrorCode.KEY_IN_USE,
+        'the operation ran; its answer was too large to be recorded',
+        core.Outcome.RAN,
+    )
+
+
+def _refuse_claim(
+    answer: log.Taken | log.Expired | log.NotValidYet,
+) -> core.CodedError:
+    match answer:
+        case log.Taken():
+            return core.CodedError(
+                core.ErrorCode.KEY_IN_USE,
+                'the key belongs to another request',
+            )
+        case log.Expired():
+            # Whether the key ran is forgotten, so it cannot be said.
+            return core.CodedError(
+                core.ErrorCode.KEY_EXPIRED,
+                'the key was issued too long ago to be claimed',
+                core.Outcome.UNKNOWN,
+            )
+        case log.NotValidYet():
+            return core.CodedError(
+                core.ErrorCode.KEY_NOT_VALID_YET,
+                'the time of issue of the key lies in the future',
+                resend=True,
+                resend_at=answer.valid_at,
+            )
+        case _:
+            typing.assert_never(answer)
+
+
+def _log_answer(
+    call: core.ServiceCall,
+    target: core.ServiceTarget,
+    answer: _service_client.ServiceAnswer,
+    others: list[core.ServiceTarget],
+) -> None:
+    reason = getattr(answer, 'reason', 'answered')
+    _LOGGER.info(
+        'call %s workspace=%s target=%s answer=%s (%s) runners-up=%s',
+        call.key,
+        call.workspace,
+        target.name,
+        type(answer).__name__,
+        reason,
+        ','.join(other.name for other in others) or '-',
+    )
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_client.py
@@ -0,0 +1,155 @@
+"""Client of one server of a plain service."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import typing
+import urllib.parse
+
+import attrs
+
+from laburnumstep import core
+from laburnumstep import transport
+
+_NOT_STARTED_STATUS = 503
+_DIGEST_BYTES = 6
+
+
+@attrs.frozen
+class Answered:
+    """The service ran the operation and answered."""
+
+    result: core.CallResult
+    """The answer."""
+
+
+@attrs.frozen
+class NotStarted:
+    """The service refused the operation before it started."""
+
+    reason: str
+    """What the service said."""
+
+
+@attrs.frozen
+class ReplyLost:
+    """The operation was sent and may have run; no answer was received."""
+
+    reason: str
+    """How the exchange broke."""
+
+
+@attrs.frozen
+class NotReached:
+    """The service cannot have seen the operation."""
+
+    reason: str
+    """Why there is no connection."""
+
+
+ServiceAnswer = Answered | NotStarted | ReplyLost | NotReached
+
+
+class ServiceClient:
+    """Sends operations to one server of a plain service.
+
+    Args:
+        address: IP number and port of the server.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._http = transport.JsonClient(address)
+
+    async def call(
+        self, call: core.ServiceCall, deadline: float
+    ) -> ServiceAnswer:
+        """Send one operation.
+
+        Args:
+            call: The operation with its key and payload.
+            deadline: When to give up, in epoch seconds.
+        """
+        name = urllib.parse.quote(call.operation, safe='')
+        headers = {'Idempotency-Key': str(call.key)}
+        try:
+            reply = await self._http.request(
+                'POST',
+                f'/v1/operations/{name}',
+                deadline,
+                call.payload,
+                headers,
+            )
+        except transport.ConnectFailed as error:
+            return NotReached(str(error))
+        except transport.ExchangeFailed as error:
+            return ReplyLost(str(error))
+        if reply.status != _NOT_STARTED_STATUS:
+            return Answered(core.CallResult(reply.status, reply.body))
+        if _says_not_started(reply.body):
+            return NotStarted('not_started')
+        # Only the code promises that nothing ran; a bare 503 can come
+        # from a server that failed in the middle of the operation.
+        return ReplyLost('503 without the code not_started')
+
+    async def find_posting(
+        self, key: core.RequestKey, deadline: float
+    ) -> core.CallResult | None:
+        """Ask for the result of an operation by its key.
+
+        Args:
+            key: Key of the operation.
+            deadline: When to give up, in epoch seconds.
+
+        Returns:
+            The result, or None when the service does not know the key or
+            cannot be asked. None does not prove that the operation will
+            not run: it can still be on its way.
+        """
+        try:
+            reply = await self._http.request(
+                'GET', f'/v1/postings/{key}', deadline
+            )
+        except (transport.ConnectFailed, transport.ExchangeFailed):
+            return None
+        body = reply.body
+        if reply.status != 200 or not isinstance(body, dict):
+            return None
+        if body.get('found') is not True:
+            return None
+        return core.CallResult(200, body.get('result'))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+
+class ServiceClients:
+    """Clients by address, made at their first use."""
+
+    def __init__(self) -> None:
+        self._clients: dict[str, ServiceClient] = {}
+
+    def find(self, address: str) -> ServiceClient:
+        """Return the client of an address."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = ServiceClient(address)
+        return client
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            await client.close()
+
+
+def digest_call(call: core.ServiceCall) -> str:
+    """Return a short digest that tells requests with one key apart."""
+    parts = [call.service, call.operation, call.payload]
+    text = json.dumps(parts, sort_keys=True)
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
+    return digest.hexdigest()
+
+
+def _says_not_started(body: typing.Any) -> bool:
+    return isinstance(body, dict) and body.get('code') == 'not_started'
