--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -13,6 +13,13 @@
 from laburnumstep.log._changes import RemoveWorkspace
 from laburnumstep.log._changes import SetLinks
 from laburnumstep.log._changes import SetWeights
+from laburnumstep.log._claim_answers import ClaimAnswer
+from laburnumstep.log._claim_answers import Expired
+from laburnumstep.log._claim_answers import Granted
+from laburnumstep.log._claim_answers import Held
+from laburnumstep.log._claim_answers import NotValidYet
+from laburnumstep.log._claim_answers import Settled
+from laburnumstep.log._claim_answers import Taken
 from laburnumstep.log._client import AppendedAt
 from laburnumstep.log._client import AppendRateExceeded
 from laburnumstep.log._client import LogClient
@@ -38,14 +45,19 @@
     'AppendedAt',
     'CONFIGURATION_STREAM',
     'Change',
+    'ClaimAnswer',
     'ConfigurationFollower',
     'ConfigurationPublisher',
     'ConfigurationReplay',
     'Conflict',
+    'Expired',
+    'Granted',
+    'Held',
     'LogClient',
     'LogPage',
     'LogRecord',
     'LogUnavailable',
+    'NotValidYet',
     'Publication',
     'PublishResult',
     'Published',
@@ -59,8 +71,10 @@
     'RemoveWorkspace',
     'SetLinks',
     'SetWeights',
+    'Settled',
     'Snapshot',
     'SnapshotHeader',
+    'Taken',
     'apply_changes',
     'diff_deployments',
     'encode_change',
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -26,6 +26,15 @@
 from laburnumstep.targets._retry_decisions import Retry
 from laburnumstep.targets._retry_decisions import RetryDecision
 from laburnumstep.targets._sends import Send
+from laburnumstep.targets._service_calls import CallRunner
+from laburnumstep.targets._service_calls import ClaimKeeper
+from laburnumstep.targets._service_client import Answered
+from laburnumstep.targets._service_client import NotReached
+from laburnumstep.targets._service_client import NotStarted
+from laburnumstep.targets._service_client import ReplyLost
+from laburnumstep.targets._service_client import ServiceAnswer
+from laburnumstep.targets._service_client import ServiceClient
+from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
 from laburnumstep.targets._suspects import Crash
 from laburnumstep.targets._suspects import CrashSuspects
@@ -34,8 +43,11 @@
 from laburnumstep.targets._view import FleetView
 
 __all__ = [
+    'Answered',
     'CacheEvent',
     'CacheEventKind',
+    'CallRunner',
+    'ClaimKeeper',
     'Crash',
     'CrashSuspects',
     'EventRate',
@@ -49,14 +61,20 @@
     'MemoryPolicy',
     'NoRoom',
     'NoTarget',
+    'NotReached',
+    'NotStarted',
     'Placed',
     'Placement',
     'PlacementRequest',
     'PrefixHints',
+    'ReplyLost',
     'Retry',
     'RetryBudget',
     'RetryDecision',
     'Send',
+    'ServiceAnswer',
+    'ServiceClient',
+    'ServiceClients',
     'TargetState',
     'choose_engine',
     'choose_service',
