Relay generations from engines to callers

Adds the callers' front end, the engine client, the generation runner and the entry VM's process. Tokens are forwarded as the engine encoded them, and each stream is read at most once in a pause that grows with the number of streams up to 50 ms, because a read costs about the same for one token or ten.

--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Runs stand-ins and entry VMs and shows what callers get."""
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/processes.py
@@ -0,0 +1,137 @@
+"""Child processes of the demo, the load tool and the tests."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+STOP_SECONDS = 10.0
+"""Longest wait for a process after SIGTERM, in seconds."""
+
+
+@attrs.define
+class Child:
+    """One running process."""
+
+    name: str
+    """Name for logs."""
+    process: anyio.abc.Process
+    """The process."""
+    addresses: dict[str, str]
+    """Addresses that it printed."""
+    log_path: pathlib.Path
+    """File with its standard error."""
+
+    @property
+    def address(self) -> str:
+        """Address of a stand-in."""
+        return self.addresses['address']
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def read_log(self) -> str:
+        """Return what the process has logged."""
+        return self.log_path.read_text()
+
+
+@contextlib.asynccontextmanager
+async def run_child(
+    name: str, module: str, arguments: list[str], directory: pathlib.Path
+) -> collections.abc.AsyncIterator[Child]:
+    """Run a Python module until the context is left.
+
+    Args:
+        name: Name for logs.
+        module: Name of the module.
+        arguments: Its command line.
+        directory: Where the log file goes.
+    """
+    log_path = directory / f'{name}.log'
+    with log_path.open('wb') as log_file:
+        process = await anyio.open_process(
+            [sys.executable, '-m', module, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=log_file,
+        )
+    try:
+        line = await _read_line(process)
+        if not line:
+            raise RuntimeError(f'{name} did not start: {log_path.read_text()}')
+        yield Child(name, process, json.loads(line), log_path)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await _end(process)
+
+
+@contextlib.asynccontextmanager
+async def run_stand_in(
+    name: str, kind: str, directory: pathlib.Path, *arguments: str
+) -> collections.abc.AsyncIterator[Child]:
+    """Run a stand-in until the context is left."""
+    async with run_child(
+        name, 'laburnumstep_standins', [kind, *arguments], directory
+    ) as child:
+        yield child
+
+
+@contextlib.asynccontextmanager
+async def run_vm(
+    name: str, settings: str, directory: pathlib.Path
+) -> collections.abc.AsyncIterator[Child]:
+    """Run an entry VM until the context is left.
+
+    Args:
+        name: Name of the VM.
+        settings: Text of its settings file.
+        directory: Where the settings file and the log file go.
+    """
+    path = directory / f'{name}.ini'
+    path.write_text(settings)
+    async with run_child(
+        name, 'laburnumstep', ['run', str(path)], directory
+    ) as child:
+        yield child
+
+
+def make_directory() -> contextlib.AbstractContextManager[str]:
+    """Return a temporary directory for logs and settings."""
+    return tempfile.TemporaryDirectory(prefix='laburnumstep-')
+
+
+async def _read_line(process: anyio.abc.Process) -> bytes:
+    assert process.stdout is not None
+    line = b''
+    while not line.endswith(b'\n'):
+        try:
+            line += await process.stdout.receive()
+        except anyio.EndOfStream:
+            return b''
+    return line
+
+
+async def _end(process: anyio.abc.Process) -> None:
+    if process.returncode is None:
+        # A stopped process would never see SIGTERM.
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        with anyio.move_on_after(STOP_SECONDS):
+            await process.wait()
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
+    await process.aclose()
--- a/packages/laburnumstep/src/laburnumstep/callers/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/__init__.py
@@ -5,6 +5,13 @@
 from laburnumstep.callers._admission_queue import AdmissionResult
 from laburnumstep.callers._admission_queue import Admitted
 from laburnumstep.callers._admission_queue import Shed
+from laburnumstep.callers._app import CallersApp
+from laburnumstep.callers._engine_placer import Decision
+from laburnumstep.callers._engine_placer import EnginePlacer
+from laburnumstep.callers._engine_placer import RoutingState
+from laburnumstep.callers._gate import RequestGate
+from laburnumstep.callers._handles import HandleSigner
+from laburnumstep.callers._handles import ResumeHandle
 from laburnumstep.callers._limits import Allowed
 from laburnumstep.callers._limits import LimitResult
 from laburnumstep.callers._limits import Refused
@@ -19,9 +26,16 @@
     'AdmissionResult',
     'Admitted',
     'Allowed',
+    'CallersApp',
+    'Decision',
     'Demand',
+    'EnginePlacer',
+    'HandleSigner',
     'LimitResult',
     'Refused',
+    'RequestGate',
+    'ResumeHandle',
+    'RoutingState',
     'Share',
     'ShareAllocator',
     'Shed',
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/callers/_app.py
@@ -0,0 +1,340 @@
+"""The callers' HTTP front end."""
+
+from __future__ import annotations
+
+import typing
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from laburnumstep.callers import _codec
+from laburnumstep.callers import _credentials
+from laburnumstep.callers import _handles
+from laburnumstep.callers import _stream
+from laburnumstep import core
+from laburnumstep import transport
+
+if typing.TYPE_CHECKING:
+    from starlette import types
+
+    from laburnumstep.callers import _gate
+    from laburnumstep import targets
+
+HANDLE_SECONDS = 3600.0
+"""How long a stream can be resumed after it began, in seconds."""
+RESUME_SECONDS = 3600.0
+"""Longest time for the rest of a resumed answer, in seconds."""
+CANCEL_SECONDS = 5.0
+"""Longest wait for an engine to cancel, in seconds."""
+
+_LOGGER = core.get_logger('callers')
+
+
+class Services(typing.Protocol):
+    """What the front end asks of the rest of the VM."""
+
+    def find_deployment(self) -> core.Deployment:
+        """Return the configuration in force.
+
+        Raises:
+            CodedError: `no_configuration`.
+        """
+        ...
+
+    async def generate(
+        self, request: core.Generation, sink: targets.GenerationSink
+    ) -> None:
+        """Run a generation and hand its answer to a sink."""
+        ...
+
+    async def resume(
+        self,
+        handle: _handles.ResumeHandle,
+        position: int,
+        deadline: float,
+        sink: targets.GenerationSink,
+    ) -> None:
+        """Hand the rest of a generation to a sink."""
+        ...
+
+    async def cancel(
+        self, handle: _handles.ResumeHandle, deadline: float
+    ) -> None:
+        """Cancel a generation on its engine."""
+        ...
+
+    async def call(self, call: core.ServiceCall) -> core.CallResult:
+        """Run one operation of a plain service."""
+        ...
+
+    async def find_outcome(
+        self, workspace: str, key: core.RequestKey
+    ) -> OutcomeReport:
+        """Tell what became of a request."""
+        ...
+
+
+class OutcomeReport(typing.Protocol):
+    """What became of a request."""
+
+    @property
+    def outcome(self) -> core.Outcome:
+        """Whether it ran."""
+        ...
+
+    @property
+    def result(self) -> core.CallResult | None:
+        """What the service answered, where that is known."""
+        ...
+
+
+Handler = typing.Callable[
+    [requests.Request, core.Workspace],
+    typing.Awaitable[responses.Response],
+]
+
+
+class CallersApp:
+    """Serves callers; holds no state of requests beyond their tasks.
+
+    Args:
+        services: The rest of the VM.
+        gate: Counts requests and refuses them while the VM stops.
+        signer: Signs resume handles.
+        clock: The time.
+        metrics: Counts requests and errors.
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        gate: _gate.RequestGate,
+        signer: _handles.HandleSigner,
+        clock: core.Clock,
+        metrics: core.Metrics,
+    ) -> None:
+        self._services = services
+        self._gate = gate
+        self._signer = signer
+        self._clock = clock
+        self._metrics = metrics
+        self.app = applications.Starlette(
+            routes=[
+                self._route('POST', '/v1/generations', self._generate),
+                self._route('POST', '/v1/generations/resume', self._resume),
+                self._route('POST', '/v1/generations/cancel', self._cancel),
+                self._route('POST', '/v1/calls', self._call),
+                self._route('GET', '/v1/outcomes/{key}', self._outcome),
+                routing.Route('/healthz', self._health),
+                routing.Route('/readyz', self._ready),
+            ]
+        )
+        """The ASGI application."""
+
+    def _route(
+        self, method: str, path: str, handler: Handler
+    ) -> routing.Route:
+        endpoint = _Endpoint(self, handler)
+        return routing.Route(path, endpoint, methods=[method])
+
+    @property
+    def gate(self) -> _gate.RequestGate:
+        """Counts requests in progress."""
+        return self._gate
+
+    def authenticate(self, request: requests.Request) -> core.Workspace:
+        """Return the workspace whose credentials a request carries.
+
+        Raises:
+            CodedError: `unauthorized` or `no_configuration`.
+        """
+        return _credentials.authenticate(
+            request.headers.get('authorization'),
+            self._services.find_deployment(),
+            self._clock.now(),
+        )
+
+    def refuse(
+        self, request: requests.Request, error: core.CodedError
+    ) -> responses.Response:
+        """Count, log and encode what a caller is told."""
+        self._metrics.count(f'callers.errors.{error.code.value}')
+        _LOGGER.info(
+            'refused; path=%s outcome=%s error=%s',
+            request.url.path,
+            error.outcome.value,
+            error,
+        )
+        return _stream.encode_response(error, self._clock.now())
+
+    async def _generate(
+        self, request: requests.Request, workspace: core.Workspace
+    ) -> responses.Response:
+        key = _find_key(request)
+        body = _codec.decode_body(
+            await transport.read_body(request), _codec.GenerationBody
+        )
+        now = self._clock.now()
+        priority = body.priority
+        generation = core.Generation(
+            key=key,
+            workspace=workspace.name,
+            model=body.model,
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            # A caller may lower its own priority, never raise it.
+            priority=(
+                workspace.priority
+                if priority is None
+                else min(priority, workspace.priority)
+            ),
+            deadline=body.deadline or now + _codec.DEFAULT_DEADLINE_SECONDS,
+            delivery=body.delivery,
+        )
+        self._check_deadline(generation.deadline)
+        self._metrics.count('callers.generations')
+
+        async def work(sink: _stream.EventSink) -> None:
+            await self._services.generate(generation, sink)
+
+        return self._stream(work)
+
+    async def _resume(
+        self, request: requests.Request, workspace: core.Workspace
+    ) -> responses.Response:
+        body = _codec.decode_body(
+            await transport.read_body(request), _codec.ResumeBody
+        )
+        handle = self._signer.verify(
+            body.handle, workspace.name, self._clock.now()
+        )
+        deadline = self._clock.now() + RESUME_SECONDS
+        self._metrics.count('callers.resumes')
+
+        async def work(sink: _stream.EventSink) -> None:
+            await self._services.resume(handle, body.position, deadline, sink)
+
+        return self._stream(work)
+
+    async def _cancel(
+        self, request: requests.Request, workspace: core.Workspace
+    ) -> responses.Response:
+        body = _codec.decode_body(
+            await transport.read_body(request), _codec.CancelBody
+        )
+        handle = self._signer.verify(
+            body.handle, workspace.name, self._clock.now()
+        )
+        deadline = self._clock.now() + CANCEL_SECONDS
+        await self._services.cancel(handle, deadline)
+        return responses.JSONResponse({'generation': handle.generation})
+
+    async def _call(
+        self, request: requests.Request, workspace: core.Workspace
+    ) -> responses.Response:
+        key = _find_key(request)
+        body = _codec.decode_body(
+            await transport.read_body(request), _codec.CallBody
+        )
+        now = self._clock.now()
+        call = core.ServiceCall(
+            key=key,
+            workspace=workspace.name,
+            service=body.service,
+            operation=body.operation,
+            payload=body.payload,
+            deadline=body.deadline or now + _codec.DEFAULT_CALL_SECONDS,
+        )
+        self._check_deadline(call.deadline)
+        self._metrics.count('callers.calls')
+        result = await self._services.call(call)
+        return responses.JSONResponse(
+            {
+                'outcome': core.Outcome.RAN.value,
+                'status': result.status,
+                'result': result.result,
+            }
+        )
+
+    async def _outcome(
+        self, request: requests.Request, workspace: core.Workspace
+    ) -> responses.Response:
+        key = core.RequestKey.parse(request.path_params['key'])
+        report = await self._services.find_outcome(workspace.name, key)
+        body: dict[str, typing.Any] = {'outcome': report.outcome.value}
+        if report.result is not None:
+            body['status'] = report.result.status
+            body['result'] = report.result.result
+        return responses.JSONResponse(body)
+
+    async def _health(self, request: requests.Request) -> responses.Response:
+        return responses.JSONResponse({'healthy': True})
+
+    async def _ready(self, request: requests.Request) -> responses.Response:
+        try:
+            self._services.find_deployment()
+            if self._gate.stopping:
+                raise core.CodedError(
+                    core.ErrorCode.VM_STOPPING, 'the VM is stopping'
+                )
+        except core.CodedError as error:
+            return _stream.encode_response(error, self._clock.now())
+        return responses.JSONResponse({'ready': True})
+
+    def _stream(self, work: _stream.Work) -> _stream.EventStream:
+        return _stream.EventStream(
+            work, self._sign, self._gate.wait_for_expiry, self._clock
+        )
+
+    def _sign(self, placed: targets.PlacedGeneration) -> str:
+        return self._signer.sign(
+            _handles.ResumeHandle(
+                placed.request.workspace,
+                str(placed.request.key),
+                placed.generation,
+                placed.target,
+                self._clock.now() + HANDLE_SECONDS,
+            )
+        )
+
+    def _check_deadline(self, deadline: float) -> None:
+        if self._clock.now() >= deadline:
+            raise core.CodedError(
+                core.ErrorCode.DEADLINE_EXCEEDED,
+                'the deadline has passed',
+            )
+
+
+class _Endpoint:
+    """Serves one route: credentials, handler, errors and their count."""
+
+    def __init__(self, front: CallersApp, handler: Handler) -> None:
+        self._front = front
+        self._handler = handler
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        request = requests.Request(scope, receive, send)
+        try:
+            with self._front.gate.enter():
+                workspace = self._front.authenticate(request)
+                response = await self._handler(request, workspace)
+                await response(scope, receive, send)
+        except core.CodedError as error:
+            response = self._front.refuse(request, error)
+            await response(scope, receive, send)
+        except requests.ClientDisconnect:
+            _LOGGER.info('caller is gone; path=%s', request.url.path)
+
+
+def _find_key(request: requests.Request) -> core.RequestKey:
+    headers = request.headers.getlist('idempotency-key')
+    if len(headers) > 1:
+        raise core.CodedError(
+            core.ErrorCode.BAD_REQUEST,
+            'the Idempotency-Key header is given twice',
+        )
+    return _codec.decode_key(headers[0] if headers else None)
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/callers/_gate.py
@@ -0,0 +1,90 @@
+"""Whether the VM takes requests, and its graceful shutdown."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+
+from laburnumstep import core
+
+if typing.TYPE_CHECKING:
+    import collections.abc
+
+
+class RequestGate:
+    """Counts requests in progress and refuses new ones while stopping.
+
+    Args:
+        clock: Ends the graceful shutdown.
+    """
+
+    def __init__(self, clock: core.Clock) -> None:
+        self._clock = clock
+        self._in_progress = 0
+        self._idle = anyio.Event()
+        self._expired = anyio.Event()
+        self._stop_deadline: float | None = None
+
+    @property
+    def in_progress(self) -> int:
+        """Requests in progress."""
+        return self._in_progress
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the VM refuses new requests."""
+        return self._stop_deadline is not None
+
+    @contextlib.contextmanager
+    def enter(self) -> collections.abc.Iterator[None]:
+        """Count a request while the context is open.
+
+        Raises:
+            CodedError: `vm_stopping` when the VM refuses new requests.
+        """
+        if self.stopping:
+            raise core.CodedError(
+                core.ErrorCode.VM_STOPPING,
+                'the VM is stopping; send the request to another one',
+                resend=True,
+                resend_at=self._clock.now(),
+            )
+        self._in_progress += 1
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            if self.stopping and not self._in_progress:
+                self._idle.set()
+
+    async def drain(self, deadline: float) -> None:
+        """Refuse new requests and wait until the others have ended.
+
+        Args:
+            deadline: When the remaining callers are told to resume on
+                another VM, in epoch seconds.
+        """
+        self._stop_deadline = deadline
+        if not self._in_progress:
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._expire, deadline)
+            await self._idle.wait()
+            tasks.cancel_scope.cancel()
+
+    async def wait_for_expiry(self) -> core.CodedError:
+        """Wait for the stop deadline and return what a caller is told."""
+        await self._expired.wait()
+        return core.CodedError(
+            core.ErrorCode.VM_STOPPING,
+            'the VM stops now; resume on another one with the handle',
+            core.Outcome.UNKNOWN,
+            resend=True,
+            resend_at=self._clock.now(),
+        )
+
+    async def _expire(self, deadline: float) -> None:
+        await self._clock.sleep_until(deadline)
+        self._expired.set()
--- a/packages/laburnumstep/src/laburnumstep/cli.py
+++ b/packages/laburnumstep/src/laburnumstep/cli.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import json
 import sys
 import typing
 
+import anyio
 import typer
 
 from laburnumstep import core
+from laburnumstep import vm
 
 _EXIT_FINDINGS = 2
 app = typer.Typer(
@@ -38,6 +41,26 @@
     print(f'{settings}: no findings')
 
 
+@app.command()
+def run(settings: SettingsFile) -> None:
+    """Run the entry VM until SIGTERM, then shut down gracefully.
+
+    The first line on standard output is a JSON object with the addresses
+    on which the VM listens.
+
+    Example: laburnumstep run /etc/laburnumstep.ini
+    """
+    checked = _load(settings)
+    core.configure_logging(checked.logging.level, checked.logging.format)
+    anyio.run(_run, checked)
+
+
+async def _run(settings: core.Settings) -> None:
+    entry = vm.EntryVM(settings, core.SystemClock())
+    print(json.dumps({'callers': entry.callers_address}), flush=True)
+    await entry.run()
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -1,17 +1,37 @@
 """Model engines and plain services."""
 
+from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
+from laburnumstep.targets._engine_client import EngineClient
+from laburnumstep.targets._engine_client import new_generation_id
+from laburnumstep.targets._engine_client import StreamBroken
+from laburnumstep.targets._engine_clients import EngineClients
+from laburnumstep.targets._engine_codec import EventDecoder
+from laburnumstep.targets._engine_events import Failed
+from laburnumstep.targets._engine_events import Finished
+from laburnumstep.targets._engine_events import MalformedStream
+from laburnumstep.targets._engine_events import Preempted
+from laburnumstep.targets._engine_events import StreamGap
+from laburnumstep.targets._engine_events import StreamPosition
+from laburnumstep.targets._engine_events import TokenBatch
+from laburnumstep.targets._engine_events import WrongGeneration
+from laburnumstep.targets._generation_runner import GenerationPlace
+from laburnumstep.targets._generation_runner import GenerationRunner
+from laburnumstep.targets._generation_runner import GenerationSink
+from laburnumstep.targets._generation_runner import PlacedGeneration
 from laburnumstep.targets._hints import CacheEvent
 from laburnumstep.targets._hints import CacheEventKind
 from laburnumstep.targets._hints import PrefixHints
 from laburnumstep.targets._lengths import LengthEstimator
 from laburnumstep.targets._lengths import LengthSketch
 from laburnumstep.targets._links import LinkMeter
+from laburnumstep.targets._load_follower import LoadFollower
 from laburnumstep.targets._pace import EventRate
 from laburnumstep.targets._placement import choose_engine
 from laburnumstep.targets._placement import choose_service
 from laburnumstep.targets._policy import MemoryPolicy
+from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
 from laburnumstep.targets._reports import LoadReport
 from laburnumstep.targets._results import NoRoom
@@ -50,23 +70,36 @@
     'ClaimKeeper',
     'Crash',
     'CrashSuspects',
+    'EngineClient',
+    'EngineClients',
+    'EventDecoder',
     'EventRate',
+    'Failed',
     'FailedAttempt',
+    'Finished',
     'FleetView',
+    'GenerationPlace',
+    'GenerationRunner',
+    'GenerationSink',
     'GiveUp',
     'LengthEstimator',
     'LengthSketch',
     'LinkMeter',
+    'LoadFollower',
     'LoadReport',
+    'MalformedStream',
     'MemoryPolicy',
     'NoRoom',
     'NoTarget',
     'NotReached',
     'NotStarted',
     'Placed',
+    'PlacedGeneration',
     'Placement',
     'PlacementRequest',
+    'Preempted',
     'PrefixHints',
+    'ReadPacer',
     'ReplyLost',
     'Retry',
     'RetryBudget',
@@ -75,13 +108,20 @@
     'ServiceAnswer',
     'ServiceClient',
     'ServiceClients',
+    'StreamBroken',
+    'StreamGap',
+    'StreamPosition',
     'TargetState',
+    'TokenBatch',
+    'WrongGeneration',
     'choose_engine',
     'choose_service',
     'decide_retry',
     'decode_lengths',
+    'digest_prefixes',
     'encode_lengths',
     'fingerprint_call',
     'fingerprint_generation',
     'list_unfinished',
+    'new_generation_id',
 ]
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
@@ -0,0 +1,151 @@
+"""Decoding of an engine's event stream.
+
+Tokens are recognised with one pattern and kept encoded; all other events
+are rare and decoded in full.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import typing
+
+import attrs
+
+from laburnumstep.targets import _engine_events
+from laburnumstep.targets import _hints
+from laburnumstep.targets import _reports
+
+_TOKEN = re.compile(
+    rb'id: ([0-9a-z-]{1,64}):([0-9]{1,9})\n'
+    rb'data: "(?:[^"\\\n]|\\.)*"\n\n'
+)
+_MAX_EVENT_BYTES = 64 * 1024
+"""Longest accepted event, in bytes."""
+
+
+class EventDecoder:
+    """Turns the bytes of one stream into events."""
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def decode(self, chunk: bytes) -> list[_engine_events.EngineEvent]:
+        """Return the events that a chunk completes.
+
+        Raises:
+            MalformedStream: When the bytes do not follow the protocol.
+        """
+        data = self._rest + chunk if self._rest else chunk
+        end = data.rfind(b'\n\n') + 2
+        if end == 1:
+            end = 0
+        self._rest = data[end:]
+        if len(self._rest) > _MAX_EVENT_BYTES:
+            raise _engine_events.MalformedStream('an event is too long')
+        return list(_decode_events(data[:end])) if end else []
+
+
+def _decode_events(
+    data: bytes,
+) -> typing.Iterator[_engine_events.EngineEvent]:
+    start = 0
+    batch: _engine_events.TokenBatch | None = None
+    while start < len(data):
+        match = _TOKEN.match(data, start)
+        if match is None:
+            if batch is not None:
+                yield batch
+                batch = None
+            end = data.index(b'\n\n', start) + 2
+            yield _decode_other(data[start:end])
+            start = end
+            continue
+        generation, position = match[1].decode(), int(match[2])
+        start = match.end()
+        if (
+            batch is not None
+            and batch.generation == generation
+            and batch.following == position
+        ):
+            batch.events.append(match[0])
+            continue
+        if batch is not None:
+            yield batch
+        batch = _engine_events.TokenBatch(generation, position, [match[0]])
+    if batch is not None:
+        yield batch
+
+
+def _decode_other(event: bytes) -> _engine_events.EngineEvent:
+    try:
+        lines = event.decode().strip('\n').split('\n')
+        fields = dict(line.split(': ', 1) for line in lines)
+        body = json.loads(fields.get('data', '{}'))
+        match fields.get('event'):
+            case 'preempted':
+                return _engine_events.Preempted()
+            case 'done':
+                return _engine_events.Finished(
+                    int(body['tokens']), str(body['reason'])
+                )
+            case 'failed':
+                return _engine_events.Failed(str(body['code']))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        message = f'malformed event: {event[:80]!r}'
+        raise _engine_events.MalformedStream(message) from error
+    raise _engine_events.MalformedStream(f'unknown event: {event[:80]!r}')
+
+
+def decode_load_report(body: typing.Any) -> _reports.LoadReport:
+    """Read a load report as an engine sends it.
+
+    Raises:
+        MalformedStream: When a field is missing or of the wrong type.
+    """
+    try:
+        reclaim_at = body['reclaim_at']
+        return _reports.LoadReport(
+            measured_at=float(body['measured_at']),
+            running=int(body['running']),
+            waiting=int(body['waiting']),
+            kv_used=int(body['kv_used']),
+            kv_total=int(body['kv_total']),
+            preemptions=int(body['preemptions']),
+            models=[str(model['name']) for model in body['models']],
+            reclaim_at=None if reclaim_at is None else float(reclaim_at),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        message = f'malformed load report: {body!r}'[:120]
+        raise _engine_events.MalformedStream(message) from error
+
+
+@attrs.frozen
+class CachePage:
+    """Part of an engine's cache events."""
+
+    events: list[_hints.CacheEvent]
+    """Events in the order of their numbers."""
+    next: int
+    """Number from which to read on."""
+
+
+def decode_cache_page(body: typing.Any) -> CachePage:
+    """Read cache events as an engine sends them.
+
+    Raises:
+        MalformedStream: When a field is missing or of the wrong type.
+    """
+    try:
+        events = [
+            _hints.CacheEvent(
+                int(item['seq']),
+                _hints.CacheEventKind(item['kind']),
+                str(item['prefix']),
+            )
+            for item in body['events']
+        ]
+        return CachePage(events, int(body['next']))
+    except (KeyError, TypeError, ValueError) as error:
+        message = f'malformed cache events: {body!r}'[:120]
+        raise _engine_events.MalformedStream(message) from error
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -0,0 +1,102 @@
+"""Follows the load reports of the engines, one task for each engine."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from laburnumstep import core
+from laburnumstep.targets import _engine_client
+from laburnumstep.targets import _engine_events
+
+if typing.TYPE_CHECKING:
+    import anyio.abc
+
+    from laburnumstep.targets import _engine_clients
+    from laburnumstep.targets import _reports
+    from laburnumstep.targets import _view
+
+POLL_SECONDS = 0.5
+"""Pause between two load reports of an engine, in seconds."""
+REPLY_SECONDS = 2.0
+"""Longest wait for a load report, in seconds."""
+FAILED_SECONDS = 2.0
+"""How long an engine that does not report gets no new work, in seconds."""
+
+_LOGGER = core.get_logger('targets')
+
+
+class LoadFollower:
+    """Keeps the view's load reports and cache hints fresh.
+
+    Args:
+        clients: Clients of the engines.
+        view: Takes in the reports.
+        clock: Spaces out the requests.
+        note_reclaim: Called when an engine will be reclaimed, with its
+            name and the time in epoch seconds.
+    """
+
+    def __init__(
+        self,
+        clients: _engine_clients.EngineClients,
+        view: _view.FleetView,
+        clock: core.Clock,
+        note_reclaim: typing.Callable[[str, float], None],
+    ) -> None:
+        self._clients = clients
+        self._view = view
+        self._clock = clock
+        self._note_reclaim = note_reclaim
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    def apply_deployment(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start a task for each new engine and end those of removed ones.
+
+        Args:
+            tasks: Group in which the tasks run.
+        """
+        names = set(self._clients.list_names())
+        for name in [n for n in self._scopes if n not in names]:
+            self._scopes.pop(name).cancel()
+        for name in names - set(self._scopes):
+            scope = anyio.CancelScope()
+            self._scopes[name] = scope
+            tasks.start_soon(self._follow, name, scope)
+
+    async def _follow(self, name: str, scope: anyio.CancelScope) -> None:
+        reachable = True
+        with scope:
+            while True:
+                client = self._clients.find(name)
+                if client is not None:
+                    answered = await self._poll(name, client)
+                    if answered != reachable:
+                        reachable = answered
+                        state = 'answers' if answered else 'does not answer'
+                        _LOGGER.info('engine %s; target=%s', state, name)
+                await self._clock.sleep_until(self._clock.now() + POLL_SECONDS)
+
+    async def _poll(
+        self, name: str, client: _engine_client.EngineClient
+    ) -> bool:
+        deadline = self._clock.now() + REPLY_SECONDS
+        try:
+            report = await client.read_load(deadline)
+            self._take(name, report)
+            page = await client.read_cache_events(
+                self._view.hints.get_next(name), deadline
+            )
+            self._view.hints.apply_events(name, page.events, page.next)
+        except _engine_client.StreamBroken:
+            self._view.set_failed(name, self._clock.now() + FAILED_SECONDS)
+            return False
+        except _engine_events.MalformedStream as error:
+            _LOGGER.warning('malformed report; target=%s: %s', name, error)
+        return True
+
+    def _take(self, name: str, report: _reports.LoadReport) -> None:
+        self._view.record_report(name, report)
+        if report.reclaim_at is not None:
+            self._note_reclaim(name, report.reclaim_at)
--- a/tests/laburnumstep/core/steps/settings_steps.py
+++ b/tests/laburnumstep/core/steps/settings_steps.py
@@ -9,13 +9,13 @@
 import behave
 
 from laburnumstep import core
-from support import settings_file
+from laburnumstep_standins import settings
 
 
 @behave.given('a valid settings file')
 def step_valid_file(context: typing.Any) -> None:
     context.parser = configparser.ConfigParser(interpolation=None)
-    context.parser.read_string(settings_file.render())
+    context.parser.read_string(settings.render_settings())
 
 
 @behave.given('key "{key}" in section "{section}" is "{value}"')
