Keep VMs with the same stale reports from overfilling engines

A scenario with 8 VMs that see the same reports showed an engine expected to need 41,400 of 10,000 tokens: sends that began at the instant of a report counted as part of it, and the demand of the other VMs was underestimated. Sends from that instant on are now added to the report, and a VM takes more than its part of the room only where the demand of all VMs fits with two standard deviations to spare.

The quantiles that placement asks for are kept until a distribution changes by 5%, and the load of a target is worked out in one pass.

--- a/packages/laburnumstep/src/laburnumstep/targets/_forecast.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_forecast.py
@@ -19,30 +19,28 @@
 ) -> float:
     """Return the length that an answer reaches at a quantile, in tokens.
 
-    The estimate is kept until the answer has grown by one bucket, because
-    working it out for each send would dominate a decision.
+    The estimate is kept until the answer has grown by one bucket.
     """
-    bucket = _lengths.find_bucket(send.tokens)
-    if send.forecast_bucket != bucket or send.forecast_quantile != quantile:
-        left = lengths.find_quantile(
-            send.workspace, send.model, send.tokens, quantile
+    if send.tokens >= send.forecast_until or send.quantile != quantile:
+        bucket = _lengths.find_bucket(send.tokens)
+        total = lengths.find_total(
+            send.workspace, send.model, bucket, quantile
         )
-        total = send.tokens + left
         if send.max_tokens is not None:
             total = min(total, float(send.max_tokens))
         send.forecast = total
-        send.forecast_bucket = bucket
-        send.forecast_quantile = quantile
+        send.forecast_until = _lengths.find_lower_bound(bucket + 1)
+        send.quantile = quantile
     return max(send.forecast, float(send.tokens))
 
 
 def forecast_peak(
     state: _states.TargetState,
+    load: _states.TargetLoad,
     lengths: _lengths.LengthEstimator,
     quantile: float,
     added: tuple[float, float],
     model: str,
-    now: float,
 ) -> float:
     """Return the most memory that will be in use, in tokens.
 
@@ -52,31 +50,31 @@
 
     Args:
         state: The target.
+        load: Its load.
         lengths: Expected lengths.
         quantile: Quantile of the lengths, from 0 to 1.
         added: Memory and remaining length of the request to be placed.
         model: Model of the request to be placed.
-        now: In epoch seconds.
     """
     parts = [(added[1], added[0], 1.0)]
-    own = 0.0
     for send in state.sends.values():
-        held = float(send.kv_tokens)
-        own += held
+        tokens = send.tokens
         total = expect_total(send, lengths, quantile)
-        parts.append((total - send.tokens, held, 1.0))
-    others = max(0.0, state.estimate_kv(now) - own)
-    count = state.estimate_requests() - len(state.sends)
-    if count > 0:
+        parts.append((total - tokens, send.prompt_tokens + tokens, 1.0))
+    held = 0.0
+    if load.others:
         residual = lengths.expect_residual(model)
-        parts += _spread_others(others, count, residual)
+        parts += _spread_others(load.others_kv, load.others, residual)
+    else:
+        held = load.others_kv
     parts.sort(reverse=True)
-    held = 0.0 if count > 0 else others
     growing = peak = 0.0
     for remaining, kv_tokens, size in parts:
         held += kv_tokens
         growing += size
-        peak = max(peak, held + growing * remaining)
+        reached = held + growing * remaining
+        if reached > peak:
+            peak = reached
     return peak
 
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_lengths.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_lengths.py
@@ -16,8 +16,12 @@
 """Weight of the model's distribution where a workspace is little known."""
 PRIOR_LENGTHS = (16, 64, 128, 256, 512, 1024)
 """Lengths assumed of a model of which nothing is known, in tokens."""
-MAX_SKETCHES = 20_000
+MAX_SKETCHES = 5_000
 """Pairs of workspace and model that are kept."""
+MAX_CACHED = 20_000
+"""Quantiles that are kept until their distributions change."""
+CHANGE = 1.05
+"""Growth of the weight after which a distribution counts as changed."""
 
 
 def find_bucket(tokens: float) -> int:
@@ -43,6 +47,9 @@
     """Weighted sum of the lengths of each bucket, in tokens."""
     weight: float = 0.0
     """Weight of all buckets."""
+    version: int = 0
+    """Raised whenever the distribution has changed noticeably."""
+    _version_weight: float = 0.0
 
     def observe(self, tokens: int, weight: float = 1.0) -> None:
         """Add one length."""
@@ -50,8 +57,7 @@
         self.counts[bucket] = self.counts.get(bucket, 0.0) + weight
         self.sums[bucket] = self.sums.get(bucket, 0.0) + tokens * weight
         self.weight += weight
-        if self.weight > MAX_WEIGHT:
-            self._scale(0.5)
+        self._settle()
 
     def merge(self, other: LengthSketch) -> None:
         """Add the observations of another sketch."""
@@ -60,8 +66,7 @@
             added = other.sums.get(bucket, 0.0)
             self.sums[bucket] = self.sums.get(bucket, 0.0) + added
         self.weight += other.weight
-        while self.weight > MAX_WEIGHT:
-            self._scale(0.5)
+        self._settle()
 
     def expect_residual(self) -> float:
         """Return the second moment over twice the mean, in tokens."""
@@ -96,11 +101,16 @@
                 tail.append((max(left, 0.0), count * share))
         return tail
 
-    def _scale(self, factor: float) -> None:
-        for bucket in self.counts:
-            self.counts[bucket] *= factor
-            self.sums[bucket] *= factor
-        self.weight *= factor
+    def _settle(self) -> None:
+        if self.weight > CHANGE * self._version_weight:
+            self.version += 1
+            self._version_weight = self.weight
+        while self.weight > MAX_WEIGHT:
+            for bucket in self.counts:
+                self.counts[bucket] *= 0.5
+                self.sums[bucket] *= 0.5
+            self.weight *= 0.5
+            self._version_weight = self.weight
 
 
 class LengthEstimator:
@@ -114,7 +124,10 @@
         self._pairs: dict[tuple[str, str], LengthSketch] = {}
         self._models: dict[str, LengthSketch] = {}
         self._changes: dict[tuple[str, str], LengthSketch] = {}
-        self._residuals: dict[str, tuple[float, float]] = {}
+        self._residuals: dict[str, tuple[int, float]] = {}
+        self._totals: dict[
+            tuple[str, str, int, float], tuple[int, int, float]
+        ] = {}
 
     def observe(self, workspace: str, model: str, tokens: int) -> None:
         """Record the length of a complete answer, in tokens."""
@@ -156,11 +169,10 @@
             squares = sum(length**2 for length in PRIOR_LENGTHS)
             return squares / (2.0 * sum(PRIOR_LENGTHS))
         known = self._residuals.get(model)
-        # A few more observations do not change the value much.
-        if known is not None and 1 <= sketch.weight / known[0] < 1.05:
+        if known is not None and known[0] == sketch.version:
             return known[1]
         residual = sketch.expect_residual()
-        self._residuals[model] = (sketch.weight, residual)
+        self._residuals[model] = (sketch.version, residual)
         return residual
 
     def expect_remaining(
@@ -189,6 +201,35 @@
                 return left
         return tail[-1][0]
 
+    def find_total(
+        self, workspace: str, model: str, bucket: int, quantile: float
+    ) -> float:
+        """Return a quantile of the whole length, in tokens.
+
+        Placement asks for each send that it looks at, so the value is kept
+        until a distribution has changed noticeably.
+
+        Args:
+            workspace: Name of the workspace.
+            model: Name of the model.
+            bucket: Bucket that the answer has reached.
+            quantile: From 0 to 1.
+        """
+        pair = self._pairs.get((workspace, model))
+        known = self._models.get(model)
+        pair_version = pair.version if pair is not None else 0
+        model_version = known.version if known is not None else 0
+        key = (workspace, model, bucket, quantile)
+        cached = self._totals.get(key)
+        if cached is not None and cached[:2] == (pair_version, model_version):
+            return cached[2]
+        so_far = find_lower_bound(bucket)
+        total = so_far + self.find_quantile(workspace, model, so_far, quantile)
+        if len(self._totals) >= MAX_CACHED:
+            self._totals.clear()
+        self._totals[key] = (pair_version, model_version, total)
+        return total
+
     def _list_tail(
         self, workspace: str, model: str, so_far: float
     ) -> list[tuple[float, float]]:
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import attrs
@@ -25,11 +26,17 @@
 """Candidates of other regions beside those of the VM's own."""
 HINTED_SAMPLES = 2
 """Further candidates that probably hold the prompt's prefix."""
-MORE_SAMPLES = 16
+MORE_SAMPLES = 12
 """Candidates looked at when none of the first has room. It bounds the
 time of a decision in a large deployment without room."""
 ROOM_RETRY_SECONDS = 5.0
 """When to look again for room without any news, in seconds."""
+DEMAND_DEVIATIONS = 2.0
+"""Standard deviations of the demand of all VMs that must find room before
+a VM takes more than its part of it."""
+DRAW_PART = 0.8
+"""Part of the room that is handed out by drawing; the rest allows for
+more VMs than expected drawing it."""
 FAR_COST = 0.3
 """Cost of another region over an unused link, as a part of memory."""
 LINK_COST = 0.7
@@ -79,20 +86,26 @@
         far_cost = 0.0 if state.near else self._price_link(state)
         if far_cost is None:
             return None
-        added = (float(self.request.prompt_tokens), self.expected)
+        load = state.estimate_load(self.now)
+        limit = self.policy.threshold * state.memory
+        prompt = self.request.prompt_tokens
+        # A request whose expected length exceeds an engine's memory runs
+        # on an idle engine rather than nowhere.
+        idle = load.requests == 0
+        if not idle and load.kv_used + prompt > limit:
+            return None
         peak = _forecast.forecast_peak(
             state,
+            load,
             self.lengths,
             self.policy.quantile,
-            added,
+            (float(prompt), self.expected),
             self.request.model,
-            self.now,
         )
-        # A request whose expected length exceeds an engine's memory runs
-        # on an idle engine rather than nowhere.
-        idle = state.estimate_requests() == 0
-        room = self.policy.threshold * state.memory - peak
-        if not idle and (room < 0 or not self._may_take(state, room)):
+        room = limit - peak
+        if not idle and room < 0:
+            return None
+        if not self._may_take(state, load, room):
             return None
         held = self.view.hints.match(name, self.request.prefixes)
         fill = peak / max(1, state.memory)
@@ -100,28 +113,35 @@
         cost = fill - PREFIX_GAIN * held + WAITING_COST * waiting + far_cost
         return _Candidate(name, cost, fill, held, state.near)
 
-    def _may_take(self, state: _states.TargetState, room: float) -> bool:
+    def _may_take(
+        self,
+        state: _states.TargetState,
+        load: _states.TargetLoad,
+        room: float,
+    ) -> bool:
         """Tell whether this VM may use some of the room that it sees.
 
-        All VMs see the same room until the next report. Where they want
-        more than there is, each takes its part of it; a fraction of a
+        All VMs see the same room until the next report. Where they may
+        want more than there is, each keeps to its part of it; less than a
         request is taken with that probability, drawn once a report.
         """
         vms = self.view.known_vms
         if vms <= 1:
             return True
+        size = max(1.0, self.request.prompt_tokens + self.expected)
+        slots = max(0.0, room) / size + 1 + max(0, load.taken)
+        part = slots / vms
+        if load.taken + 1 <= part:
+            return True
+        demand = vms * (
+            max(0, load.taken) + self.view.count_demand(self.request.model)
+        )
+        if demand + DEMAND_DEVIATIONS * math.sqrt(demand) <= slots:
+            return True
         if state.drawn_for != state.measured_at:
             state.draw = self.rng.random()
             state.drawn_for = state.measured_at
-        size = max(1.0, self.request.prompt_tokens + self.expected)
-        taken = state.count_begun_since_report()
-        taken -= state.count_ended_since_report()
-        slots = room / size + 1 + max(0, taken)
-        demand = self.view.estimate_demand(
-            self.request.model, state.measured_at
-        )
-        part = slots / vms * max(1.0, slots / demand)
-        return taken + 1 <= part + state.draw
+        return load.taken <= 0 and state.draw < part * DRAW_PART
 
     def _price_link(self, state: _states.TargetState) -> float | None:
         """Return the cost of a target's region; None if over budget."""
@@ -155,7 +175,7 @@
     if len(view.get_pool(request.model)) == 0:
         return _explain_missing(view, request.model, request.excluded)
     policy = _policy.MemoryPolicy.weigh(weights)
-    expected = lengths.find_quantile(
+    expected = lengths.find_total(
         request.workspace, request.model, 0, policy.quantile
     )
     if request.max_tokens is not None:
--- a/packages/laburnumstep/src/laburnumstep/targets/_sends.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_sends.py
@@ -33,9 +33,9 @@
     """When it ended, in epoch seconds."""
     forecast: float = 0.0
     """Expected length of the whole answer at a quantile, in tokens."""
-    forecast_bucket: int = -1
-    """Bucket of the length at which the forecast was made."""
-    forecast_quantile: float = -1.0
+    forecast_until: float = -1.0
+    """Tokens from which on the forecast is made anew."""
+    quantile: float = -1.0
     """Quantile of the forecast."""
 
     @property
@@ -48,7 +48,7 @@
 
         Tokens are assumed to have arrived at a steady rate.
         """
-        if moment < self.begun_at:
+        if moment <= self.begun_at:
             return 0.0
         end = self.ended_at if self.ended_at is not None else now
         if moment >= end:
--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -16,6 +16,32 @@
 """Longest lag of a report that is corrected by ended sends, in seconds."""
 
 
+@attrs.frozen
+class TargetLoad:
+    """Requests and memory of a target, own ones apart from others'."""
+
+    own: int
+    """Own sends in progress."""
+    own_kv: float
+    """Memory of own sends, in tokens."""
+    others: int
+    """Requests of other VMs."""
+    others_kv: float
+    """Memory of other VMs' requests, in tokens."""
+    taken: int
+    """Own sends begun less those ended since the last report."""
+
+    @property
+    def requests(self) -> int:
+        """Requests on the target."""
+        return self.own + self.others
+
+    @property
+    def kv_used(self) -> float:
+        """Memory in use, in tokens."""
+        return self.own_kv + self.others_kv
+
+
 @attrs.define(eq=False)
 class TargetState:
     """A target with its last report and this VM's sends to it."""
@@ -105,33 +131,34 @@
                 if item.ended_at is not None and item.ended_at >= oldest
             ]
 
-    def count_begun_since_report(self) -> int:
-        """Return own sends in progress that the report does not count."""
-        moment = self.measured_at
-        return sum(1 for s in self.sends.values() if s.begun_at > moment)
+    def estimate_load(self, now: float) -> TargetLoad:
+        """Return the load now: the last report, corrected by own sends.
 
-    def count_ended_since_report(self) -> int:
-        """Return own sends that the report counts, though they ended."""
+        The report's own sends are replaced by what is known of them now;
+        those that began since are added, and those that ended are left
+        out. A send that began as the report was measured had not reached
+        the engine yet.
+        """
         moment = self.measured_at
-        return sum(1 for send in self.ended if send.begun_at <= moment)
-
-    def estimate_requests(self) -> int:
-        """Return the requests on the target, own sends counted at once."""
+        own_kv = counted = 0.0
+        begun = 0
+        for send in self.sends.values():
+            held = send.prompt_tokens + send.tokens
+            own_kv += held
+            if send.begun_at >= moment:
+                begun += 1
+            else:
+                counted += send.estimate_kv_at(moment, now)
+        ended = 0
+        for send in self.ended:
+            if send.begun_at < moment:
+                ended += 1
+                counted += send.estimate_kv_at(moment, now)
         if self.report is None:
-            return len(self.sends)
+            return TargetLoad(len(self.sends), own_kv, 0, 0.0, begun)
         reported = self.report.running + self.report.waiting
-        begun = self.count_begun_since_report()
-        ended = self.count_ended_since_report()
-        return max(len(self.sends), reported + begun - ended)
-
-    def estimate_kv(self, now: float) -> float:
-        """Return the memory in use, in tokens, corrected by own sends."""
-        own = float(sum(send.kv_tokens for send in self.sends.values()))
-        if self.report is None:
-            return own
-        moment = self.measured_at
-        counted = sum(
-            send.estimate_kv_at(moment, now) for send in self.sends.values()
+        others = max(0, reported - (len(self.sends) - begun) - ended)
+        others_kv = max(0.0, self.report.kv_used - counted)
+        return TargetLoad(
+            len(self.sends), own_kv, others, others_kv, begun - ended
         )
-        counted += sum(send.estimate_kv_at(moment, now) for send in self.ended)
-        return own + max(0.0, self.report.kv_used - counted)
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -8,7 +8,6 @@
 from laburnumstep import core
 from laburnumstep.targets import _hints
 from laburnumstep.targets import _links
-from laburnumstep.targets import _pace
 from laburnumstep.targets import _pools
 from laburnumstep.targets import _sends
 from laburnumstep.targets import _states
@@ -44,7 +43,6 @@
         self._known_vms = 1
         self._budget = core.LinkBudget()
         self._waiting: dict[str, int] = {}
-        self._paces: dict[str, _pace.EventRate] = {}
         self._token_seconds: float | None = None
         self.hints = _hints.PrefixHints()
         """Prefixes that engines probably hold."""
@@ -158,7 +156,6 @@
             max_tokens,
             suspect,
         )
-        self._paces.setdefault(model, _pace.EventRate()).record(now)
         state = self._states.get(target_name)
         if state is not None:
             state.sends[generation_id] = send
@@ -192,21 +189,13 @@
         self._restore_recovered()
         return self._pools.get(subject, _EMPTY_POOL)
 
-    def estimate_demand(self, model: str, since: float) -> float:
-        """Return how many requests all VMs may have for each target.
+    def count_demand(self, model: str) -> float:
+        """Return this VM's waiting requests for each target of a model.
 
-        The other VMs are taken to have as much traffic as this one.
-
-        Args:
-            model: Name of the model.
-            since: Time from which on requests count, in epoch seconds.
+        The request that is being placed counts as one of them.
         """
-        now = self._clock.now()
-        pace = self._paces.get(model)
-        rate = pace.measure(now) if pace is not None else 0.0
-        own = rate * min(_states.REPORT_LAG_SECONDS, max(0.0, now - since))
-        own += self._waiting.get(model, 0) + 1
-        return self._known_vms * own / max(1, len(self.get_pool(model)))
+        waiting = max(1, self._waiting.get(model, 0))
+        return waiting / max(1, len(self.get_pool(model)))
 
     def find_recovery(
         self, subject: str, excluded: frozenset[str] = frozenset()
--- /dev/null
+++ b/tests/laburnumstep/targets/steps/view_steps.py
@@ -0,0 +1,380 @@
+"""Steps for the features of the fleet view and of placement."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import attrs
+import behave
+
+from laburnumstep import core
+from laburnumstep import targets
+from support import fleets
+
+_BEGIN = 1_000_000.0
+
+
+def _make_view(
+    context: typing.Any, deployment: core.Deployment
+) -> targets.FleetView:
+    context.clock = core.ManualClock(_BEGIN)
+    context.deployment = deployment
+    context.rng = random.Random(7)
+    context.lengths = fleets.teach_lengths(100)
+    context.excluded = frozenset()
+    view = targets.FleetView(context.clock, 'lima-1')
+    view.apply_deployment(deployment)
+    return view
+
+
+def _place(context: typing.Any, **changes: typing.Any) -> typing.Any:
+    request = fleets.make_request(excluded=context.excluded, **changes)
+    return targets.choose_engine(
+        context.view,
+        request,
+        context.lengths,
+        context.deployment.weights,
+        context.rng,
+    )
+
+
+def _begin(
+    context: typing.Any, placed: targets.Placed, **changes: typing.Any
+) -> targets.Send:
+    number = sum(context.placed.values())
+    context.placed[placed.target] = context.placed.get(placed.target, 0) + 1
+    return context.view.begin(
+        placed.target,
+        str(number),
+        'foremen',
+        fleets.MODEL,
+        100,
+        100.0,
+        **changes,
+    )
+
+
+@behave.given(
+    'an engine with a report measured at second {second:d} of {count:d} '
+    'requests'
+)
+def step_engine(context: typing.Any, second: int, count: int) -> None:
+    context.view = _make_view(context, fleets.make_deployment(1))
+    report = fleets.make_report(_BEGIN + second, count, 125 * count)
+    context.view.record_report('engine-0', report)
+
+
+@behave.when(
+    'a send of {prompt:d} prompt and {answer:d} answer tokens lasts from '
+    '{begun:d} to {ended}'
+)
+def step_send(
+    context: typing.Any, prompt: int, answer: int, begun: int, ended: str
+) -> None:
+    context.clock.advance(begun)
+    context.send = context.view.begin(
+        'engine-0', 'g', 'foremen', fleets.MODEL, prompt, 50.0
+    )
+    if ended != 'never':
+        context.view.record_tokens(context.send, answer)
+        context.clock.advance(int(ended) - begun)
+        context.view.end(context.send)
+        return
+    context.answer = answer
+
+
+@behave.when(
+    'a report measured at second {measured:d} of {count:d} requests arrives '
+    'at second {arrival:d}'
+)
+def step_report(
+    context: typing.Any, measured: int, count: int, arrival: int
+) -> None:
+    context.clock.advance(_BEGIN + arrival - context.clock.now())
+    if 'answer' in context:
+        context.view.record_tokens(context.send, context.answer)
+    own = 0.0
+    if 'send' in context:
+        # What the engine saw: the own send with its tokens at that time,
+        # and others of 125 tokens each.
+        now = context.clock.now()
+        own = context.send.estimate_kv_at(_BEGIN + measured, now)
+    others = count - (1 if own else 0)
+    report = fleets.make_report(
+        _BEGIN + measured, count, int(own) + 125 * others
+    )
+    context.view.record_report('engine-0', report)
+
+
+@behave.when('a send is ended twice')
+def step_end_twice(context: typing.Any) -> None:
+    context.clock.advance(1)
+    send = context.view.begin(
+        'engine-0', 'g', 'foremen', fleets.MODEL, 100, 50.0
+    )
+    other = context.view.begin(
+        'engine-0', 'g', 'foremen', fleets.MODEL, 100, 50.0
+    )
+    context.view.end(other)
+    context.view.end(send)
+    context.view.end(send)
+
+
+@behave.then('the view counts {count:d} requests')
+def step_requests(context: typing.Any, count: int) -> None:
+    state = context.view.find('engine-0')
+    load = state.estimate_load(context.clock.now())
+    assert load.requests == count, load
+
+
+@behave.then('the view counts {tokens:d} tokens of memory')
+def step_memory(context: typing.Any, tokens: int) -> None:
+    state = context.view.find('engine-0')
+    load = state.estimate_load(context.clock.now())
+    assert abs(load.kv_used - tokens) <= 1, load
+
+
+@behave.given('a fleet of {count:d} engines')
+def step_fleet(context: typing.Any, count: int) -> None:
+    # Enough memory that only the state of a target keeps work from it.
+    deployment = fleets.make_deployment(count, kv_tokens=1_000_000)
+    context.view = _make_view(context, deployment)
+    context.placed = {}
+
+
+@behave.given(
+    'a fleet of {count:d} engines of which {far:d} are far, over a link of '
+    '{rate:d} bytes a second'
+)
+def step_far_fleet(
+    context: typing.Any, count: int, far: int, rate: int
+) -> None:
+    deployment = fleets.make_deployment(count, far=far, link=float(rate))
+    context.view = _make_view(context, deployment)
+    context.placed = {}
+
+
+@behave.given('target {name} is {state}')
+@behave.when('target {name} is {state}')
+def step_state(context: typing.Any, name: str, state: str) -> None:
+    view = context.view
+    now = context.clock.now()
+    match state:
+        case 'declared as leaving':
+            target = context.deployment.targets[name]
+            leaving = attrs.evolve(target, leaving=True)
+            context.deployment.targets[name] = leaving
+            view.apply_deployment(context.deployment)
+        case 'observed as leaving':
+            view.set_leaving(name, True)
+        case 'reported as reclaimed':
+            report = fleets.make_report(now, reclaim_at=now + 60)
+            view.record_report(name, report)
+        case 'failed a moment ago':
+            view.set_failed(name, now + 10)
+        case 'excluded by the requests':
+            context.excluded = frozenset([name])
+        case 'without the model':
+            view.record_report(name, fleets.make_report(now, models=['other']))
+        case 'full':
+            full = fleets.KV_TOKENS
+            view.record_report(name, fleets.make_report(now, 90, full))
+        case _:
+            raise ValueError(state)
+
+
+@behave.when('{count:d} requests are placed one after another')
+def step_place_many(context: typing.Any, count: int) -> None:
+    for _ in range(count):
+        _begin(context, _place(context))
+
+
+@behave.when('a request is placed')
+def step_place(context: typing.Any) -> None:
+    context.placement = _place(context)
+
+
+@behave.when('{seconds:d} seconds pass')
+def step_pass(context: typing.Any, seconds: int) -> None:
+    context.clock.advance(seconds)
+
+
+@behave.when('the configuration is applied again with {name} moved')
+def step_apply(context: typing.Any, name: str) -> None:
+    moved = attrs.evolve(
+        context.deployment.targets[name], data_centre='lima-2'
+    )
+    context.deployment.targets[name] = moved
+    context.view.apply_deployment(context.deployment)
+
+
+@behave.then('each engine but {name} gets some')
+def step_gets_none(context: typing.Any, name: str) -> None:
+    engines = {n for n in context.deployment.targets if 'engine' in n}
+    assert set(context.placed) == engines - {name}, context.placed
+
+
+@behave.then('the placement is {kind}')
+def step_kind(context: typing.Any, kind: str) -> None:
+    assert type(context.placement).__name__ == kind, context.placement
+
+
+@behave.then('it is placed on a far engine')
+def step_far(context: typing.Any) -> None:
+    assert context.placement.target in ('engine-0', 'engine-1')
+
+
+@behave.when('the link has carried {count:d} bytes')
+def step_link(context: typing.Any, count: int) -> None:
+    context.view.links.record_bytes('piura', 'lima', count)
+
+
+@behave.given(
+    '{vms:d} VMs that see {engines:d} engines, of which engine-0 is far '
+    'emptier'
+)
+def step_vms(context: typing.Any, vms: int, engines: int) -> None:
+    deployment = fleets.make_deployment(engines)
+    context.views = []
+    for _ in range(vms):
+        view = _make_view(context, deployment)
+        view.set_known_vms(vms)
+        for number in range(engines):
+            used = 1_000 if number == 0 else 6_000
+            report = fleets.make_report(_BEGIN, used // 250, used)
+            view.record_report(f'engine-{number}', report)
+        context.views.append(view)
+    context.used = {
+        f'engine-{number}': 1_000 if number == 0 else 6_000
+        for number in range(engines)
+    }
+
+
+@behave.when(
+    'each VM places {count:d} requests before the next report, seed {seed:d}'
+)
+def step_place_by_vms(context: typing.Any, count: int, seed: int) -> None:
+    context.placed = {}
+    backlog = [count] * len(context.views)
+    generators = [
+        random.Random(f'{seed}-{vm}') for vm in range(len(context.views))
+    ]
+    for _ in range(count):
+        for vm, view in enumerate(context.views):
+            context.view, context.rng = view, generators[vm]
+            view.set_waiting(fleets.MODEL, backlog[vm])
+            placement = _place(context)
+            if isinstance(placement, targets.Placed):
+                _begin(context, placement)
+                backlog[vm] -= 1
+
+
+@behave.then('no engine is expected to need more memory than it has')
+def step_not_overfilled(context: typing.Any) -> None:
+    # Each placed request will need 100 prompt and 100 answer tokens.
+    for name, used in context.used.items():
+        needed = used + 200 * context.placed.get(name, 0)
+        assert needed <= fleets.KV_TOKENS, (name, needed)
+
+
+@behave.then('at least half of the free memory is used')
+def step_room_used(context: typing.Any) -> None:
+    free = sum(fleets.KV_TOKENS - used for used in context.used.values())
+    taken = 200 * sum(context.placed.values())
+    wanted = min(free, 200 * 40 * len(context.views))
+    assert taken >= wanted / 2, (taken, wanted)
+
+
+@behave.when('{count:d} suspects are placed one after another')
+def step_suspects(context: typing.Any, count: int) -> None:
+    for _ in range(count):
+        _begin(context, _place(context, suspect=True), suspect=True)
+
+
+@behave.then('each engine gets one of them')
+def step_one_each(context: typing.Any) -> None:
+    assert sorted(context.placed.values()) == [1, 1, 1], context.placed
+
+
+@behave.then(
+    'a further suspect finds no room while a healthy request is placed'
+)
+def step_further(context: typing.Any) -> None:
+    assert isinstance(_place(context, suspect=True), targets.NoRoom)
+    assert isinstance(_place(context), targets.Placed)
+
+
+@behave.given('{name} published that it stored the prefix of the requests')
+def step_stored(context: typing.Any, name: str) -> None:
+    event = targets.CacheEvent(0, targets.CacheEventKind.STORED, 'p1')
+    context.view.hints.apply_events(name, [event], 1)
+
+
+@behave.when(
+    '{count:d} requests with that prefix are placed and end one by one'
+)
+def step_prefixed(context: typing.Any, count: int) -> None:
+    for _ in range(count):
+        placed = _place(context, prefixes=['p1'])
+        context.view.end(_begin(context, placed))
+
+
+@behave.then('{name} gets more than half of them')
+def step_attracted(context: typing.Any, name: str) -> None:
+    total = sum(context.placed.values())
+    assert context.placed.get(name, 0) > total / 2, context.placed
+
+
+@behave.then('no request is placed on {name}')
+def step_not_attracted(context: typing.Any, name: str) -> None:
+    assert name not in context.placed, context.placed
+
+
+@behave.given('cache events of an engine: {events}')
+def step_cache_events(context: typing.Any, events: str) -> None:
+    hints = context.hints = targets.PrefixHints()
+    reached = 0
+    for item in events.split(', '):
+        match item.split():
+            case ['next', number]:
+                hints.apply_events('e', [], int(number))
+            case ['restart']:
+                hints.apply_events('e', [], 0)
+                reached = 0
+            case [number, kind, prefix]:
+                seq = int(number)
+                event = targets.CacheEvent(
+                    seq, targets.CacheEventKind(kind), prefix
+                )
+                reached = max(reached, seq + 1)
+                hints.apply_events('e', [event], reached)
+
+
+@behave.then('the share of the prompt believed cached is {share:f}')
+def step_share(context: typing.Any, share: float) -> None:
+    assert context.hints.match('e', ['a', 'b']) == share
+
+
+@behave.when('{count:d} calls to booking are placed and stay in progress')
+def step_calls(context: typing.Any, count: int) -> None:
+    for number in range(count):
+        placed = targets.choose_service(
+            context.view, 'booking', frozenset(), context.rng
+        )
+        name = f'{sum(context.placed.values())}'
+        context.placed[placed.target] = (
+            context.placed.get(placed.target, 0) + 1
+        )
+        context.view.begin(placed.target, name, 'clerks', 'booking', 0, 0.0)
+
+
+@behave.then('the two servers differ by at most one call')
+def step_even(context: typing.Any) -> None:
+    counts = context.placed.values()
+    assert max(counts) - min(counts) <= 1, context.placed
+
+
+@behave.then('{name} still has {count:d} calls')
+def step_still(context: typing.Any, name: str, count: int) -> None:
+    assert context.placed[name] == count, context.placed
--- /dev/null
+++ b/tests/laburnumstep/targets/view.feature
@@ -0,0 +1,32 @@
+Feature: Own sends correct lagging load reports
+  Guards against room that is counted twice or not at all while a report
+  lags: engines would be overfilled, or left idle.
+
+  Scenario Outline: A send counts exactly once, whatever the report saw
+    Given an engine with a report measured at second 0 of 0 requests
+    When a send of 100 prompt and 50 answer tokens lasts from <begun> to <ended>
+    And a report measured at second <measured> of <reported> requests arrives at second 30
+    Then the view counts <requests> requests
+    And the view counts <memory> tokens of memory
+
+    Examples:
+      | begun | ended | measured | reported | requests | memory |
+      | 10    | never | 5        | 0        | 1        | 150    |
+      | 10    | never | 10       | 0        | 1        | 150    |
+      | 10    | never | 15       | 1        | 1        | 150    |
+      | 10    | never | 30       | 1        | 1        | 150    |
+      | 10    | 20    | 5        | 0        | 0        | 0      |
+      | 10    | 20    | 15       | 1        | 0        | 0      |
+      | 10    | 20    | 25       | 0        | 0        | 0      |
+      | 10    | 20    | 15       | 4        | 3        | 375    |
+      | 10    | never | 15       | 4        | 4        | 525    |
+
+  Scenario: An older report does not replace a newer one
+    Given an engine with a report measured at second 20 of 5 requests
+    When a report measured at second 10 of 0 requests arrives at second 30
+    Then the view counts 5 requests
+
+  Scenario: A second end of the same send has no effect
+    Given an engine with a report measured at second 0 of 3 requests
+    When a send is ended twice
+    Then the view counts 3 requests
