--- a/tests/laburnumstep/callers/environment.py
+++ b/tests/laburnumstep/callers/environment.py
@@ -1,6 +1,10 @@
+<<<<<<< HEAD
 """Hooks of the features in this folder."""
 
 from __future__ import annotations
+=======
+"""Hooks of the callers' features."""
+>>>>>>> routing
 
 from support.hooks import after_scenario  # noqa: F401
 from support.hooks import before_scenario  # noqa: F401
