--- a/tests/laburnumstep/callers/environment.py
+++ b/tests/laburnumstep/callers/environment.py
@@ -1,10 +1,6 @@
-<<<<<<< HEAD
-"""Hooks of the features in this folder."""
+"""Hooks that give each scenario an event loop."""
 
 from __future__ import annotations
-=======
-"""Hooks of the callers' features."""
->>>>>>> routing
 
 from support.hooks import after_scenario  # noqa: F401
 from support.hooks import before_scenario  # noqa: F401
--- a/tests/laburnumstep/targets/environment.py
+++ b/tests/laburnumstep/targets/environment.py
@@ -1,8 +1,6 @@
-<<<<<<< HEAD
-"""Hooks of the target features."""
-=======
-"""Hooks of the targets' features."""
->>>>>>> routing
+"""Hooks that give each scenario an event loop."""
+
+from __future__ import annotations
 
 from support.hooks import after_scenario  # noqa: F401
 from support.hooks import before_scenario  # noqa: F401
