Keep the configuration through loss, trimming and resets of the log

Cause: the log drops records, loses records, lags, repeats appends whose reply was lost, and does not answer; VMs have no state to start from.

Failed attempts: the publisher appended its record again in a loop while reads lagged behind; it now reads up to the offset of its append. A read answered at once made the follower ask in a loop; it now pauses.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
@@ -123,6 +123,10 @@
             }
         )
 
+    # Besides the faults by name, `truncate` takes a new end by stream.
     async def _control(self, request: requests.Request) -> responses.Response:
-        self.set_faults(**json.loads(await request.body()))
+        changes = json.loads(await request.body())
+        for name, end in changes.pop('truncate', {}).items():
+            self.find_stream(name).truncate(end)
+        self.set_faults(**changes)
         return responses.JSONResponse(attrs.asdict(self.faults))
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/log/_streams.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/_streams.py
@@ -120,10 +120,22 @@
         stop = min(len(self._records), skip + limit)
         return [self._records[index] for index in range(skip, stop)]
 
+    def truncate(self, end: int) -> None:
+        """Lose the records from an offset on, as a restored log would."""
+        while self._records and self._records[-1].offset >= end:
+            self._records.pop()
+        self._end = min(self._end, end)
+        self._appended.set()
+        self._appended = anyio.Event()
+
     async def wait_beyond(self, start: int, seconds: float) -> None:
-        """Wait until there is a record at an offset, or for a time."""
+        """Wait until there is a record at an offset, or for a time.
+
+        Losing records ends the wait as well.
+        """
+        known = self._end
         with anyio.move_on_after(seconds):
-            while self._end <= start:
+            while known <= self._end <= start:
                 await self._appended.wait()
 
     def _drop_old(self) -> None:
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -16,8 +16,10 @@
 from laburnumstep.core._deployment import Target
 from laburnumstep.core._deployment import VersionedDeployment
 from laburnumstep.core._deployment import Workspace
+from laburnumstep.core._digests import digest_deployment
+from laburnumstep.core._digests import ItemName
+from laburnumstep.core._digests import update_digest
 from laburnumstep.core._documents import decode_document
-from laburnumstep.core._documents import digest_deployment
 from laburnumstep.core._documents import encode_document
 from laburnumstep.core._documents import load_json
 from laburnumstep.core._errors import CodedError
@@ -55,6 +57,7 @@
     'Finding',
     'FindingsError',
     'Generation',
+    'ItemName',
     'KEY_SKEW_SECONDS',
     'KEY_VALID_SECONDS',
     'LinkBudget',
@@ -86,4 +89,5 @@
     'load_settings',
     'parse_settings',
     'stable_hash',
+    'update_digest',
 ]
--- a/packages/laburnumstep/src/laburnumstep/core/_documents.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import typing
 
@@ -67,12 +66,6 @@
     return findings
 
 
-def digest_deployment(deployment: _deployment.Deployment) -> str:
-    """Return a digest that is equal for equal deployments."""
-    text = json.dumps(encode_document(deployment), sort_keys=True)
-    return hashlib.sha256(text.encode()).hexdigest()[:16]
-
-
 def load_json(text: str | bytes, source: str) -> typing.Any:
     """Decode JSON and refuse objects with a key given twice.
 
--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -32,9 +32,16 @@
 from laburnumstep.log._records import LogPage
 from laburnumstep.log._records import LogRecord
 from laburnumstep.log._replay import ConfigurationReplay
+from laburnumstep.log._republisher import SnapshotRepublisher
+from laburnumstep.log._snapshots import AppendSnapshot
+from laburnumstep.log._snapshots import decide_snapshot
+from laburnumstep.log._snapshots import FollowerView
+from laburnumstep.log._snapshots import NoSnapshot
+from laburnumstep.log._snapshots import SnapshotDecision
 
 __all__ = [
     'AppendRateExceeded',
+    'AppendSnapshot',
     'AppendedAt',
     'CONFIGURATION_STREAM',
     'Change',
@@ -42,10 +49,12 @@
     'ConfigurationPublisher',
     'ConfigurationReplay',
     'Conflict',
+    'FollowerView',
     'LogClient',
     'LogPage',
     'LogRecord',
     'LogUnavailable',
+    'NoSnapshot',
     'Publication',
     'PublishResult',
     'Published',
@@ -60,8 +69,11 @@
     'SetLinks',
     'SetWeights',
     'Snapshot',
+    'SnapshotDecision',
     'SnapshotHeader',
+    'SnapshotRepublisher',
     'apply_changes',
+    'decide_snapshot',
     'diff_deployments',
     'encode_change',
     'encode_publication',
--- a/packages/laburnumstep/src/laburnumstep/log/_changes.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_changes.py
@@ -149,6 +149,29 @@
     )
 
 
+def find_item(change: Change) -> core.ItemName:
+    """Return the section and name of the item that a change is about."""
+    match change:
+        case PutPlace(name=name) | RemovePlace(name=name):
+            return ('places', name)
+        case PutTarget(target=target):
+            return ('targets', target.name)
+        case RemoveTarget(name=name):
+            return ('targets', name)
+        case PutService(name=name) | RemoveService(name=name):
+            return ('services', name)
+        case PutWorkspace(workspace=workspace):
+            return ('workspaces', workspace.name)
+        case RemoveWorkspace(name=name):
+            return ('workspaces', name)
+        case SetWeights():
+            return ('weights', '')
+        case SetLinks():
+            return ('links', '')
+        case _:
+            typing.assert_never(change)
+
+
 def diff_deployments(
     old: core.Deployment, new: core.Deployment
 ) -> list[Change]:
--- a/packages/laburnumstep/src/laburnumstep/log/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_client.py
@@ -98,7 +98,11 @@
         if reply.status != 200:
             message = f'the log answered {reply.status}'
             raise LogUnavailable(message, reply.status >= 500)
-        return AppendedAt(int(reply.body['first_offset']))
+        try:
+            return AppendedAt(int(reply.body['first_offset']))
+        except (KeyError, TypeError, ValueError) as error:
+            message = f'the log sent a reply that is malformed: {error!r}'
+            raise LogUnavailable(message, True) from error
 
     async def read(
         self,
@@ -131,7 +135,11 @@
         if reply.status != 200:
             message = f'the log answered {reply.status}'
             raise LogUnavailable(message, False)
-        return _codec.decode_page(reply.body)
+        try:
+            return _codec.decode_page(reply.body)
+        except (KeyError, TypeError, ValueError) as error:
+            message = f'the log sent a page that is malformed: {error!r}'
+            raise LogUnavailable(message, False) from error
 
     async def close(self) -> None:
         """Close the connections."""
--- a/packages/laburnumstep/src/laburnumstep/log/_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_follower.py
@@ -6,14 +6,16 @@
 import typing
 
 import anyio
+import attrs
 
 from laburnumstep import core
 from laburnumstep.log import _client
-from laburnumstep.log import _configuration_codec
+from laburnumstep.log import _publications
 from laburnumstep.log import _replay
+from laburnumstep.log import _replay_pages
+from laburnumstep.log import _snapshots
 
 if typing.TYPE_CHECKING:
-    from laburnumstep.log import _publications
     from laburnumstep.log import _records
 
 CONFIGURATION_STREAM = 'configuration'
@@ -29,10 +31,20 @@
 """Time for a reply beyond the wait, in seconds."""
 PAGE_RECORDS = 500
 """Most records in one read."""
+MIN_POLL_SECONDS = 0.25
+"""Shortest time between two reads that bring nothing, in seconds. A log
+that answers at once in place of waiting would else be asked in a loop.
+"""
 FIRST_BACKOFF_SECONDS = 0.1
 """Delay after the first failed read, in seconds."""
 MAX_BACKOFF_SECONDS = 1.0
 """Longest delay after failed reads, in seconds."""
+LAG_SECONDS = 30.0
+"""How long the log may end before a position that a sibling gave, in
+seconds. Reads may lag; a log that lost records does not catch up.
+"""
+RESTART_SECONDS = 60.0
+"""Shortest time between two replays from the start, in seconds."""
 
 _logger = core.get_logger('log')
 
@@ -59,6 +71,11 @@
         self._stream = stream
         self._random = chooser or random.Random()
         self._replay = _replay.ConfigurationReplay()
+        self._coverage = _snapshots.SnapshotCoverage()
+        self._caught_up = False
+        self._seen_end = 0
+        self._lag_until: float | None = None
+        self._restart_at = 0.0
         self._current: core.VersionedDeployment | None = None
         self._changed = anyio.Event()
         self._advanced = anyio.Event()
@@ -68,10 +85,24 @@
         """The configuration in force, or None where none is known."""
         return self._current
 
+    @property
+    def view(self) -> _snapshots.FollowerView:
+        """What this follower knows, for the choice of snapshots."""
+        return _snapshots.FollowerView(
+            self._replay.state,
+            self._current,
+            self._replay.position,
+            self._caught_up and self._replay.complete,
+            self._coverage.covered_since,
+        )
+
     async def run(self) -> None:
         """Read the stream until cancelled."""
         failures = 0
         while True:
+            replay = self._replay
+            # Measures the log's wait, which a clock set by hand does not.
+            started_at = anyio.current_time()
             try:
                 page = await self._read()
             except _client.LogUnavailable as error:
@@ -81,7 +112,14 @@
             if failures:
                 _logger.info('reads of %s succeed again', self._stream)
             failures = 0
-            self._take_page(page)
+            # A sibling may have caused a new start during the read.
+            if replay is self._replay:
+                self._take_page(page)
+            waited = anyio.current_time() - started_at
+            idle = not page.records and replay is self._replay
+            if idle and waited < MIN_POLL_SECONDS:
+                resume_at = self._clock.now() + MIN_POLL_SECONDS
+                await self._clock.sleep_until(resume_at)
 
     def adopt(self, state: core.VersionedDeployment) -> bool:
         """Take over the configuration that another VM holds.
@@ -97,12 +135,12 @@
                 state.version,
             )
             return False
+        if self._current is not None and not self._caught_up:
+            # The log is being replayed from its start and decides.
+            return False
         connected = self._replay.rebase(state)
         if not connected and self._current and self._replay.complete:
-            _logger.warning(
-                'version %d from a sibling contradicts the log',
-                state.version,
-            )
+            self._restart(f'a sibling holds version {state.version}')
             return False
         followed = self._replay.state if connected else None
         self._put_in_force(followed or state, 'a sibling')
@@ -113,9 +151,11 @@
         while self._current is None or self._current.version < version:
             await self._changed.wait()
 
-    async def wait_for_position(self, offset: int) -> None:
-        """Wait until every record before `offset` has been read."""
-        while self._replay.position < offset:
+    async def wait_for_view(
+        self, accepts: typing.Callable[[_snapshots.FollowerView], bool]
+    ) -> None:
+        """Wait until what this follower has read fulfils a condition."""
+        while not accepts(self.view):
             await self._advanced.wait()
 
     async def _read(self) -> _records.LogPage:
@@ -138,32 +178,72 @@
         await self._clock.sleep_until(self._clock.now() + delay)
 
     def _take_page(self, page: _records.LogPage) -> None:
-        for record in page.records:
-            decoded = self._decode(record)
-            verdict = self._replay.observe(record.offset, decoded)
-            self._report(record.offset, verdict)
-        if not page.records and page.first > self._replay.position:
-            self._replay.skip_to(page.first)
-        state = self._replay.state
+        if self._is_reset(page):
+            self._follow_reset(page)
+            return
+        self._seen_end = page.end
+        replay = self._replay
+        for item in _replay_pages.replay_page(replay, page):
+            self._coverage.observe(item, replay.state)
+            self._report(item.offset, item.verdict)
+        if self._replay is not replay:
+            return
+        self._caught_up = replay.position >= page.end
+        state = replay.state
         if state is not None:
             self._put_in_force(state, 'the log')
+        self._signal_advance()
+
+    def _is_reset(self, page: _records.LogPage) -> bool:
+        if page.end < self._seen_end:
+            return True
+        if page.end >= self._replay.position:
+            self._lag_until = None
+            return False
+        now = self._clock.now()
+        if self._lag_until is None:
+            self._lag_until = now + LAG_SECONDS
+        return now >= self._lag_until
+
+    def _follow_reset(self, page: _records.LogPage) -> None:
+        _logger.error(
+            '%s ends at %d, but was read up to %d: the log has lost records;'
+            ' the configuration in force is kept',
+            self._stream,
+            page.end,
+            self._replay.position,
+        )
+        if self._current is not None:
+            # Its position means nothing in the log as it is now.
+            through = _publications.RESTORED_THROUGH
+            self._current = attrs.evolve(self._current, through=through)
+        self._start_over()
+
+    def _restart(self, reason: str) -> None:
+        now = self._clock.now()
+        if now < self._restart_at:
+            return
+        self._restart_at = now + RESTART_SECONDS
+        _logger.error(
+            'replaying %s from its start, because %s, which contradicts'
+            ' what was read of it',
+            self._stream,
+            reason,
+        )
+        self._start_over()
+
+    def _start_over(self) -> None:
+        self._replay = _replay.ConfigurationReplay()
+        self._coverage = _snapshots.SnapshotCoverage()
+        self._caught_up = False
+        self._seen_end = 0
+        self._lag_until = None
+        self._signal_advance()
+
+    def _signal_advance(self) -> None:
         self._advanced.set()
         self._advanced = anyio.Event()
 
-    def _decode(
-        self, record: _records.LogRecord
-    ) -> _publications.ConfigurationRecord | None:
-        try:
-            return _configuration_codec.decode_record(record.data)
-        except _configuration_codec.BadRecord as error:
-            _logger.error(
-                'skipped record %d of %s: it %s',
-                record.offset,
-                self._stream,
-                error,
-            )
-            return None
-
     def _report(self, offset: int, verdict: _replay.Verdict) -> None:
         match verdict:
             case _replay.Accepted(version=version):
@@ -185,6 +265,15 @@
                 )
             case _replay.Unusable(reason=reason):
                 _logger.error('skipped the snapshot at %d: %s', offset, reason)
+            case _replay.Malformed(reason=reason):
+                _logger.error(
+                    'skipped record %d of %s: it %s',
+                    offset,
+                    self._stream,
+                    reason,
+                )
+            case _replay.Contradicted(version=version):
+                self._restart(f'record {offset} holds version {version}')
             case _replay.Unchanged():
                 pass
             case _:
--- a/packages/laburnumstep/src/laburnumstep/log/_publisher.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_publisher.py
@@ -13,6 +13,7 @@
 from laburnumstep.log import _follower
 from laburnumstep.log import _publications
 from laburnumstep.log import _replay
+from laburnumstep.log import _replay_pages
 
 _NONCE_BYTES = 8
 _RETRY_SECONDS = 0.3
@@ -125,15 +126,19 @@
         record = _configuration_codec.encode_publication(publication)
         may_have_landed = False
         while True:
+            end = 0
             try:
-                await self._client.append(self._stream, [record], deadline)
+                appended = await self._client.append(
+                    self._stream, [record], deadline
+                )
                 may_have_landed = True
+                end = appended.first_offset + 1
             except _client.AppendRateExceeded as error:
                 await self._wait_until(error.retry_at, deadline, error)
             except _client.LogUnavailable as error:
                 may_have_landed = may_have_landed or error.may_have_landed
                 await self._wait_to_retry(deadline, error, may_have_landed)
-            await self._read_back(deadline, may_have_landed)
+            await self._read_back(end, deadline, may_have_landed)
             match self._verdicts.get(publication.nonce):
                 case _replay.Accepted(version=version):
                     return Published(version)
@@ -144,14 +149,19 @@
                     # the first one lands late, the rule refuses the other.
                     continue
 
-    async def _read_back(self, deadline: float, may_have_landed: bool) -> None:
+    async def _read_back(
+        self, end: int, deadline: float, may_have_landed: bool
+    ) -> None:
         while True:
             try:
                 await self.read_in_force(deadline)
             except _client.LogUnavailable as error:
-                await self._wait_to_retry(deadline, error, may_have_landed)
+                failure = error
             else:
-                return
+                if self._replay.position >= end:
+                    return
+                failure = _client.LogUnavailable('reads lag', True)
+            await self._wait_to_retry(deadline, failure, may_have_landed)
 
     async def _wait_to_retry(
         self,
@@ -178,15 +188,14 @@
             0,
             deadline,
         )
-        for record in page.records:
-            try:
-                decoded = _configuration_codec.decode_record(record.data)
-            except _configuration_codec.BadRecord:
-                decoded = None
-            verdict = self._replay.observe(record.offset, decoded)
+        if page.end < self._replay.position:
+            # The log has lost records; its replay begins anew.
+            self._replay = _replay.ConfigurationReplay()
+            return True
+        before = self._replay.position
+        for item in _replay_pages.replay_page(self._replay, page):
+            verdict = item.verdict
             if isinstance(verdict, (_replay.Accepted, _replay.Refused)):
                 # A repeated record is refused; the first verdict counts.
                 self._verdicts.setdefault(verdict.nonce, verdict)
-        if not page.records and page.first > self._replay.position:
-            self._replay.skip_to(page.first)
-        return self._replay.position < page.end
+        return before < self._replay.position < page.end
--- a/packages/laburnumstep/src/laburnumstep/log/_replay.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_replay.py
@@ -51,12 +51,36 @@
     """What is wrong."""
 
 
+@attrs.frozen
+class Contradicted:
+    """A snapshot holds what this replay cannot have come to."""
+
+    version: int
+    """Version of the snapshot."""
+
+
 @attrs.frozen
 class Unchanged:
     """A record had no effect yet."""
 
 
-Verdict = Accepted | Refused | Loaded | Unusable | Unchanged
+@attrs.frozen
+class Malformed:
+    """A record does not follow the protocol."""
+
+    reason: str
+    """What is wrong."""
+
+
+Verdict = (
+    Accepted
+    | Refused
+    | Loaded
+    | Unusable
+    | Contradicted
+    | Unchanged
+    | Malformed
+)
 
 
 class ConfigurationReplay:
@@ -65,7 +89,11 @@
     The result depends on nothing but the records: every reader that has
     read up to the same offset holds the same version. A reader that cannot
     tell which publications were accepted before the retained records
-    accepts none of them until a snapshot covers the missing part.
+    accepts none of them until a snapshot covers the missing part; else it
+    could accept a publication that lost to one no longer retained.
+
+    A snapshot whose `through` is `RESTORED_THROUGH` holds from its own
+    offset on where it is newer. VMs append it after the log lost records.
     """
 
     def __init__(self) -> None:
@@ -106,6 +134,8 @@
         Returns:
             Whether the configuration could be connected to the records.
         """
+        if state.through == _publications.RESTORED_THROUGH:
+            return False
         if state.through + 1 >= self._position:
             self._position = state.through + 1
             self._waiting = []
@@ -117,21 +147,21 @@
     def observe(
         self,
         offset: int,
-        record: _publications.ConfigurationRecord | None,
+        record: _publications.ConfigurationRecord | Malformed,
     ) -> Verdict:
         """Take one record into account.
 
         Args:
             offset: Offset of the record; a record read twice has no effect.
-            record: The record, or None if it cannot be read.
+            record: The record, or why it cannot be read.
         """
         if offset < self._position:
             return Unchanged()
         if offset > self._position:
             self.skip_to(offset)
         self._position = offset + 1
-        if record is None:
-            return Unchanged()
+        if isinstance(record, Malformed):
+            return record
         if self._state is not None:
             return self._apply(self._state, offset, record)
         return self._search(offset, record)
@@ -168,18 +198,34 @@
         match record:
             case _publications.Publication():
                 return self._judge(state, offset, record)
-            case _publications.Snapshot(header=header):
-                restores = header.through == _publications.RESTORED_THROUGH
-                if not restores or header.version <= state.version:
-                    return Unchanged()
-                restored = _read_snapshot(record)
-                if isinstance(restored, Unusable):
-                    return restored
-                self._state = attrs.evolve(restored, through=offset)
-                return Loaded(header.version, True)
+            case _publications.Snapshot():
+                return self._compare(state, offset, record)
             case _:
                 typing.assert_never(record)
 
+    def _compare(
+        self,
+        state: core.VersionedDeployment,
+        offset: int,
+        snapshot: _publications.Snapshot,
+    ) -> Verdict:
+        header = snapshot.header
+        newer = header.version > state.version
+        if header.through == _publications.RESTORED_THROUGH:
+            if not newer:
+                return Unchanged()
+            restored = _read_snapshot(snapshot)
+            if isinstance(restored, Unusable):
+                return restored
+            self._state = attrs.evolve(restored, through=offset)
+            return Loaded(header.version, True)
+        if not 0 <= header.through < offset:
+            return Unusable('takes records into account that follow it')
+        same = header.version == state.version
+        if newer or (same and header.digest != state.digest):
+            return Contradicted(header.version)
+        return Unchanged()
+
     def _judge(
         self,
         state: core.VersionedDeployment,
@@ -198,7 +244,13 @@
             attrs.evolve(state.deployment, name=publication.deployment),
             publication.changes,
         )
-        digest = core.digest_deployment(deployment)
+        items = {_changes.find_item(item) for item in publication.changes}
+        digest = core.update_digest(
+            state.digest,
+            state.deployment,
+            deployment,
+            items | {('name', '')},
+        )
         self._state = core.VersionedDeployment(
             publication.version, digest, offset, deployment
         )
@@ -206,7 +258,9 @@
 
 
 def _make_empty() -> core.VersionedDeployment:
-    return core.VersionedDeployment(0, '', -1, core.Deployment(''))
+    deployment = core.Deployment('')
+    digest = core.digest_deployment(deployment)
+    return core.VersionedDeployment(0, digest, -1, deployment)
 
 
 def _read_snapshot(
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/log/_republisher.py
@@ -0,0 +1,123 @@
+"""Appends snapshots to the configuration stream when they are due."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio.to_thread
+
+from laburnumstep import core
+from laburnumstep.log import _client
+from laburnumstep.log import _configuration_codec
+from laburnumstep.log import _follower
+from laburnumstep.log import _snapshots
+
+CHECK_SECONDS = 5.0
+"""Time between two checks, in seconds."""
+CHOICE_SECONDS = 30.0
+"""How long one VM stays chosen, in seconds.
+
+A chosen VM that has failed, or has not read the log, is replaced after
+this time.
+"""
+JITTER_SECONDS = 2.0
+"""Longest random delay before an append, in seconds. VMs whose lists of
+live VMs differ choose differently; the delay lets one see the other's.
+"""
+APPEND_SECONDS = 10.0
+"""Time allowed for an append, in seconds."""
+
+_logger = core.get_logger('log')
+
+
+class SnapshotRepublisher:
+    """Keeps a usable snapshot in the log, together with the other VMs.
+
+    Args:
+        client: Client of the log.
+        clock: Tells when a check is due.
+        follower: Follower of the same stream.
+        vm: Name of this VM.
+        list_vms: Returns the names of the live VMs, with this one.
+        retention_seconds: How long the log keeps records, in seconds.
+        stream: Name of the stream.
+        chooser: Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        client: _client.LogClient,
+        clock: core.Clock,
+        follower: _follower.ConfigurationFollower,
+        vm: str,
+        list_vms: typing.Callable[[], list[str]],
+        retention_seconds: float,
+        stream: str = _follower.CONFIGURATION_STREAM,
+        chooser: random.Random | None = None,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._follower = follower
+        self._vm = vm
+        self._list_vms = list_vms
+        self._retention_seconds = retention_seconds
+        self._stream = stream
+        self._random = chooser or random.Random()
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await self._clock.sleep_until(self._clock.now() + CHECK_SECONDS)
+            if not self._is_due():
+                continue
+            delay = self._random.uniform(0, JITTER_SECONDS)
+            await self._clock.sleep_until(self._clock.now() + delay)
+            decision = self._decide()
+            match decision:
+                case _snapshots.AppendSnapshot():
+                    await self._append(decision)
+                case _snapshots.NoSnapshot():
+                    pass
+                case _:
+                    typing.assert_never(decision)
+
+    def _is_due(self) -> bool:
+        if isinstance(self._decide(), _snapshots.NoSnapshot):
+            return False
+        period = int(self._clock.now() // CHOICE_SECONDS)
+        chosen = core.choose_by_rendezvous(
+            f'{self._stream}|{period}', self._list_vms()
+        )
+        return chosen == self._vm
+
+    def _decide(self) -> _snapshots.SnapshotDecision:
+        return _snapshots.decide_snapshot(
+            self._follower.view, self._clock.now(), self._retention_seconds
+        )
+
+    async def _append(self, decision: _snapshots.AppendSnapshot) -> None:
+        state = decision.state
+        # Encoding 10,000 workspaces takes about 40 ms; in a thread it does
+        # not hold up token streams for as long.
+        record = await anyio.to_thread.run_sync(
+            _configuration_codec.encode_snapshot, state
+        )
+        deadline = self._clock.now() + APPEND_SECONDS
+        try:
+            await self._client.append(self._stream, [record], deadline)
+        except (
+            _client.LogUnavailable,
+            _client.AppendRateExceeded,
+        ) as error:
+            _logger.warning(
+                'the snapshot of version %d was not appended: %s',
+                state.version,
+                error,
+            )
+            return
+        _logger.info(
+            'appended a snapshot of version %d: %s',
+            state.version,
+            decision.reason,
+        )
--- /dev/null
+++ b/tests/laburnumstep/log/recovery.feature
@@ -0,0 +1,149 @@
+Feature: The configuration survives what happens to the log
+  Guards against VMs that revert, diverge or never become ready when the
+  log drops, loses or repeats records, or does not answer.
+
+  Background:
+    Given a log
+    And a VM "vm-1"
+
+  Scenario: A VM without state starts from a snapshot and what follows it
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And "vm-1" appends a snapshot of its configuration
+    And an operator publishes a deployment with 5 workspaces from 1
+    And the log drops the first 1 records
+    When a VM "vm-2" starts
+    Then version 2 is in force at "vm-2"
+    And "vm-2" knows 5 workspaces
+
+  Scenario: A VM without state replays records that precede a late snapshot
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And a snapshot of "vm-1" is under way
+    And an operator publishes a deployment with 5 workspaces from 1
+    And the snapshot under way arrives
+    And the log drops the first 1 records
+    When a VM "vm-2" starts
+    Then version 2 is in force at "vm-2"
+
+  Scenario: A publication that lost to a dropped one is never accepted
+    Guards against a forked history: the winner of version 2 is no longer
+    retained, the loser still is, and a late snapshot holds version 1.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And a snapshot of "vm-1" is under way
+    And an operator publishes a deployment with 5 workspaces from 1
+    And version 2 is in force at "vm-1"
+    And the snapshot under way arrives
+    And the record {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "nonce": "loser", "changes": []} is appended
+    And the log drops the first 2 records
+    When a VM "vm-2" starts
+    Then "vm-2" reads the log to its end
+    And no configuration is in force at "vm-2"
+    And "vm-1" appends a snapshot of its configuration
+    And version 2 is in force at "vm-2"
+    And "vm-2" knows 5 workspaces
+
+  Scenario: A first publication is not repeated on a log that dropped its head
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And the record {"type": "publication", "deployment": "cuadrilla", "version": 1, "made_from": 0, "nonce": "loser", "changes": []} is appended
+    And the log drops the first 1 records
+    When a VM "vm-2" starts
+    Then "vm-2" reads the log to its end
+    And no configuration is in force at "vm-2"
+
+  Scenario: A VM that missed dropped records takes a sibling's configuration
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And the log drops the first 1 records
+    And a VM "vm-2"
+    And "vm-2" reads the log to its end
+    And version 1 is in force at "vm-1"
+    When "vm-2" adopts the configuration of "vm-1"
+    And an operator at a VM "vm-1" publishes 7 workspaces from 1
+    Then version 2 is in force at "vm-2"
+
+  Scenario Outline: A VM without state skips a snapshot that is not sound
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And the record <record> is appended
+    And "vm-1" appends a snapshot of its configuration
+    And the log drops the first 1 records
+    When a VM "vm-2" starts
+    Then version 1 is in force at "vm-2"
+
+    Examples:
+      | record                                                                                                |
+      | {"type": "snapshot", "version": 9, "digest": "d", "through": 0, "deployment": {"name": "cuadrilla"}}  |
+      | {"type": "snapshot", "version": 9, "digest": "d", "through": 0, "deployment": null}                   |
+      | {"type": "snapshot", "version": 9, "digest": "d", "through": 7, "deployment": {"name": "cuadrilla"}}  |
+      | {"type": "snapshot", "version": 9, "digest": "d", "through": -1, "deployment": {"name": "cuadrilla"}} |
+      | {"type": "snapshot", "version": 9, "through": 0}                                                      |
+
+  Scenario: Publications reach a VM after an outage of the log
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And the log has an outage that "vm-1" has noticed
+    When the outage ends
+    And an operator publishes a deployment with 2 workspaces from 1
+    And 2 seconds pass
+    Then version 2 is in force at "vm-1"
+
+  Scenario Outline: A publication whose reply is lost is recognised
+    Guards against an operator who is told of a failure, or of a conflict
+    with his own publication.
+    Given the next <count> replies to appends are lost
+    When an operator publishes in steps of time
+    Then the publication is in force as version 1
+    And the log holds <records> records
+
+    Examples:
+      | count | records |
+      | 0     | 1       |
+      | 1     | 1       |
+
+  Scenario: An operator whose publication came second is told so
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And reads of the log lag behind
+    When two operators publish from 1 at once
+    Then one has version 2 in force
+    And the other is told that version 2 is in force
+
+  Scenario Outline: A log that lost records gets the configuration back
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And an operator publishes a deployment with 5 workspaces from 1
+    And version 2 is in force at "vm-1"
+    And the log loses the records from <end> on
+    And "vm-1" republishes snapshots
+    When the snapshot due is appended
+    And a VM "vm-2" starts
+    Then version 2 is in force at "vm-2"
+    And version 2 is in force at "vm-1"
+    And "vm-2" knows 5 workspaces
+    And an operator publishes a deployment with 6 workspaces from 2
+    And version 3 is in force at "vm-1"
+    And version 3 is in force at "vm-2"
+
+    Examples:
+      | end |
+      | 0   |
+      | 1   |
+
+  Scenario: A VM that follows a sibling beyond lagging reads stays in step
+    Guards against lagging reads that pass for a log that lost records.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And a VM "vm-2"
+    And version 1 is in force at "vm-2"
+    And reads of the log lag behind
+    When "vm-2" is given version 2 with 5 workspaces through 1
+    And "vm-2" reads the lagging log again
+    Then version 2 is in force at "vm-2" through 1
+
+  Scenario: A VM that a snapshot contradicts replays the log
+    Guards against a VM that follows a wrong history for ever.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And an operator publishes a deployment with 5 workspaces from 1
+    And version 2 is in force at "vm-1"
+    And a VM "vm-2" that was given version 1 with 1 workspaces through 1
+    When "vm-1" appends a snapshot of its configuration
+    Then version 2 is in force at "vm-2"
--- /dev/null
+++ b/tests/laburnumstep/log/snapshots.feature
@@ -0,0 +1,81 @@
+Feature: VMs keep a usable snapshot in the log
+  Guards against a log from which a VM without state cannot start, and
+  against VMs that all append the same snapshot.
+
+  Scenario Outline: A snapshot is due when the newest is too old
+    Given the newest snapshot covers the log since <age> seconds
+    And this VM <step> with version <held> and the log gives <replayed>
+    Then with a retention of 3600 seconds the decision is "<decision>"
+
+    Examples:
+      | age  | step           | held | replayed | decision            |
+      | 1199 | is in step     | 2    | 2        | none                |
+      | 1201 | is in step     | 2    | 2        | snapshot through 7  |
+      | none | is in step     | 2    | 2        | snapshot through 7  |
+      | none | is not in step | 2    | 2        | none                |
+      | none | is in step     | none | none     | none                |
+      | 5    | is in step     | 2    | 1        | snapshot through -1 |
+      | 5    | is in step     | 2    | none     | snapshot through -1 |
+      | 5    | is not in step | 2    | 1        | none                |
+
+  Scenario: One of several VMs appends the snapshot, under the same version
+    Given a log
+    And a VM "vm-1"
+    And a VM "vm-2"
+    And a VM "vm-3"
+    And an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And version 1 is in force at "vm-2"
+    And version 1 is in force at "vm-3"
+    And "vm-1, vm-2, vm-3" republish snapshots
+    When the snapshot due is appended
+    And 60 seconds pass in steps
+    Then the log holds 1 snapshots of version 1
+    And 1200 seconds pass in steps
+    And the log holds 2 snapshots of version 1
+
+  Scenario: VMs that all believe to be chosen append one snapshot
+    Guards against as many snapshots as there are lists of live VMs.
+    Given a log
+    And a VM "vm-1"
+    And a VM "vm-2"
+    And an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And version 1 is in force at "vm-2"
+    And "vm-1, vm-2" each believe to be chosen for snapshots
+    When the snapshot due is appended
+    And 30 seconds pass in steps
+    Then the log holds 1 snapshots of version 1
+
+  Scenario: Another VM appends the snapshot when the chosen one has failed
+    Given a log
+    And a VM "vm-1"
+    And an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And "vm-1" republishes snapshots while "vm-8, vm-9" are listed but dead
+    When the snapshot due is appended
+    Then the log holds 1 snapshots of version 1
+
+  Scenario: A snapshot that arrives late does not count as new
+    Guards against a snapshot that is young but covers records which the
+    log is about to drop.
+    Given a log
+    And a VM "vm-1"
+    And an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And a snapshot of "vm-1" is under way
+    And the record "text" is appended
+    And 1201 seconds pass
+    And the snapshot under way arrives
+    And "vm-1" reads the log to its end
+    And "vm-1" republishes snapshots
+    When the snapshot due is appended
+    Then the log holds 2 snapshots of version 1
+
+  Scenario: Changes of items stay small
+    Guards against publications that grow with the deployment: 4,800 a day
+    are to stay far below the 10 KB/s that a VM may use for control.
+    Given a deployment with 10000 workspaces
+    When one target is drained and one workspace is changed
+    Then each publication is smaller than 1024 bytes
+    And 4800 publications a day are less than 100 bytes a second
--- a/tests/laburnumstep/log/steps/configuration_steps.py
+++ b/tests/laburnumstep/log/steps/configuration_steps.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import json
-import time
 import typing
 
 import anyio
@@ -15,11 +14,14 @@
 from laburnumstep import log
 from laburnumstep import transport
 from laburnumstep_standins import log as log_standin
+from support import clocks
 from support import deployments
 from support import hooks
 
 LIMIT_SECONDS = 20.0
 RETENTION_SECONDS = 3600.0
+TICK_SECONDS = 10.0
+"""Time between records, so that retention can end between them."""
 
 
 @contextlib.asynccontextmanager
@@ -32,23 +34,33 @@
         tasks.cancel_scope.cancel()
 
 
-async def await_bounded(waits: typing.Callable, *args: typing.Any) -> None:
-    with anyio.fail_after(LIMIT_SECONDS):
-        await waits(*args)
-
-
 def make_client(context: typing.Any) -> log.LogClient:
     return log.LogClient(context.server.address, context.clock)
 
 
+def make_state(
+    version: int, count: int, through: int
+) -> core.VersionedDeployment:
+    deployment = deployments.make_deployment(workspaces=count)
+    digest = core.digest_deployment(deployment)
+    return core.VersionedDeployment(version, digest, through, deployment)
+
+
+def append(context: typing.Any, record: typing.Any) -> None:
+    context.portal.call(context.clock.advance, TICK_SECONDS)
+    stream = context.log.find_stream(log.CONFIGURATION_STREAM)
+    context.portal.call(stream.append, [record])
+
+
 @behave.given('a log')
 def step_log(context: typing.Any) -> None:
-    context.clock = core.ManualClock(time.time())
+    context.clock = clocks.ObservedClock()
     context.log = log_standin.LogStandIn(
         context.clock, retention_seconds=RETENTION_SECONDS
     )
     context.server = hooks.enter(context, transport.serve_app(context.log.app))
     context.followers = {}
+    context.republishing = []
 
 
 @behave.given('a VM "{name}"')
@@ -59,13 +71,42 @@
     hooks.enter(context, run_follower(follower))
 
 
+@behave.given(
+    'a VM "{name}" that was given version {version:d} with {count:d}'
+    ' workspaces through {through:d}'
+)
+def step_vm_given(
+    context: typing.Any, name: str, version: int, count: int, through: int
+) -> None:
+    follower = log.ConfigurationFollower(make_client(context), context.clock)
+    context.followers[name] = follower
+    state = make_state(version, count, through)
+    assert context.portal.call(follower.adopt, state)
+    hooks.enter(context, run_follower(follower))
+
+
+@behave.when(
+    '"{name}" is given version {version:d} with {count:d} workspaces'
+    ' through {through:d}'
+)
+def step_give(
+    context: typing.Any, name: str, version: int, count: int, through: int
+) -> None:
+    state = make_state(version, count, through)
+    assert context.portal.call(context.followers[name].adopt, state)
+
+
 @behave.given(
     'an operator publishes a deployment with {count:d} workspaces from {old:d}'
 )
 @behave.when(
     'an operator publishes a deployment with {count:d} workspaces from {old:d}'
 )
+@behave.then(
+    'an operator publishes a deployment with {count:d} workspaces from {old:d}'
+)
 def step_publish(context: typing.Any, count: int, old: int) -> None:
+    context.portal.call(context.clock.advance, TICK_SECONDS)
     publisher = log.ConfigurationPublisher(make_client(context), context.clock)
     context.result = context.portal.call(
         publisher.publish,
@@ -77,8 +118,7 @@
 
 @behave.given('the record {record} is appended')
 def step_append(context: typing.Any, record: str) -> None:
-    stream = context.log.find_stream(log.CONFIGURATION_STREAM)
-    context.portal.call(stream.append, [json.loads(record)])
+    append(context, json.loads(record))
 
 
 @behave.given('the log has an outage')
@@ -90,7 +130,9 @@
 @behave.then('version {version:d} is in force at "{name}"')
 def step_in_force(context: typing.Any, version: int, name: str) -> None:
     follower = context.followers[name]
-    context.portal.call(await_bounded, follower.wait_for_version, version)
+    context.portal.call(
+        clocks.await_bounded, follower.wait_for_version, version
+    )
     assert follower.current.version == version, follower.current.version
     expected = core.digest_deployment(follower.current.deployment)
     assert follower.current.digest == expected
@@ -116,9 +158,7 @@
 def step_offer(
     context: typing.Any, name: str, version: int, through: int, kind: str
 ) -> None:
-    deployment = deployments.make_deployment(workspaces=9)
-    digest = core.digest_deployment(deployment)
-    state = core.VersionedDeployment(version, digest, through, deployment)
+    state = make_state(version, 9, through)
     if kind == 'a wrong':
         state = attrs.evolve(state, digest='wrong')
     follower = context.followers[name]
--- /dev/null
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -0,0 +1,231 @@
+"""Steps for the recovery of the configuration."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import behave
+
+from laburnumstep import log
+from support import clocks
+from support import deployments
+
+LIMIT_SECONDS = 20.0
+RETENTION_SECONDS = 3600.0
+TICK_SECONDS = 10.0
+"""Time between records, so that retention can end between them."""
+
+
+def find_stream(context: typing.Any) -> typing.Any:
+    return context.log.find_stream(log.CONFIGURATION_STREAM)
+
+
+def append(context: typing.Any, record: typing.Any) -> None:
+    context.portal.call(context.clock.advance, TICK_SECONDS)
+    context.portal.call(find_stream(context).append, [record])
+
+
+def encode_current(context: typing.Any, name: str) -> typing.Any:
+    return log.encode_snapshot(context.followers[name].current)
+
+
+@behave.given('"{name}" appends a snapshot of its configuration')
+@behave.when('"{name}" appends a snapshot of its configuration')
+@behave.then('"{name}" appends a snapshot of its configuration')
+def step_snapshot(context: typing.Any, name: str) -> None:
+    append(context, encode_current(context, name))
+
+
+@behave.given('a snapshot of "{name}" is under way')
+def step_under_way(context: typing.Any, name: str) -> None:
+    context.under_way = encode_current(context, name)
+
+
+@behave.given('the snapshot under way arrives')
+def step_arrives(context: typing.Any) -> None:
+    append(context, context.under_way)
+
+
+@behave.given('the log drops the first {count:d} records')
+def step_drop(context: typing.Any, count: int) -> None:
+    stream = find_stream(context)
+    last = stream.read(stream.first, count)[-1]
+    drop_at = last.appended_at + RETENTION_SECONDS + TICK_SECONDS / 2
+    context.portal.call(context.clock.advance, drop_at - context.clock.now())
+    assert stream.first == last.offset + 1
+
+
+@behave.given('"{name}" reads the log to its end')
+@behave.then('"{name}" reads the log to its end')
+def step_read_to_end(context: typing.Any, name: str) -> None:
+    follower = context.followers[name]
+    end = find_stream(context).end
+    context.portal.call(
+        clocks.await_bounded,
+        follower.wait_for_view,
+        lambda view: view.position >= end,
+    )
+
+
+@behave.then('no configuration is in force at "{name}"')
+def step_none(context: typing.Any, name: str) -> None:
+    assert context.followers[name].current is None
+
+
+@behave.when(
+    'an operator at a VM "{name}" publishes {count:d} workspaces from {old:d}'
+)
+def step_publish_at(
+    context: typing.Any, name: str, count: int, old: int
+) -> None:
+    known = context.followers[name].current.deployment
+    new = deployments.make_deployment(workspaces=count)
+    publication = log.Publication(
+        new.name, old + 1, old, 'nonce', log.diff_deployments(known, new)
+    )
+    append(context, log.encode_publication(publication))
+
+
+@behave.given('the log has an outage that "{name}" has noticed')
+def step_noticed(context: typing.Any, name: str) -> None:
+    sleeps = context.clock.sleeps
+    context.log.set_faults(outage=True)
+    # A record wakes the read that is in progress.
+    append(context, 'outage')
+    context.portal.call(
+        clocks.await_bounded, context.clock.wait_for_sleeps, sleeps + 1
+    )
+
+
+@behave.when('the outage ends')
+def step_outage_ends(context: typing.Any) -> None:
+    context.log.set_faults(outage=False)
+
+
+@behave.given('{seconds:d} seconds pass')
+@behave.when('{seconds:d} seconds pass')
+def step_pass(context: typing.Any, seconds: int) -> None:
+    context.portal.call(context.clock.advance, float(seconds))
+
+
+@behave.given('the next {count:d} replies to appends are lost')
+def step_lost(context: typing.Any, count: int) -> None:
+    context.log.set_faults(lost_replies=count)
+
+
+async def publish_in_steps(
+    context: typing.Any, made_from: int, counts: list[int]
+) -> list[log.PublishResult]:
+    """Publish at once, and let time pass whenever a publisher waits."""
+    clock = context.clock
+    results: list[log.PublishResult] = []
+    done = anyio.Event()
+
+    async def publish(count: int) -> None:
+        client = log.LogClient(context.server.address, clock)
+        publisher = log.ConfigurationPublisher(client, clock)
+        deployment = deployments.make_deployment(workspaces=count)
+        deadline = clock.now() + LIMIT_SECONDS
+        results.append(
+            await publisher.publish(deployment, made_from, deadline)
+        )
+        if len(results) == len(counts):
+            done.set()
+
+    async def pass_time(tasks: typing.Any) -> None:
+        seen = clock.sleeps
+        while True:
+            await clock.wait_for_sleeps(seen + 1)
+            seen = clock.sleeps
+            clock.advance(0.5)
+
+    async with anyio.create_task_group() as tasks:
+        for count in counts:
+            tasks.start_soon(publish, count)
+        tasks.start_soon(pass_time, tasks)
+        await done.wait()
+        tasks.cancel_scope.cancel()
+    return results
+
+
+@behave.when('an operator publishes in steps of time')
+def step_publish_in_steps(context: typing.Any) -> None:
+    context.results = context.portal.call(
+        clocks.await_bounded, publish_in_steps, context, 0, [1]
+    )
+
+
+@behave.then('the publication is in force as version {version:d}')
+def step_published(context: typing.Any, version: int) -> None:
+    assert context.results == [log.Published(version)], context.results
+
+
+@behave.then('the log holds {count:d} records')
+def step_records(context: typing.Any, count: int) -> None:
+    assert find_stream(context).end == count
+
+
+@behave.given('reads of the log lag behind')
+def step_lag(context: typing.Any) -> None:
+    context.log.set_faults(hold_reads=True)
+
+
+async def race(context: typing.Any, made_from: int) -> typing.Any:
+    """Publish twice, with reads held until both records are in the log."""
+    stream = find_stream(context)
+
+    async def release() -> None:
+        await stream.wait_beyond(stream.end + 1, LIMIT_SECONDS)
+        context.log.set_faults(hold_reads=False)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(release)
+        return await publish_in_steps(context, made_from, [2, 3])
+
+
+@behave.when('two operators publish from {made_from:d} at once')
+def step_race(context: typing.Any, made_from: int) -> None:
+    context.results = context.portal.call(
+        clocks.await_bounded, race, context, made_from
+    )
+
+
+@behave.then('one has version {version:d} in force')
+def step_winner(context: typing.Any, version: int) -> None:
+    assert context.results.count(log.Published(version)) == 1
+
+
+@behave.then('the other is told that version {version:d} is in force')
+def step_loser(context: typing.Any, version: int) -> None:
+    expected = log.Conflict(version - 1, version)
+    assert context.results.count(expected) == 1, context.results
+    assert find_stream(context).end == 3
+
+
+@behave.given('the log loses the records from {end:d} on')
+def step_truncate(context: typing.Any, end: int) -> None:
+    context.portal.call(find_stream(context).truncate, end)
+    for follower in context.followers.values():
+        context.portal.call(
+            clocks.await_bounded,
+            follower.wait_for_view,
+            lambda view: view.position == end and view.in_step,
+        )
+
+
+@behave.when('"{name}" reads the lagging log again')
+def step_read_again(context: typing.Any, name: str) -> None:
+    # Both VMs wait before the next read once they read nothing new.
+    begun = context.clock.sleeps + len(context.followers)
+    context.portal.call(
+        clocks.await_bounded, context.clock.wait_for_sleeps, begun
+    )
+
+
+@behave.then('version {version:d} is in force at "{name}" through {through:d}')
+def step_through(
+    context: typing.Any, version: int, name: str, through: int
+) -> None:
+    current = context.followers[name].current
+    assert (current.version, current.through) == (version, through), current
