--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -39,9 +39,16 @@
 from laburnumstep.log._records import LogPage
 from laburnumstep.log._records import LogRecord
 from laburnumstep.log._replay import ConfigurationReplay
+from laburnumstep.log._republisher import SnapshotRepublisher
+from laburnumstep.log._snapshots import AppendSnapshot
+from laburnumstep.log._snapshots import decide_snapshot
+from laburnumstep.log._snapshots import FollowerView
+from laburnumstep.log._snapshots import NoSnapshot
+from laburnumstep.log._snapshots import SnapshotDecision
 
 __all__ = [
     'AppendRateExceeded',
+    'AppendSnapshot',
     'AppendedAt',
     'CONFIGURATION_STREAM',
     'Change',
@@ -51,12 +58,14 @@
     'ConfigurationReplay',
     'Conflict',
     'Expired',
+    'FollowerView',
     'Granted',
     'Held',
     'LogClient',
     'LogPage',
     'LogRecord',
     'LogUnavailable',
+    'NoSnapshot',
     'NotValidYet',
     'Publication',
     'PublishResult',
@@ -73,9 +82,12 @@
     'SetWeights',
     'Settled',
     'Snapshot',
+    'SnapshotDecision',
     'SnapshotHeader',
+    'SnapshotRepublisher',
     'Taken',
     'apply_changes',
+    'decide_snapshot',
     'diff_deployments',
     'encode_change',
     'encode_publication',
