--- /dev/null
+++ b/tests/laburnumstep/callers/admission.feature
@@ -0,0 +1,121 @@
+Feature: Requests wait at the VM until an engine has room
+  Guards against preemptions on engines, questions that are blocked behind
+  long plans, waits that end after the deadline, and shed requests that run
+  nevertheless.
+
+  Scenario: A request is admitted at once where there is room
+    Given an engine with room for 2 requests
+    When requests a, b and c arrive with 60 seconds to their deadline
+    Then a, b are admitted and c waits
+    When a ends
+    Then a, b, c are admitted
+
+  Scenario Outline: The more urgent request goes first
+    Given an engine with room for 1 requests
+    And answers of workspace plans have 2000 tokens and of questions 10
+    When a running request fills it
+    And a <first> arrives, and <gap> seconds later a <second>
+    And the running request ends
+    Then the <winner> request is admitted first
+
+    Examples:
+      | first             | gap | second            | winner |
+      | question          | 1   | question          | first  |
+      | plan              | 1   | question          | second |
+      | plan              | 45  | question          | first  |
+      | question          | 1   | priority question | second |
+      | question          | 12  | priority question | first  |
+      | plan              | 1   | priority plan     | second |
+
+  Scenario: Low priority does not starve
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And one request of priority 0 waits while each second one of priority 2 arrives and one ends
+    Then the request of priority 0 is admitted within 25 seconds
+
+  Scenario: A burst of one workspace does not delay another
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And 40 requests of a large workspace arrive, then one of a small workspace
+    And requests end one by one
+    Then the request of the small workspace is among the first 5 admitted
+
+  Scenario: A small request passes one without room, but not for ever
+    Given an engine with room for 3 requests
+    And answers of workspace plans have 2000 tokens and of questions 10
+    When a running request leaves room for a question only
+    And a priority plan arrives that needs more
+    Then a question that arrives next is admitted at once
+    But 40 seconds later a further question waits behind the plan
+
+  Scenario Outline: A request without room is shed and never sent
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And a request arrives with <left> seconds to its deadline
+    And <pass> seconds pass without news
+    Then it is shed as overloaded with a time to resend in the future
+    And no target has seen it, then or when room comes
+
+    Examples:
+      | left | pass |
+      | 5    | 5    |
+      | 0    | 0    |
+      | -1   | 0    |
+
+  Scenario: A request past its deadline is not sent even where there is room
+    Given an engine with room for 2 requests
+    When a request arrives with 0 seconds to its deadline
+    Then it is shed as overloaded with a time to resend in the future
+    And no target has seen it, then or when room comes
+
+  Scenario: A wait that would pass the deadline is refused early
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And 1 request a second has found room for 30 seconds and 20 wait
+    And a request arrives with 10 seconds to its deadline
+    Then it is shed as overloaded with a time to resend in the future
+    And a request with 60 seconds to its deadline waits
+
+  Scenario: A request that can no longer finish in time is not started
+    Given an engine with room for 1 requests
+    And answers take 0.1 seconds a token and have 100 tokens
+    When a running request fills it
+    And a request arrives with 12 seconds to its deadline
+    And 3 seconds pass without news
+    Then it is shed as overloaded with a time to resend in the future
+
+  Scenario Outline: News of room wakes a waiting request
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And a request arrives with 60 seconds to its deadline
+    And <news>
+    Then it is admitted without a further wait
+
+    Examples:
+      | news                            |
+      | a report shows room             |
+      | the configuration adds engines  |
+      | a failed engine recovers        |
+
+  Scenario: A model that no target serves is refused at once
+    Given an engine with room for 1 requests
+    When a request for an unknown model arrives
+    Then it is shed as no_target with a time to resend in the future
+
+  Scenario Outline: A caller that is gone holds no place
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And a request arrives with 60 seconds to its deadline
+    And its caller is gone <when>
+    Then nothing waits and the engine has room again
+
+    Examples:
+      | when                       |
+      | while it waits             |
+      | as it is being admitted    |
+
+  Scenario: Waiting requests do not poll
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And 200 requests wait for 60 seconds without news
+    Then the clock was asked to wait at most 250 times
--- /dev/null
+++ b/tests/laburnumstep/callers/steps/admission_steps.py
@@ -0,0 +1,383 @@
+"""Steps for the feature of admission."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio
+import attrs
+import behave
+
+from laburnumstep import callers
+from laburnumstep import core
+from laburnumstep import targets
+from support import fleets
+
+_SIZE = 200
+
+
+class _CountingClock(core.ManualClock):
+    def __init__(self) -> None:
+        super().__init__()
+        self.waits = 0
+
+    async def sleep_until(self, deadline: float) -> None:
+        self.waits += 1
+        await super().sleep_until(deadline)
+
+
+class _Bench:
+    """Admission over a view, with one task for each request."""
+
+    def __init__(self, context: typing.Any, room: int) -> None:
+        self.portal = context.portal
+        self.clock = _CountingClock()
+        self.view = targets.FleetView(self.clock, 'lima-1')
+        # The policy plans for 95% of the memory, rounded up here.
+        self.deployment = fleets.make_deployment(1, int(room * _SIZE * 1.1))
+        self.view.apply_deployment(self.deployment)
+        self.lengths = fleets.teach_lengths(100)
+        self.admission = callers.Admission(
+            self.clock, self.view, self.lengths, random.Random(1)
+        )
+        self.results: dict[str, typing.Any] = {}
+        self.order: list[str] = []
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.group: typing.Any = None
+
+    async def __aenter__(self) -> _Bench:
+        self.group = anyio.create_task_group()
+        await self.group.__aenter__()
+        return self
+
+    async def __aexit__(self, *error: typing.Any) -> None:
+        self.group.cancel_scope.cancel()
+        await self.group.__aexit__(*error)
+
+    def arrive(self, name: str, left: float = 3600.0, **changes: typing.Any):
+        self.portal.call(self._arrive, name, left, changes)
+
+    async def _arrive(
+        self, name: str, left: float, changes: dict[str, typing.Any]
+    ) -> None:
+        placement = attrs.evolve(fleets.make_request(name), **changes)
+        request = callers.AdmissionRequest(
+            placement, name, self.clock.now() + left, 10_000
+        )
+        self.group.start_soon(self._run, name, request)
+        await anyio.wait_all_tasks_blocked()
+
+    async def _run(self, name: str, request: callers.AdmissionRequest) -> None:
+        with anyio.CancelScope() as scope:
+            self.scopes[name] = scope
+            result = await self.admission.admit(request)
+            self.results[name] = result
+            if isinstance(result, callers.Admitted):
+                self.order.append(name)
+
+    def end(self, name: str) -> None:
+        self.act(lambda: self.admission.release(self.results[name]))
+
+    def advance(self, seconds: float) -> None:
+        self.act(lambda: self.clock.advance(seconds))
+
+    def act(self, action: typing.Callable[[], typing.Any]) -> None:
+        async def run() -> None:
+            action()
+            await anyio.wait_all_tasks_blocked()
+
+        self.portal.call(run)
+
+    @property
+    def admitted(self) -> list[str]:
+        return [
+            name
+            for name, result in self.results.items()
+            if isinstance(result, callers.Admitted)
+        ]
+
+    @property
+    def in_progress(self) -> list[str]:
+        state = self.view.find('engine-0')
+        return list(state.sends) if state is not None else []
+
+
+@behave.given('an engine with room for {count:d} requests')
+def step_engine(context: typing.Any, count: int) -> None:
+    bench = _Bench(context, count)
+    manager = context.portal.wrap_async_context_manager(bench)
+    context.bench = context.stack.enter_context(manager)
+
+
+@behave.given(
+    'answers of workspace plans have 2000 tokens and of questions 10'
+)
+def step_lengths(context: typing.Any) -> None:
+    for _ in range(200):
+        context.bench.lengths.observe('plans', fleets.MODEL, 2000)
+        context.bench.lengths.observe('questions', fleets.MODEL, 10)
+
+
+@behave.given('answers take 0.1 seconds a token and have 100 tokens')
+def step_pace(context: typing.Any) -> None:
+    bench = context.bench
+    bench.arrive('earlier')
+    bench.view.record_tokens(bench.results['earlier'].send, 100)
+    bench.advance(10)
+    bench.end('earlier')
+
+
+@behave.when('a running request fills it')
+def step_fill(context: typing.Any) -> None:
+    context.bench.arrive('running')
+    # It holds more than the rest of the memory, whatever its length.
+    send = context.bench.results['running'].send
+    context.bench.view.record_tokens(send, 10_000)
+
+
+@behave.when(
+    'requests a, b and c arrive with {left:d} seconds to their deadline'
+)
+def step_three(context: typing.Any, left: int) -> None:
+    for name in 'abc':
+        context.bench.arrive(name, left)
+
+
+@behave.then('{names} are admitted and {name:w} waits')
+def step_some(context: typing.Any, names: str, name: str) -> None:
+    assert context.bench.admitted == names.split(', ')
+    assert context.bench.admission.waiting == 1
+
+
+@behave.then('{names} are admitted')
+def step_all(context: typing.Any, names: str) -> None:
+    assert context.bench.admitted == names.split(', ')
+
+
+@behave.when('{name:w} ends')
+def step_end(context: typing.Any, name: str) -> None:
+    context.bench.end(name)
+
+
+@behave.when('the running request ends')
+def step_running_ends(context: typing.Any) -> None:
+    context.bench.end('running')
+
+
+@behave.when('a {first} arrives, and {gap:d} seconds later a {second}')
+def step_two(context: typing.Any, first: str, gap: int, second: str) -> None:
+    for name, kind in (('first', first), ('second', second)):
+        workspace = 'plans' if 'plan' in kind else 'questions'
+        priority = 1 if 'priority' in kind else 0
+        context.bench.arrive(name, workspace=workspace, priority=priority)
+        if name == 'first':
+            context.bench.advance(gap)
+
+
+@behave.then('the {name:w} request is admitted first')
+def step_first(context: typing.Any, name: str) -> None:
+    assert context.bench.order[1] == name, context.bench.order
+
+
+@behave.when(
+    'one request of priority 0 waits while each second one of priority 2 '
+    'arrives and one ends'
+)
+def step_starve(context: typing.Any) -> None:
+    bench = context.bench
+    bench.arrive('low')
+    context.admitted_after = None
+    for second in range(60):
+        bench.arrive(f'high-{second}', priority=2)
+        bench.end(bench.order[-1])
+        if 'low' in bench.results:
+            context.admitted_after = second
+            return
+        send = bench.results[bench.order[-1]].send
+        bench.view.record_tokens(send, 10_000)
+        bench.advance(1)
+
+
+@behave.then('the request of priority 0 is admitted within {limit:d} seconds')
+def step_not_starved(context: typing.Any, limit: int) -> None:
+    assert context.admitted_after is not None
+    assert 1 <= context.admitted_after <= limit, context.admitted_after
+
+
+@behave.when(
+    '{count:d} requests of a large workspace arrive, then one of a small '
+    'workspace'
+)
+def step_burst(context: typing.Any, count: int) -> None:
+    for number in range(count):
+        context.bench.arrive(f'large-{number}', workspace='large')
+    context.bench.arrive('small', workspace='small')
+
+
+@behave.when('requests end one by one')
+def step_one_by_one(context: typing.Any) -> None:
+    bench = context.bench
+    while bench.admission.waiting:
+        bench.end(bench.order[-1])
+        send = bench.results[bench.order[-1]].send
+        bench.view.record_tokens(send, 10_000)
+
+
+@behave.then(
+    'the request of the small workspace is among the first {count:d} admitted'
+)
+def step_small(context: typing.Any, count: int) -> None:
+    place = context.bench.order.index('small')
+    assert place <= count, context.bench.order
+
+
+@behave.when('a running request leaves room for a question only')
+def step_leave(context: typing.Any) -> None:
+    context.bench.arrive('running', prompt_tokens=340)
+    assert context.bench.admitted == ['running']
+
+
+@behave.when('a priority plan arrives that needs more')
+def step_big(context: typing.Any) -> None:
+    context.bench.arrive('plan', workspace='plans', priority=4)
+    assert 'plan' not in context.bench.results
+
+
+@behave.then('a question that arrives next is admitted at once')
+def step_passes(context: typing.Any) -> None:
+    context.bench.arrive('question', workspace='questions')
+    assert 'question' in context.bench.admitted
+    context.bench.end('question')
+
+
+@behave.then(
+    '{seconds:d} seconds later a further question waits behind the plan'
+)
+def step_kept(context: typing.Any, seconds: int) -> None:
+    context.bench.advance(seconds)
+    context.bench.arrive('later', workspace='questions')
+    assert context.bench.admission.waiting == 2
+
+
+@behave.when('a request arrives with {left:d} seconds to its deadline')
+def step_arrives(context: typing.Any, left: int) -> None:
+    context.bench.arrive('it', left)
+
+
+@behave.when('{seconds:d} seconds pass without news')
+def step_pass(context: typing.Any, seconds: int) -> None:
+    context.bench.advance(seconds)
+
+
+@behave.then('it is shed as {code:w} with a time to resend in the future')
+def step_shed(context: typing.Any, code: str) -> None:
+    result = context.bench.results.get('it')
+    assert isinstance(result, callers.Shed), result
+    assert result.code.value == code, result
+    assert result.resend_at > context.bench.clock.now()
+
+
+@behave.then('no target has seen it, then or when room comes')
+def step_not_sent(context: typing.Any) -> None:
+    assert 'it' not in context.bench.in_progress
+    if 'running' in context.bench.results:
+        context.bench.end('running')
+    context.bench.advance(100)
+    assert 'it' not in context.bench.in_progress
+    assert context.bench.admission.waiting == 0
+
+
+@behave.when(
+    '1 request a second has found room for {seconds:d} seconds and {count:d} '
+    'wait'
+)
+def step_drain(context: typing.Any, seconds: int, count: int) -> None:
+    bench = context.bench
+    for number in range(seconds + count):
+        bench.arrive(f'waits-{number}')
+    for _ in range(seconds):
+        bench.advance(1)
+        bench.end(bench.order[-1])
+        send = bench.results[bench.order[-1]].send
+        bench.view.record_tokens(send, 10_000)
+    assert bench.admission.waiting == count
+
+
+@behave.then('a request with {left:d} seconds to its deadline waits')
+def step_waits(context: typing.Any, left: int) -> None:
+    context.bench.arrive('other', left)
+    assert 'other' not in context.bench.results
+
+
+@behave.when('a report shows room')
+def step_room_report(context: typing.Any) -> None:
+    bench = context.bench
+    report = fleets.make_report(bench.clock.now(), 0, 0, 100_000)
+    bench.act(lambda: bench.view.record_report('engine-0', report))
+
+
+@behave.when('the configuration adds engines')
+def step_more(context: typing.Any) -> None:
+    bench = context.bench
+    more = fleets.make_deployment(3)
+    bench.act(lambda: bench.view.apply_deployment(more))
+
+
+@behave.when('a failed engine recovers')
+def step_recovers(context: typing.Any) -> None:
+    bench = context.bench
+    bench.view.set_failed('engine-0', bench.clock.now() + 20)
+    bench.end('running')
+    assert 'it' not in bench.results
+    bench.advance(20)
+
+
+@behave.then('it is admitted without a further wait')
+def step_admitted(context: typing.Any) -> None:
+    assert 'it' in context.bench.admitted, context.bench.results
+
+
+@behave.when('a request for an unknown model arrives')
+def step_unknown(context: typing.Any) -> None:
+    context.bench.arrive('it', model='unknown')
+
+
+@behave.when('its caller is gone while it waits')
+def step_gone(context: typing.Any) -> None:
+    context.bench.act(context.bench.scopes['it'].cancel)
+    context.bench.end('running')
+
+
+@behave.when('its caller is gone as it is being admitted')
+def step_gone_late(context: typing.Any) -> None:
+    bench = context.bench
+
+    def admit_and_cancel() -> None:
+        bench.admission.release(bench.results['running'])
+        assert 'it' in bench.in_progress
+        bench.scopes['it'].cancel()
+
+    bench.act(admit_and_cancel)
+
+
+@behave.then('nothing waits and the engine has room again')
+def step_nothing(context: typing.Any) -> None:
+    assert context.bench.admission.waiting == 0
+    assert context.bench.in_progress == []
+    context.bench.arrive('next')
+    assert 'next' in context.bench.admitted
+
+
+@behave.when('{count:d} requests wait for {seconds:d} seconds without news')
+def step_many_wait(context: typing.Any, count: int, seconds: int) -> None:
+    for number in range(count):
+        context.bench.arrive(f'waits-{number}')
+    for _ in range(seconds):
+        context.bench.advance(1)
+    assert context.bench.admission.waiting == count
+
+
+@behave.then('the clock was asked to wait at most {count:d} times')
+def step_waits_counted(context: typing.Any, count: int) -> None:
+    assert context.bench.clock.waits <= count, context.bench.clock.waits
