--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
@@ -87,9 +87,6 @@
         self, method: str, path: str, handler: _Handler
     ) -> routing.Route:
         async def handle(request: requests.Request) -> _Answer:
-            self._engine.advance()
-            if self._engine.crashed:
-                return faults.CutResponse()
             answer = await handler(request)
             if self._engine.crashed:
                 return faults.CutResponse()
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_batch.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_batch.py
@@ -37,6 +37,10 @@
         self._config = config
         self._cache = cache
         self._order = 0
+        self._shares: list[tuple[_generations.Generation, int]] = []
+        self._decoding: list[_generations.Generation] = []
+        self.produced: list[_generations.Generation] = []
+        """Generations that gained tokens in the last step."""
         self.running: list[_generations.Generation] = []
         """Generations that hold memory, in the order of their start."""
         self.waiting: list[_generations.Generation] = []
@@ -48,6 +52,11 @@
         self.out_of_memory_at: int | None = None
         """Position at which every generation fails, or None."""
 
+    @property
+    def busy(self) -> bool:
+        """Whether any generation runs or waits."""
+        return bool(self.running or self.waiting)
+
     @property
     def full(self) -> bool:
         """Whether no further generation may wait."""
@@ -64,20 +73,16 @@
         self._end(generation, _generations.Failed('cancelled'), now)
 
     def step(self, now: float) -> float:
-        """Run one step that ends now.
+        """End the step that was planned and plan the next one.
 
         Returns:
-            The duration of the next step, in seconds.
+            The duration of the step that begins, in seconds.
         """
+        self._prefill(now)
+        self._decode(now)
         self._start_waiting(now)
         self._make_room(now)
-        prefilled = self._prefill(now)
-        decoding = self._decode(now)
-        return (
-            self._config.step_seconds
-            + decoding * self._config.step_seconds_per_running
-            + prefilled * self._config.prefill_seconds_per_token
-        )
+        return self._plan()
 
     def _start_waiting(self, now: float) -> None:
         while self.waiting:
@@ -117,8 +122,7 @@
     def _make_room(self, now: float) -> None:
         gained = self._config.tokens_per_step
         while self.running:
-            decoding = sum(1 for g in self.running if g.to_prefill <= 0)
-            needed = decoding * gained
+            needed = len(self.running) * gained
             if self.kv_used + needed <= self._config.kv_tokens:
                 return
             victim = max(self.running, key=_rank)
@@ -136,35 +140,46 @@
         self.preemptions += 1
         self.add(victim)
 
-    def _prefill(self, now: float) -> int:
+    def _plan(self) -> float:
         budget = self._config.prefill_chunk_tokens
+        self._shares = []
         for generation in self.running:
-            if generation.to_prefill <= 0:
-                continue
             share = min(budget, generation.to_prefill)
+            if share > 0:
+                self._shares.append((generation, share))
+                budget -= share
+        self._decoding = [g for g in self.running if g.to_prefill <= 0]
+        prefilled = self._config.prefill_chunk_tokens - budget
+        return (
+            self._config.step_seconds
+            + len(self._decoding) * self._config.step_seconds_per_running
+            + prefilled * self._config.prefill_seconds_per_token
+        )
+
+    def _prefill(self, now: float) -> None:
+        for generation, share in self._shares:
+            if generation.ending is not None:
+                continue
             generation.to_prefill -= share
-            budget -= share
             if generation.to_prefill == 0:
                 self._cache.store(generation.prefixes, now)
-            if budget == 0:
-                break
-        return self._config.prefill_chunk_tokens - budget
+                # The end of the prefill yields the next token.
+                self._decoding.append(generation)
 
-    def _decode(self, now: float) -> int:
-        gained = self._config.tokens_per_step
-        decoding = [g for g in self.running if g.to_prefill <= 0]
-        for generation in decoding:
+    def _decode(self, now: float) -> None:
+        self.produced = [g for g in self._decoding if g.ending is None]
+        for generation in self.produced:
             end = generation.length
             if generation.cancel_at is not None:
                 end = min(end, generation.cancel_at)
             if self.out_of_memory_at is not None:
                 end = min(end, max(generation.produced, self.out_of_memory_at))
+            gained = self._config.tokens_per_step
             count = min(gained, end - generation.produced)
             generation.produced += count
             self.kv_used += count
             if generation.produced >= end:
                 self._finish(generation, now)
-        return len(decoding)
 
     def _finish(self, generation: _generations.Generation, now: float) -> None:
         produced = generation.produced
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_engine.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_engine.py
@@ -89,14 +89,14 @@
         reclaim_at = self.faults.reclaim_at
         if reclaim_at is not None and reclaim_at <= now:
             self.end()
-        busy = self._batch.running or self._batch.waiting
-        while busy and self._next_step_at <= now and not self.crashed:
+        while (
+            self._batch.busy and self._next_step_at <= now and not self.crashed
+        ):
             at = self._next_step_at
             self._next_step_at = at + self._batch.step(at)
             self._check_crash_prompt()
             self._measure(at)
-            busy = self._batch.running or self._batch.waiting
-        if not busy:
+        if not self._batch.busy:
             self._next_step_at = max(
                 self._next_step_at, now + self._config.step_seconds
             )
@@ -130,6 +130,8 @@
             prefixes=_cache.digest_prefixes(prompt),
         )
         self._generations[name] = generation
+        if not self._batch.busy:
+            self._next_step_at = self._clock.now()
         self._batch.add(generation)
         self.started += 1
         return generation
@@ -194,28 +196,27 @@
         text = self.faults.crash_prompt
         if text is None:
             return
-        if any(g.produced and text in g.prompt for g in self._batch.running):
+        if any(text in g.prompt for g in self._batch.produced):
             self.end()
 
     def _measure(self, now: float) -> None:
-        if not self._load.is_due(now):
-            return
-        self._finish_orders(now)
-        self._load.record(
-            _load.LoadReport(
-                measured_at=now,
-                running=len(self._batch.running),
-                waiting=len(self._batch.waiting),
-                kv_used=self._batch.kv_used,
-                kv_total=self._config.kv_tokens,
-                preemptions=self._batch.preemptions,
-                models=[
-                    {'name': name, **model}
-                    for name, model in self._models.items()
-                ],
-                reclaim_at=self.faults.reclaim_at,
+        for measured_at in self._load.list_due(now):
+            self._finish_orders(measured_at)
+            self._load.record(
+                _load.LoadReport(
+                    measured_at=measured_at,
+                    running=len(self._batch.running),
+                    waiting=len(self._batch.waiting),
+                    kv_used=self._batch.kv_used,
+                    kv_total=self._config.kv_tokens,
+                    preemptions=self._batch.preemptions,
+                    models=[
+                        {'name': name, **model}
+                        for name, model in self._models.items()
+                    ],
+                    reclaim_at=self.faults.reclaim_at,
+                )
             )
-        )
 
     def _finish_orders(self, now: float) -> None:
         while self._pending and self._pending[0][0] <= now:
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_load.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_load.py
@@ -49,12 +49,24 @@
         )
         self._frozen: LoadReport | None = None
 
-    def is_due(self, now: float) -> bool:
-        """Tell whether the next measurement is due."""
+    def list_due(self, now: float) -> list[float]:
+        """Return the times of the measurements that are due.
+
+        Nobody may have looked at an idle engine for long; the times that
+        no report can show any more are left out.
+        """
         interval = self._config.load_interval_seconds
         if not self._reports:
-            return True
-        return now >= self._reports[-1].measured_at + interval
+            return [now]
+        oldest = now - self._config.load_lag_seconds - interval
+        due = self._reports[-1].measured_at + interval
+        if due < oldest:
+            due = oldest
+        times = []
+        while due <= now:
+            times.append(due)
+            due += interval
+        return times
 
     def record(self, report: LoadReport) -> None:
         """Keep a measurement."""
