--- a/tests/laburnumstep/log/configuration.feature
+++ b/tests/laburnumstep/log/configuration.feature
@@ -31,6 +31,7 @@
       | {"type": "publication", "deployment": "cuadrilla", "version": 1, "made_from": 0, "nonce": "n", "changes": []}                             |
       | {"type": "publication", "deployment": "cuadrilla", "version": 3, "made_from": 2, "nonce": "n", "changes": []}                             |
       | {"type": "publication", "deployment": "cuadrilla", "version": 5, "made_from": 1, "nonce": "n", "changes": []}                             |
+      | {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 0, "nonce": "n", "changes": []}                             |
       | {"type": "publication", "deployment": "omake", "version": 2, "made_from": 1, "nonce": "n", "changes": []}                                 |
       | {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "nonce": "n", "changes": [{"change": "put_moon"}]}       |
       | {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "nonce": "n", "changes": [{"change": ["put_place"]}]}    |
--- a/tests/laburnumstep/log/snapshots.feature
+++ b/tests/laburnumstep/log/snapshots.feature
@@ -47,6 +47,15 @@
     And 30 seconds pass in steps
     Then the log holds 1 snapshots of version 1
 
+  Scenario: A VM that is not chosen appends nothing
+    Given a log
+    And a VM "vm-1"
+    And an operator publishes a deployment with 1 workspaces from 0
+    And version 1 is in force at "vm-1"
+    And "vm-1" republishes snapshots while another VM is chosen
+    When 25 seconds pass in steps
+    Then the log holds 0 snapshots of version 1
+
   Scenario: Another VM appends the snapshot when the chosen one has failed
     Given a log
     And a VM "vm-1"
--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -168,15 +168,18 @@
 
 @behave.given('reads of the log lag behind')
 def step_lag(context: typing.Any) -> None:
+    context.sleeps = context.clock.sleeps
     context.log.set_faults(hold_reads=True)
 
 
 async def race(context: typing.Any, made_from: int) -> typing.Any:
-    """Publish twice, with reads held until both records are in the log."""
+    """Publish twice, with reads held until both publishers wait."""
     stream = find_stream(context)
+    sleeps = context.clock.sleeps
 
     async def release() -> None:
         await stream.wait_beyond(stream.end + 1, LIMIT_SECONDS)
+        await context.clock.wait_for_sleeps(sleeps + 2)
         context.log.set_faults(hold_reads=False)
 
     async with anyio.create_task_group() as tasks:
@@ -216,11 +219,14 @@
 
 @behave.when('"{name}" reads the lagging log again')
 def step_read_again(context: typing.Any, name: str) -> None:
-    # Both VMs wait before the next read once they read nothing new.
-    begun = context.clock.sleeps + len(context.followers)
+    # Each VM waits before the next read once it reads nothing new.
+    begun = context.sleeps + len(context.followers)
     context.portal.call(
         clocks.await_bounded, context.clock.wait_for_sleeps, begun
     )
+    context.portal.call(
+        clocks.await_bounded, context.clock.advance_and_settle, 1.0
+    )
 
 
 @behave.then('version {version:d} is in force at "{name}" through {through:d}')
--- a/tests/laburnumstep/log/steps/snapshots_steps.py
+++ b/tests/laburnumstep/log/steps/snapshots_steps.py
@@ -112,6 +112,14 @@
     start_republishers(context, [name], [name, *dead.split(', ')])
 
 
+@behave.given('"{name}" republishes snapshots while another VM is chosen')
+def step_not_chosen(context: typing.Any, name: str) -> None:
+    # The clock starts at the same time in every run, so the choice, which
+    # depends on the time, is the same as well.
+    others = [f'sibling-{number}' for number in range(50)]
+    start_republishers(context, [name], [name, *others])
+
+
 @behave.given('"{names}" each believe to be chosen for snapshots')
 def step_alone(context: typing.Any, names: str) -> None:
     for number, name in enumerate(names.split(', ')):
--- a/tests/support/clocks.py
+++ b/tests/support/clocks.py
@@ -8,6 +8,8 @@
 
 from laburnumstep import core
 
+WAIT_SECONDS = 10.0
+"""Longest wait for an event before a test fails, in seconds."""
 START = 4_000_000_000.0
 """First reading, in epoch seconds. It is the same in every run, and ahead
 of the machine's time, with which clients compare deadlines as well: no
@@ -49,5 +51,5 @@
     *args: typing.Any,
 ) -> typing.Any:
     """Await a coroutine; fail where its event never comes."""
-    with anyio.fail_after(30):
+    with anyio.fail_after(WAIT_SECONDS):
         return await waits(*args)
