--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import os
 import signal
@@ -17,11 +18,13 @@
 from laburnumstep import transport
 from laburnumstep_standins import engine
 from laburnumstep_standins import log
+from laburnumstep_standins import service
 from laburnumstep_standins import vmlist
 
 if typing.TYPE_CHECKING:
     from starlette import types
 
+_CRASH_STATUS = 70
 app = typer.Typer(help='Stand-ins for outside systems.', no_args_is_help=True)
 Address = typing.Annotated[
     str, typer.Option(help='IP number and port; port 0 picks one.')
@@ -85,5 +88,13 @@
     anyio.run(serve, stand_in.app, address)
 
 
+@app.command('service')
+def run_service(address: Address = '127.0.0.1:0') -> None:
+    """Run a plain service."""
+    crash = functools.partial(os._exit, _CRASH_STATUS)
+    stand_in = service.ServiceStandIn(crash=crash)
+    anyio.run(serve, stand_in.app, address)
+
+
 if __name__ == '__main__':
     app()
