Claim keys through the log so that postings run at most once

Cause: a VM that dies, is paused or loses a reply must not lead to a second run, and no VM keeps state.

Change: ClaimIndex decides claims in log order, by the log's own time, and never changes a decision.

Decisions: a claim that finds the key held is void, so a released key goes to the next claim and not to one that was refused. Nonces that were refused or released stay closed, because a repeated append can land late. Only the VM that made a claim releases it: an owner that gave up a sibling's claim could otherwise free a key that the sibling has sent. With the log down, a key older than 2 s is refused as unknown, because an earlier request with it may have run.

Found on the way: every reply of a server waited about 40 ms, since asyncio sets TCP_NODELAY only on sockets with a protocol number.

--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -17,9 +17,25 @@
 from laburnumstep.log._claims_answers import Expired
 from laburnumstep.log._claims_answers import Granted
 from laburnumstep.log._claims_answers import Held
+from laburnumstep.log._claims_answers import KeyOutcome
 from laburnumstep.log._claims_answers import NotValidYet
 from laburnumstep.log._claims_answers import Settled
 from laburnumstep.log._claims_answers import Taken
+from laburnumstep.log._claims_answers import Unclaimed
+from laburnumstep.log._claims_book import ClaimBook
+from laburnumstep.log._claims_book import FRESH_SECONDS
+from laburnumstep.log._claims_book import PARTITIONS
+from laburnumstep.log._claims_codec import decode_claim_answers
+from laburnumstep.log._claims_codec import decode_claims
+from laburnumstep.log._claims_codec import encode_claim_answers
+from laburnumstep.log._claims_codec import encode_claims
+from laburnumstep.log._claims_forward import ClaimForwarder
+from laburnumstep.log._claims_forward import ForwardedRecords
+from laburnumstep.log._claims_index import ClaimIndex
+from laburnumstep.log._claims_records import ClaimRecord
+from laburnumstep.log._claims_records import ClaimsRecord
+from laburnumstep.log._claims_records import ReleaseRecord
+from laburnumstep.log._claims_records import SettleRecord
 from laburnumstep.log._client import AppendedAt
 from laburnumstep.log._client import AppendRateExceeded
 from laburnumstep.log._client import LogClient
@@ -46,18 +62,27 @@
     'CONFIGURATION_STREAM',
     'Change',
     'ClaimAnswer',
+    'ClaimBook',
+    'ClaimForwarder',
+    'ClaimIndex',
+    'ClaimRecord',
+    'ClaimsRecord',
     'ConfigurationFollower',
     'ConfigurationPublisher',
     'ConfigurationReplay',
     'Conflict',
     'Expired',
+    'FRESH_SECONDS',
+    'ForwardedRecords',
     'Granted',
     'Held',
+    'KeyOutcome',
     'LogClient',
     'LogPage',
     'LogRecord',
     'LogUnavailable',
     'NotValidYet',
+    'PARTITIONS',
     'Publication',
     'PublishResult',
     'Published',
@@ -65,19 +90,26 @@
     'PutService',
     'PutTarget',
     'PutWorkspace',
+    'ReleaseRecord',
     'RemovePlace',
     'RemoveService',
     'RemoveTarget',
     'RemoveWorkspace',
     'SetLinks',
     'SetWeights',
+    'SettleRecord',
     'Settled',
     'Snapshot',
     'SnapshotHeader',
     'Taken',
+    'Unclaimed',
     'apply_changes',
+    'decode_claim_answers',
+    'decode_claims',
     'diff_deployments',
     'encode_change',
+    'encode_claim_answers',
+    'encode_claims',
     'encode_publication',
     'encode_snapshot',
 ]
--- a/packages/laburnumstep/src/laburnumstep/log/_claims_answers.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_answers.py
@@ -33,6 +33,8 @@
 class Settled:
     """The operation of the key has run and its answer is known."""
 
+    status: int
+    """HTTP status of the answer."""
     result: core.CallResult | None
     """The answer, or None where it was too large to be recorded."""
 
@@ -56,3 +58,15 @@
 
 
 ClaimAnswer = Granted | Held | Settled | Taken | Expired | NotValidYet
+
+
+@attrs.frozen
+class Unclaimed:
+    """No claim of the key is in the log yet.
+
+    A request with the key may be on its way, so this does not mean that
+    the request is not going to run.
+    """
+
+
+KeyOutcome = Held | Settled | Expired | Unclaimed
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_index.py
@@ -0,0 +1,151 @@
+"""Decides in log order which claim holds a key."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+
+import attrs
+
+from laburnumstep import core
+from laburnumstep.log import _claims_answers
+from laburnumstep.log import _claims_records
+
+
+@attrs.define
+class _Entry:
+    """What the log says about one key."""
+
+    holder: _claims_records.ClaimRecord | None = None
+    """The claim that holds the key."""
+    closed: set[str] = attrs.field(factory=set)
+    """Nonces that were refused or released; a repeated append of such a
+    claim, which can land late, must not take the key."""
+    settled: _claims_answers.Settled | None = None
+    """The answer, once it is known."""
+
+
+class ClaimIndex:
+    """The claims of one partition, from its records in log order.
+
+    A claim is granted if no other claim holds the key at its place in the
+    log, and the decision never changes. Every reader that has seen the
+    records of the key's validity comes to the same decision. Times are the
+    log's own, so that clocks of VMs do not matter.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[core.RequestKey, _Entry] = {}
+        self._order = itertools.count()
+        self._expiries: list[tuple[float, int, core.RequestKey]] = []
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def apply(
+        self, record: _claims_records.ClaimsRecord, appended_at: float
+    ) -> _claims_answers.ClaimAnswer | None:
+        """Take the next record into account.
+
+        Args:
+            record: The record.
+            appended_at: The log's time of the append, in epoch seconds.
+
+        Returns:
+            The answer to a claim, None for other records.
+        """
+        self._drop_expired(appended_at)
+        match record:
+            case _claims_records.ClaimRecord():
+                return self._apply_claim(record, appended_at)
+            case _claims_records.ReleaseRecord():
+                self._apply_release(record, appended_at)
+            case _claims_records.SettleRecord():
+                self._apply_settlement(record)
+        return None
+
+    def find(
+        self, key: core.RequestKey, workspace: str
+    ) -> _claims_answers.Held | _claims_answers.Settled | None:
+        """Return what is known of a workspace's key, None if unclaimed."""
+        entry = self._entries.get(key)
+        if entry is None or entry.holder is None:
+            return None
+        if entry.holder.workspace != workspace:
+            return None
+        return _describe(entry, entry.holder)
+
+    def _apply_claim(
+        self, record: _claims_records.ClaimRecord, appended_at: float
+    ) -> _claims_answers.ClaimAnswer:
+        key = record.key
+        if appended_at > key.expires_at:
+            return _claims_answers.Expired()
+        if appended_at < key.issued_at - core.KEY_SKEW_SECONDS:
+            valid_at = key.issued_at - core.KEY_SKEW_SECONDS
+            return _claims_answers.NotValidYet(valid_at)
+        entry = self._find_entry(key)
+        holder = entry.holder
+        if holder is None and record.nonce not in entry.closed:
+            entry.holder = record
+            return _claims_answers.Granted(key, record.nonce)
+        if holder is None:
+            # The late copy of a released claim; nobody waits for it.
+            return _claims_answers.Held(key, record.nonce, record.vm)
+        if holder.nonce == record.nonce:
+            return _claims_answers.Granted(key, record.nonce)
+        entry.closed.add(record.nonce)
+        if not _is_same_request(holder, record):
+            return _claims_answers.Taken()
+        return _describe(entry, holder)
+
+    def _apply_release(
+        self, record: _claims_records.ReleaseRecord, appended_at: float
+    ) -> None:
+        earliest = record.key.issued_at - core.KEY_SKEW_SECONDS
+        if not earliest <= appended_at <= record.key.expires_at:
+            return
+        entry = self._find_entry(record.key)
+        if entry.settled is not None:
+            return
+        entry.closed.add(record.nonce)
+        if entry.holder is not None and entry.holder.nonce == record.nonce:
+            entry.holder = None
+
+    def _apply_settlement(self, record: _claims_records.SettleRecord) -> None:
+        entry = self._entries.get(record.key)
+        if entry is None or entry.holder is None or entry.settled is not None:
+            return
+        if entry.holder.nonce == record.nonce:
+            entry.settled = _claims_answers.Settled(
+                record.status, record.result
+            )
+
+    def _find_entry(self, key: core.RequestKey) -> _Entry:
+        entry = self._entries.get(key)
+        if entry is None:
+            entry = self._entries[key] = _Entry()
+            expiry = (key.expires_at, next(self._order), key)
+            heapq.heappush(self._expiries, expiry)
+        return entry
+
+    def _drop_expired(self, log_time: float) -> None:
+        """Drop keys that the log's time has passed; none can be claimed."""
+        while self._expiries and self._expiries[0][0] < log_time:
+            del self._entries[heapq.heappop(self._expiries)[2]]
+
+
+def _describe(
+    entry: _Entry, holder: _claims_records.ClaimRecord
+) -> _claims_answers.Held | _claims_answers.Settled:
+    if entry.settled is not None:
+        return entry.settled
+    return _claims_answers.Held(holder.key, holder.nonce, holder.vm)
+
+
+def _is_same_request(
+    holder: _claims_records.ClaimRecord, record: _claims_records.ClaimRecord
+) -> bool:
+    if holder.workspace != record.workspace:
+        return False
+    return holder.request == record.request
--- a/packages/laburnumstep/src/laburnumstep/transport/_server.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_server.py
@@ -51,6 +51,10 @@
         self._socket = socket.create_server(
             (host, int(port)), family=family, backlog=_BACKLOG
         )
+        # asyncio sets this only on sockets whose protocol number is set,
+        # which create_server does not do. Without it the second write of a
+        # response waits about 40 ms for an acknowledgement.
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._host = host
         config = uvicorn.Config(
             typing.cast(typing.Any, app),
--- /dev/null
+++ b/tests/laburnumstep/log/claims.feature
@@ -0,0 +1,226 @@
+Feature: A non-idempotent operation runs at most once
+  Guards against a posting that is applied twice when a request is sent
+  again, a VM dies or is paused, the log fails or replies are lost, and
+  against "not_run" for a posting that was applied.
+
+  Background:
+    Given claiming VMs "a", "b" and "c"
+
+  Scenario: A request that is sent again through another VM gets the answer
+    When VM "a" posts "k"
+    And notes are recorded
+    And VM "b" posts "k"
+    Then "a" is told "posting 1"
+    And "b" is told "posting 1"
+    And "k" took effect 1 times
+
+  Scenario Outline: A VM dies around its send
+    Given the posting service <query> the outcome of postings
+    And VM "a" stops <point>
+    When VM "a" starts posting "k"
+    And VM "a" dies
+    And the service goes on
+    And VM "b" posts "k"
+    And VM "c" posts "k"
+    Then "b" is told "<answer>"
+    And "c" is told "<answer>"
+    And "k" took effect <effects> times
+
+    Examples:
+      | point                  | query         | answer                  | effects |
+      | between claim and send | does not tell | unknown outcome_unknown | 0       |
+      | between claim and send | tells         | unknown outcome_unknown | 0       |
+      | between send and reply | does not tell | unknown outcome_unknown | 1       |
+      | between send and reply | tells         | posting 1               | 1       |
+
+  Scenario: A lost reply is unknown on every VM until the service tells
+    Given the posting service does not tell the outcome of postings
+    And the posting service loses its next reply
+    When VM "a" posts "k"
+    And VM "b" posts "k"
+    Then "a" is told "unknown outcome_unknown"
+    And "b" is told "unknown outcome_unknown"
+    Given the posting service tells the outcome of postings
+    When VM "c" posts "k"
+    And notes are recorded
+    Given the posting service forgets postings
+    When VM "b" posts "k"
+    Then "c" is told "posting 1"
+    And "b" is told "posting 1"
+    And "k" took effect 1 times
+
+  Scenario: With the log down a posting is refused and a read goes on
+    Given the claims log is down
+    When VM "a" posts "k"
+    Then "a" is told "not_run log_unavailable"
+    And "k" took effect 0 times
+    When VM "a" reads a balance
+    Then the read is answered
+    When the claims log is up
+    And 1 seconds pass
+    And VM "b" posts "k"
+    Then "b" is told "posting 1"
+    And "k" took effect 1 times
+
+  Scenario: With the log down a late resend is not said to be not run
+    Given the posting service loses its next reply
+    When VM "a" posts "k"
+    And 3 seconds pass
+    Given the claims log is down
+    When VM "b" posts "k"
+    Then "b" is told "unknown log_unavailable"
+    And "k" took effect 1 times
+
+  Scenario: The reply to the append of a claim is lost
+    Given the claims log loses the next 1 replies
+    When VM "a" posts "k"
+    And VM "b" posts "j"
+    Then "a" is told "posting 1"
+    And "b" is told "posting 2"
+    And "k" took effect 1 times
+
+  Scenario: The reply to an append is lost and the log goes down
+    Given the claims log loses the next 1 replies
+    When VM "a" posts "k" and the log goes down after the append
+    Then "a" is told "not_run log_unavailable"
+    When the claims log is up
+    And 1 seconds pass
+    And notes are recorded
+    And VM "b" posts "k"
+    Then "b" is told "posting 1"
+    And "k" took effect 1 times
+
+  Scenario: A refused claim that lands after its release stays free
+    When the claim and release of "k" land as claim, release, claim
+    And VM "b" posts "k"
+    Then "b" is told "posting 1"
+
+  Scenario: A lost claim that is appended again does not take a freed key
+    When the claims x, y on "k" land, x is released and y lands again
+    And VM "b" posts "k"
+    Then "b" is told "posting 1"
+
+  Scenario Outline: Keys outside their validity are never run
+    When key "k" is issued <seconds> seconds ago
+    And VM "a" posts "k"
+    Then "a" is told "<answer>"
+    And "k" took effect 0 times
+
+    Examples:
+      | seconds | answer                    |
+      | 601     | unknown key_expired       |
+      | 661     | unknown key_expired       |
+      | 4000    | unknown key_expired       |
+      | -62     | not_run key_not_valid_yet |
+
+  Scenario Outline: A key is not run again when its claim is forgotten
+    When VM "a" posts "k"
+    And <seconds> seconds pass
+    And VM "b" posts "k"
+    Then "b" is told "unknown key_expired"
+    And "k" took effect 1 times
+
+    Examples:
+      | seconds |
+      | 601     |
+      | 3700    |
+
+  Scenario: A key is judged by the log's clock, not the VM's
+    Given the clock of VM "b" is 300 seconds slow
+    When VM "a" posts "k"
+    And 650 seconds pass
+    And VM "b" posts "k"
+    Then "b" is told "unknown key_expired"
+    And "k" took effect 1 times
+
+  Scenario: A VM that was paused past the deadline does not send
+    Given VM "a" stops between claim and send
+    When VM "a" starts posting "k"
+    And 40 seconds pass
+    And VM "b" posts "k"
+    And VM "a" goes on
+    And notes are recorded
+    Then "b" is told "unknown outcome_unknown"
+    And "a" is told "not_run deadline_exceeded"
+    And "k" took effect 0 times
+    When VM "c" posts "k"
+    Then "c" is told "posting 1"
+
+  Scenario: Two VMs that both believe they own a key
+    When VMs "a", "b" and "c" post "k" at once
+    Then "k" took effect 1 times
+
+  Scenario Outline: The owner of a partition fails its sibling
+    Given VM "b" owns every partition for VM "a"
+    And <fault>
+    When VM "a" posts "k"
+    And notes are recorded
+    And VM "c" posts "k"
+    Then "a" is told "posting 1"
+    And "c" is told "posting 1"
+    And "k" took effect 1 times
+
+    Examples:
+      | fault                              |
+      | nothing fails                      |
+      | the owner is not reached           |
+      | the answers of the owner are lost  |
+
+  Scenario: An owner does not release the claim of a sibling
+    When VM "a" forwards a claim on "k" to VM "b", whose log goes down
+    And the claims log is up
+    And 1 seconds pass
+    And notes are recorded
+    Then a claim of VM "c" on "k" finds it held
+
+  Scenario: Two VMs that take each other for the owner
+    Given VM "b" owns every partition for VM "a"
+    And VM "a" owns every partition for VM "b"
+    When VM "a" posts "k"
+    Then "a" is told "posting 1"
+
+  Scenario: A request that went away before its claim was read frees the key
+    When VM "a" starts posting "k" and its caller disconnects
+    And VM "b" posts "k"
+    Then "b" is told "posting 1"
+    And "k" took effect 1 times
+
+  Scenario Outline: A malformed record is skipped
+    Given the record <record> is in every claim stream
+    When VM "a" posts "k"
+    Then "a" is told "posting 1"
+
+    Examples:
+      | record                                              |
+      | 7                                                   |
+      | {}                                                  |
+      | {"type": "claim", "key": "x", "nonce": "n"}         |
+      | {"type": "settle", "key": "1764800000000-abcdefgh"} |
+      | {"type": "other", "key": "1764800000000-abcdefgh", "nonce": "n"} |
+
+  Scenario: A key of another workspace or request is refused
+    When VM "a" posts "k"
+    And workspace "other" posts "k" through VM "b"
+    Then "b" is told "not_run key_in_use"
+    When VM "c" posts "k" with another amount
+    Then "c" is told "not_run key_in_use"
+    And "k" took effect 1 times
+
+  Scenario: Two faults at once
+    Given the claims log loses the next 2 replies
+    And the posting service loses its next reply
+    When VMs "a", "b" and "c" post "k" at once
+    Then "k" took effect 1 times
+
+  Scenario: An answer too large to be recorded is not run again
+    When VM "a" posts "k" with a large answer
+    And notes are recorded
+    And the large posting "k" is sent again through VM "b"
+    Then "b" is told "ran key_in_use"
+    And "k" took effect 1 times
+
+  Scenario: Index entries are dropped when their key has expired
+    When VM "a" posts 20 keys of one partition
+    And 700 seconds pass
+    And VM "a" posts a key of that partition
+    Then the index of VM "a" holds 1 key
--- /dev/null
+++ b/tests/laburnumstep/log/steps/claims_steps.py
@@ -0,0 +1,375 @@
+"""Steps for claims of request keys."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import anyio
+import behave
+
+from laburnumstep import core
+from laburnumstep import log
+from support import claims_rig
+from support import hooks
+
+LARGE = 10**1100
+"""An amount whose JSON text is larger than a settlement may be."""
+
+
+class SlowClock:
+    """A clock that is behind another one."""
+
+    def __init__(self, clock: core.Clock, behind: float) -> None:
+        self._clock = clock
+        self._behind = behind
+
+    def now(self) -> float:
+        return self._clock.now() - self._behind
+
+    async def sleep_until(self, deadline: float) -> None:
+        await self._clock.sleep_until(deadline + self._behind)
+
+
+async def append(rig, records) -> None:
+    encoded = log.encode_claims(log.ForwardedRecords(0, records, 0))
+    number = records[0].key.partition(log.PARTITIONS)
+    stream = rig.log.find_stream(f'claims-{number:02}')
+    stream.append(encoded['records'])
+
+
+async def start_call(context, vm, name, **options) -> None:
+    context.rig.start_call(vm, name, **options)
+
+
+async def post(context, vm, name, **options) -> None:
+    context.rig.start_call(vm, name, **options)
+    await context.rig.finish_call(vm, name)
+
+
+async def wait_for(event) -> None:
+    with anyio.fail_after(claims_rig.HANG_SECONDS):
+        await event()
+
+
+def switch(context, stand_in: str, **faults) -> None:
+    target = getattr(context.rig, stand_in)
+    context.portal.call(lambda: target.set_faults(**faults))
+
+
+@behave.given('claiming VMs "a", "b" and "c"')
+def step_vms(context) -> None:
+    context.rig = hooks.enter(context, claims_rig.open_rig())
+    for name in 'abc':
+        context.portal.call(context.rig.add_vm, name)
+    context.points = {}
+
+
+@behave.given('the posting service {query} the outcome of postings')
+def step_query(context, query: str) -> None:
+    context.rig.operation = core.Operation(False, query == 'tells')
+
+
+@behave.given('the posting service loses its next reply')
+def step_service_loses(context) -> None:
+    switch(context, 'service', lost_replies=1)
+
+
+@behave.given('the posting service forgets postings')
+def step_service_forgets(context) -> None:
+    switch(context, 'service', hide_postings=True)
+
+
+@behave.given('the claims log is down')
+def step_log_down(context) -> None:
+    switch(context, 'log', outage=True)
+
+
+@behave.when('the claims log is up')
+def step_log_up(context) -> None:
+    switch(context, 'log', outage=False)
+
+
+@behave.given('the claims log loses the next {count:d} replies')
+def step_log_loses(context, count: int) -> None:
+    switch(context, 'log', lost_replies=count)
+
+
+@behave.given('VM "{vm}" stops between claim and send')
+def step_stop_before_send(context, vm: str) -> None:
+    context.rig.vms[vm].claims.hold = True
+    context.points[vm] = context.rig.vms[vm].claims.claimed.wait
+
+
+@behave.given('VM "{vm}" stops between send and reply')
+def step_stop_before_reply(context, vm: str) -> None:
+    switch(context, 'service', delayed=True)
+    context.points[vm] = context.rig.service.wait_for_arrival
+
+
+@behave.given('the clock of VM "{vm}" is {seconds:d} seconds slow')
+def step_slow_clock(context, vm: str, seconds: int) -> None:
+    rig = context.rig
+    clock = rig.clock
+    rig.clock = SlowClock(clock, seconds)
+    context.portal.call(rig.add_vm, vm)
+    rig.clock = clock
+
+
+@behave.given('VM "{owner}" owns every partition for VM "{vm}"')
+def step_owner(context, owner: str, vm: str) -> None:
+    context.forwarder = context.rig.vms[vm].forwarder
+    context.forwarder.owner_name = owner
+
+
+@behave.given('nothing fails')
+def step_nothing(context) -> None:
+    pass
+
+
+@behave.given('the owner is not reached')
+def step_owner_cut(context) -> None:
+    context.forwarder.cut = True
+
+
+@behave.given('the answers of the owner are lost')
+def step_owner_loses(context) -> None:
+    context.forwarder.lose_answers = True
+
+
+@behave.given('the record {record} is in every claim stream')
+def step_malformed(context, record: str) -> None:
+    for number in range(log.PARTITIONS):
+        stream = context.rig.log.find_stream(f'claims-{number:02}')
+        context.portal.call(stream.append, [json.loads(record)])
+
+
+@behave.when('VM "{vm}" posts "{name}"')
+def step_post(context, vm: str, name: str) -> None:
+    context.portal.call(post, context, vm, name)
+
+
+@behave.when('VM "{vm}" posts "{name}" and the log goes down after the append')
+def step_post_down(context, vm: str, name: str) -> None:
+    async def post_down():
+        number = context.rig.find_key(name).partition(log.PARTITIONS)
+        stream = context.rig.log.find_stream(f'claims-{number:02}')
+        context.rig.start_call(vm, name)
+        await stream.wait_beyond(0, claims_rig.HANG_SECONDS)
+        context.rig.log.set_faults(outage=True)
+        await context.rig.finish_call(vm, name)
+
+    context.portal.call(post_down)
+
+
+@behave.when('VM "{vm}" posts "{name}" with another amount')
+def step_post_other(context, vm: str, name: str) -> None:
+    context.portal.call(lambda: post(context, vm, name, amount=2))
+
+
+@behave.when('VM "{vm}" posts "{name}" with a large answer')
+@behave.when('the large posting "{name}" is sent again through VM "{vm}"')
+def step_post_large(context, vm: str, name: str) -> None:
+    context.portal.call(lambda: post(context, vm, name, amount=LARGE))
+
+
+@behave.when('workspace "{workspace}" posts "{name}" through VM "{vm}"')
+def step_post_workspace(context, workspace, name, vm) -> None:
+    context.portal.call(lambda: post(context, vm, name, workspace=workspace))
+
+
+@behave.when('VM "{vm}" starts posting "{name}"')
+def step_start(context, vm: str, name: str) -> None:
+    context.portal.call(start_call, context, vm, name)
+    context.portal.call(wait_for, context.points[vm])
+
+
+@behave.when('VM "{vm}" dies')
+def step_die(context, vm: str) -> None:
+    context.portal.call(context.rig.vms[vm].scope.cancel)
+
+
+@behave.when('the service goes on')
+def step_service_goes_on(context) -> None:
+    switch(context, 'service', delayed=False)
+    for vm in context.points:
+        if not context.rig.vms[vm].claims.hold:
+            context.portal.call(context.rig.finish_call, vm, 'k')
+
+
+@behave.when('VM "{vm}" goes on')
+def step_go_on(context, vm: str) -> None:
+    context.portal.call(context.rig.vms[vm].claims.go_on.set)
+    context.portal.call(context.rig.finish_call, vm, 'k')
+
+
+@behave.when('notes are recorded')
+def step_flush(context) -> None:
+    context.portal.call(context.rig.flush)
+
+
+@behave.when('{seconds:d} seconds pass')
+def step_pass(context, seconds: int) -> None:
+    context.portal.call(context.rig.clock.advance, seconds)
+
+
+@behave.when('key "{name}" is issued {seconds:d} seconds ago')
+def step_issue(context, name: str, seconds: int) -> None:
+    issued_at = context.rig.clock.now() - seconds
+    context.rig.keys[name] = core.RequestKey.new(issued_at)
+
+
+@behave.when('VM "{vm}" reads a balance')
+def step_read(context, vm: str) -> None:
+    async def read():
+        call = core.ServiceCall(
+            core.RequestKey.new(time.time()),
+            'clerks',
+            'ledger',
+            'balance',
+            {},
+            context.rig.clock.now() + 30,
+        )
+        runner = context.rig.vms[vm].runner
+        operation = core.Operation(idempotent=True)
+        return await runner.run(call, operation, [context.rig.target])
+
+    context.read = context.portal.call(read)
+
+
+@behave.then('the read is answered')
+def step_read_answered(context) -> None:
+    assert context.read.status == 200
+
+
+@behave.when('the claim and release of "{name}" land as claim, release, claim')
+def step_late_claim(context, name: str) -> None:
+    key = context.rig.find_key(name)
+    claim = log.ClaimRecord(key, 'clerks', 'a', 'x', '')
+    release = log.ReleaseRecord(key, 'x')
+    context.portal.call(append, context.rig, [claim, release, claim])
+
+
+@behave.when(
+    'the claims x, y on "{name}" land, x is released and y lands again'
+)
+def step_lost_claim_again(context, name: str) -> None:
+    key = context.rig.find_key(name)
+    x = log.ClaimRecord(key, 'clerks', 'a', 'x', '')
+    y = log.ClaimRecord(key, 'clerks', 'c', 'y', '')
+    release = log.ReleaseRecord(key, 'x')
+    context.portal.call(append, context.rig, [x, y, release, y])
+
+
+@behave.when('VMs "a", "b" and "c" post "{name}" at once')
+def step_at_once(context, name: str) -> None:
+    async def race():
+        for vm in 'abc':
+            context.rig.start_call(vm, name)
+        for vm in 'abc':
+            ended = context.rig.vms[vm].ended[name]
+            while not ended.is_set():
+                context.rig.clock.advance(0.1)
+                with anyio.move_on_after(0.05):
+                    await ended.wait()
+
+    context.portal.call(race)
+
+
+@behave.when(
+    'VM "a" forwards a claim on "{name}" to VM "b", whose log goes down'
+)
+def step_forward_down(context, name: str) -> None:
+    async def forward_down():
+        key = context.rig.find_key(name)
+        number = key.partition(log.PARTITIONS)
+        claim = log.ClaimRecord(key, 'clerks', 'a', 'x', '')
+        until = context.rig.clock.now() + 30
+        batch = log.ForwardedRecords(number, [claim], until)
+        stream = context.rig.log.find_stream(f'claims-{number:02}')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve_and_fail, batch)
+            await stream.wait_beyond(0, claims_rig.HANG_SECONDS)
+            context.rig.log.set_faults(outage=True)
+
+    async def serve_and_fail(batch):
+        try:
+            await context.rig.vms['b'].book.serve(batch)
+        except core.CodedError as error:
+            context.refusal = error
+
+    context.portal.call(forward_down)
+    assert context.refusal.code is core.ErrorCode.LOG_UNAVAILABLE
+
+
+@behave.then('a claim of VM "{vm}" on "{name}" finds it held')
+def step_held(context, vm: str, name: str) -> None:
+    key = context.rig.find_key(name)
+    claim = context.rig.vms[vm].book.claim
+    answer = context.portal.call(claim, key, 'clerks', key.expires_at)
+    assert isinstance(answer, log.Held), answer
+
+
+@behave.when('VM "{vm}" starts posting "{name}" and its caller disconnects')
+def step_disconnect(context, vm: str, name: str) -> None:
+    async def disconnect():
+        book = context.rig.vms[vm].book
+        key = context.rig.find_key(name)
+        until = context.rig.clock.now() + 30
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(book.claim, key, 'clerks', until)
+            number = key.partition(log.PARTITIONS)
+            stream = context.rig.log.find_stream(f'claims-{number:02}')
+            await stream.wait_beyond(0, claims_rig.HANG_SECONDS)
+            tasks.cancel_scope.cancel()
+        await book.outcome(key, 'clerks')
+
+    context.portal.call(disconnect)
+    context.portal.call(context.rig.flush)
+
+
+@behave.when('VM "{vm}" posts {count:d} keys of one partition')
+def step_post_many(context, vm: str, count: int) -> None:
+    async def claim_many():
+        context.many = []
+        while len(context.many) < count + 1:
+            key = core.RequestKey.new(context.rig.clock.now())
+            if key.partition(log.PARTITIONS) == 7:
+                context.many.append(key)
+        book = context.rig.vms[vm].book
+        for key in context.many[:count]:
+            await book.claim(key, 'clerks', key.expires_at)
+
+    context.portal.call(claim_many)
+
+
+@behave.when('VM "{vm}" posts a key of that partition')
+def step_post_last(context, vm: str) -> None:
+    async def claim_last():
+        nonce = context.many[-1].nonce
+        while True:
+            key = core.RequestKey.new(context.rig.clock.now())
+            if key.partition(log.PARTITIONS) == 7:
+                break
+        assert nonce != key.nonce
+        await context.rig.vms[vm].book.claim(key, 'clerks', key.expires_at)
+
+    context.portal.call(claim_last)
+
+
+@behave.then('the index of VM "{vm}" holds {count:d} key')
+def step_index(context, vm: str, count: int) -> None:
+    held = context.rig.vms[vm].book.count_keys()
+    assert held == count, held
+
+
+@behave.then('"{vm}" is told "{answer}"')
+def step_told(context, vm: str, answer: str) -> None:
+    told = context.rig.vms[vm].told
+    assert list(told.values())[-1] == answer, told
+
+
+@behave.then('"{name}" took effect {count:d} times')
+def step_effects(context, name: str, count: int) -> None:
+    effects = context.rig.count_effects(name)
+    assert effects == count, effects
