Combine gossip, heartbeats and the VM list into a membership

Cause: decisions need one view of live VMs and leaving targets, while each source alone lags, lies or fails.

Change: Membership pushes fresh entries to 3 siblings at once and again within a second, compares stores once a second and checks 3 ring successors. Reports that a VM is unreachable need two observers; a VM denies them with a newer entry. Leave notices stand until their end whatever the VM list says. A fake network at the links' interface moves whole fleets hop by hop.

Ruled out: a view made anew for each fresh entry; it now changes only the entry's own VM.

--- a/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
@@ -13,14 +13,25 @@
 from laburnumstep.siblings._entries import TargetValue
 from laburnumstep.siblings._entries import VMState
 from laburnumstep.siblings._entries import VMValue
+from laburnumstep.siblings._links import GrpcLinks
+from laburnumstep.siblings._links import SiblingLinks
+from laburnumstep.siblings._members import Member
+from laburnumstep.siblings._members import MemberState
+from laburnumstep.siblings._membership import Membership
+from laburnumstep.siblings._membership import MembershipCallbacks
 from laburnumstep.siblings._messages import ClaimForward
 from laburnumstep.siblings._messages import SiblingMessage
+from laburnumstep.siblings._presence import Identity
 from laburnumstep.siblings._server import SiblingHandler
 from laburnumstep.siblings._server import SiblingServer
 from laburnumstep.siblings._store import GossipStore
 from laburnumstep.siblings._store import MergeResult
+from laburnumstep.siblings._targets import Availability
+from laburnumstep.siblings._targets import TargetReport
+from laburnumstep.siblings._targets import TargetStatus
 
 __all__ = [
+    'Availability',
     'ClaimForward',
     'ConfigurationValue',
     'DataValue',
@@ -29,13 +40,22 @@
     'EntryValue',
     'GossipEntry',
     'GossipStore',
+    'GrpcLinks',
+    'Identity',
+    'Member',
+    'MemberState',
+    'Membership',
+    'MembershipCallbacks',
     'MergeResult',
     'SiblingConnection',
     'SiblingHandler',
+    'SiblingLinks',
     'SiblingMessage',
     'SiblingServer',
     'SiblingUnavailable',
+    'TargetReport',
     'TargetState',
+    'TargetStatus',
     'TargetValue',
     'VMState',
     'VMValue',
--- a/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
@@ -30,6 +30,7 @@
     # to two minutes, and a restarted sibling would be missed for as long.
     ('grpc.use_local_subchannel_pool', 1),
     ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 1000),
     ('grpc.max_reconnect_backoff_ms', 1000),
     ('grpc.enable_http_proxy', 0),
 ]
@@ -72,6 +73,7 @@
         self._sender, self._outbox = anyio.create_memory_object_stream[
             _messages.SiblingMessage
         ](math.inf)
+        self._scope = anyio.CancelScope()
 
     @property
     def address(self) -> str:
@@ -94,17 +96,19 @@
         """Send what is queued and end the stream."""
         self._sender.close()
 
+    def abort(self) -> None:
+        """End the stream at once; queued messages are lost."""
+        self._scope.cancel()
+
     async def run(self) -> None:
         """Exchange messages until the stream ends or breaks."""
         channel = open_channel(self._address)
         try:
             stub = pb_grpc.SiblingsStub(channel)
             call = stub.Exchange(self._encode(), metadata=self._metadata)
-            async for encoded in call:
-                message, _ = _codec.decode_message(encoded)
-                if message is not None:
-                    for answer in self._receive(message):
-                        self.send(answer)
+            with self._scope:
+                async for encoded in call:
+                    self._take(encoded)
         except grpc.aio.AioRpcError as error:
             _LOG.info(
                 'exchange with %s ended: %s %s',
@@ -117,6 +121,12 @@
             with anyio.CancelScope(shield=True):
                 await channel.close(grace=None)
 
+    def _take(self, encoded: pb.SiblingMessage) -> None:
+        message, _ = _codec.decode_message(encoded)
+        if message is not None:
+            for answer in self._receive(message):
+                self.send(answer)
+
     async def _encode(self) -> typing.AsyncIterator[pb.SiblingMessage]:
         async for message in self._outbox:
             yield _codec.encode_message(message)
--- a/packages/laburnumstep/src/laburnumstep/siblings/_server.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_server.py
@@ -22,6 +22,9 @@
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
     # Without it two processes could share one port unnoticed.
     ('grpc.so_reuseport', 0),
+    # Ends the streams of siblings that vanished without closing them.
+    ('grpc.keepalive_time_ms', 60_000),
+    ('grpc.keepalive_timeout_ms', 10_000),
 ]
 _LOG = core.get_logger('siblings')
 
--- a/packages/laburnumstep/src/laburnumstep/siblings/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_store.py
@@ -52,6 +52,9 @@
 class GossipStore:
     """Holds the newest entry for each key until it expires.
 
+    Demand concerns one VM, so it is no part of the digests by which
+    siblings compare their stores.
+
     Args:
         clock: Tells which entries have expired.
     """
@@ -60,8 +63,8 @@
         self._clock = clock
         self._entries: dict[int, _entries.GossipEntry] = {}
         self._subjects: dict[
-            tuple[_entries.EntryKind, str], dict[int, _entries.GossipEntry]
-        ] = {}
+            _entries.EntryKind, dict[str, dict[int, _entries.GossipEntry]]
+        ] = {kind: {} for kind in _entries.EntryKind}
         self._buckets: list[dict[int, int]] = [{} for _ in range(BUCKETS)]
         self._digests = [0] * BUCKETS
         self._counts = dict.fromkeys(_entries.EntryKind, 0)
@@ -107,12 +110,16 @@
     ) -> list[_entries.GossipEntry]:
         """Return the entries of every origin about one subject."""
         self._drop_expired()
-        return list(self._subjects.get((kind, subject), {}).values())
+        return list(self._subjects[kind].get(subject, {}).values())
+
+    def count_subjects(self, kind: _entries.EntryKind) -> int:
+        """Return how many subjects of a kind there are."""
+        return len(self._subjects[kind])
 
     def subjects(self, kind: _entries.EntryKind) -> list[str]:
         """Return the subjects of a kind."""
         self._drop_expired()
-        return [s for k, s in self._subjects if k is kind]
+        return list(self._subjects[kind])
 
     def root_digest(self) -> int:
         """Return a digest that is equal for equal sets of entries."""
@@ -135,11 +142,12 @@
 
     def _add(self, identity: int, entry: _entries.GossipEntry) -> None:
         self._entries[identity] = entry
-        subject = (entry.kind, entry.subject)
-        self._subjects.setdefault(subject, {})[identity] = entry
-        bucket = identity % BUCKETS
-        self._buckets[bucket][identity] = entry.stamp
-        self._digests[bucket] ^= _mix(identity, entry.stamp)
+        subjects = self._subjects[entry.kind]
+        subjects.setdefault(entry.subject, {})[identity] = entry
+        if entry.kind is not _entries.EntryKind.DEMAND:
+            bucket = identity % BUCKETS
+            self._buckets[bucket][identity] = entry.stamp
+            self._digests[bucket] ^= _mix(identity, entry.stamp)
         self._counts[entry.kind] += 1
         deadlines = self._deadlines[entry.kind]
         deadline = (entry.expires_at, identity, entry.stamp)
@@ -151,13 +159,14 @@
 
     def _remove(self, identity: int) -> None:
         entry = self._entries.pop(identity)
-        subject = (entry.kind, entry.subject)
-        del self._subjects[subject][identity]
-        if not self._subjects[subject]:
-            del self._subjects[subject]
-        bucket = identity % BUCKETS
-        del self._buckets[bucket][identity]
-        self._digests[bucket] ^= _mix(identity, entry.stamp)
+        subjects = self._subjects[entry.kind]
+        del subjects[entry.subject][identity]
+        if not subjects[entry.subject]:
+            del subjects[entry.subject]
+        if entry.kind is not _entries.EntryKind.DEMAND:
+            bucket = identity % BUCKETS
+            del self._buckets[bucket][identity]
+            self._digests[bucket] ^= _mix(identity, entry.stamp)
         self._counts[entry.kind] -= 1
 
     def _drop_expired(self) -> None:
@@ -191,16 +200,18 @@
         return False
     if not (0 < len(entry.origin) <= MAX_NAME_LENGTH):
         return False
-    if not (0 < entry.stamp <= (now + MAX_SKEW_SECONDS) * 1e6):
+    highest = (now + MAX_SKEW_SECONDS) * 1e6
+    if not (0 < entry.stamp <= highest):
         return False
     # Written so that a NaN is refused as well.
     latest = now + MAX_LIFETIME_SECONDS + MAX_SKEW_SECONDS
     if not (0 < entry.expires_at <= latest):
         return False
     match (entry.kind, entry.value):
-        case (_entries.EntryKind.VM, _entries.VMValue(state=state)):
+        case (_entries.EntryKind.VM, _entries.VMValue() as value):
             own = entry.subject == entry.origin
-            return own != (state is _entries.VMState.UNREACHABLE)
+            told = value.state is _entries.VMState.UNREACHABLE
+            return own != told and value.observed <= highest
         case (_entries.EntryKind.TARGET, _entries.TargetValue()):
             return True
         case (
