Wire service calls, claims and membership into the entry VM

Cause of a red run on the way: two step files of one folder defined the same step text; one was renamed.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/demo/_demo.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/demo/_demo.py
@@ -193,7 +193,7 @@
     while answer.position < _TOKENS_BEFORE_KILL:
         await anyio.sleep(0.005)
     for vm in stage.vms:
-        if answer.generation and 'placed; request=' in vm.read_log():
+        if 'placed request' in vm.read_log():
             print(f'plan: {vm.name} is killed at token {answer.position}')
             vm.send_signal(signal.SIGKILL)
             return
--- a/packages/laburnumstep/src/laburnumstep/cli.py
+++ b/packages/laburnumstep/src/laburnumstep/cli.py
@@ -57,8 +57,10 @@
 
 async def _run(settings: core.Settings) -> None:
     entry = vm.EntryVM(settings, core.SystemClock())
-    print(json.dumps({'callers': entry.callers_address}), flush=True)
-    await entry.run()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(entry.run)
+        await entry.wait_started()
+        print(json.dumps(entry.addresses), flush=True)
 
 
 def main() -> None:
--- a/packages/laburnumstep/src/laburnumstep/core/_settings.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_settings.py
@@ -12,6 +12,7 @@
 import attrs
 
 from laburnumstep.core import _findings
+from laburnumstep.core import _keys
 
 _SECTION = re.compile(r'^\s*\[([^\]]+)\]')
 _KEY = re.compile(r'^([^\s=:#;][^=:]*?)\s*[=:]')
@@ -87,6 +88,22 @@
     return value
 
 
+def read_retention(text: str) -> float:
+    """Return the log's retention, in seconds.
+
+    Claims must outlive the keys that they claim; otherwise a key could be
+    claimed again after its claim was dropped.
+    """
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise ValueError('must be a number of seconds') from error
+    shortest = 2 * (_keys.KEY_VALID_SECONDS + _keys.KEY_SKEW_SECONDS)
+    if not value >= shortest:
+        raise ValueError(f'must be at least {shortest:g} seconds')
+    return value
+
+
 def _read_choice(text: str, choices: tuple[str, ...]) -> str:
     if text not in choices:
         raise ValueError(f'must be one of {", ".join(choices)}')
@@ -155,11 +172,21 @@
 
 @attrs.frozen
 class PlatformSettings:
-    """Sections `[log]`, `[vmlist]` and `[weights]`."""
+    """Sections `[vmlist]` and `[weights]`."""
 
     address: str = option('Address of the service.', read_address)
 
 
+@attrs.frozen
+class LogSettings:
+    """Section `[log]`."""
+
+    address: str = option('Address of the log.', read_address)
+    retention_seconds: float = option(
+        'How long the log keeps records, in seconds.', read_retention, '3600'
+    )
+
+
 @attrs.frozen
 class LoggingSettings:
     """Section `[logging]`."""
@@ -194,7 +221,7 @@
     """The operators' front end."""
     siblings: SiblingsSettings
     """Sibling VMs."""
-    log: PlatformSettings
+    log: LogSettings
     """The platform's append-only log."""
     vmlist: PlatformSettings
     """The platform's VM list."""
@@ -211,7 +238,7 @@
     'callers': CallersSettings,
     'operators': OperatorsSettings,
     'siblings': SiblingsSettings,
-    'log': PlatformSettings,
+    'log': LogSettings,
     'vmlist': PlatformSettings,
     'weights': PlatformSettings,
     'logging': LoggingSettings,
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/routing_gossip.py
@@ -0,0 +1,162 @@
+"""Carries routing knowledge between sibling VMs.
+
+Crashes are pushed at once. Lengths of answers spread by anti-entropy. The
+state of VMs and targets that membership knows is applied to routing.
+"""
+
+from __future__ import annotations
+
+import json
+import typing
+
+from laburnumstep import core
+from laburnumstep import siblings
+from laburnumstep import targets
+
+if typing.TYPE_CHECKING:
+    from laburnumstep import callers
+
+REFRESH_SECONDS = 1.0
+"""Pause between two looks at membership, in seconds; notices that arrive in
+between are applied at once."""
+LENGTHS_EVERY = 5
+"""Looks at membership between two rounds of length sketches."""
+MAX_SKETCHES = 20
+"""Sketches in one round; 20 of about 200 bytes each 5 s cost 0.8 KB/s."""
+LENGTHS_SECONDS = 60.0
+"""How long a sketch spreads, in seconds."""
+FAILED_SECONDS = 5.0
+"""How long a target that siblings report as failed gets no new work, in
+seconds."""
+RECLAIM_MARGIN_SECONDS = 600.0
+"""How long after its reclaim a target counts as leaving, in seconds."""
+
+_LOGGER = core.get_logger('siblings')
+
+
+class RoutingGossip:
+    """Applies what siblings tell to routing, and tells them what it saw.
+
+    Args:
+        state: What this VM knows for its routing decisions.
+        membership: The sibling VMs.
+        vm_name: Name of this VM.
+    """
+
+    def __init__(
+        self,
+        state: callers.RoutingState,
+        membership: siblings.Membership,
+        vm_name: str,
+    ) -> None:
+        self._state = state
+        self._vm = vm_name
+        self._membership = membership
+        self._leaving: set[str] = set()
+        self._rounds = 0
+        kinds = siblings.EntryKind
+        membership.subscribe(kinds.TARGET, lambda entry: self.refresh())
+        membership.subscribe(kinds.VM, lambda entry: self.refresh())
+        membership.subscribe(kinds.CRASH, self._take_crash)
+        membership.subscribe(kinds.LENGTHS, self._take_lengths)
+
+    async def run(self) -> None:
+        """Apply expiries and spread length sketches until cancelled."""
+        clock = self._state.clock
+        while True:
+            await clock.sleep_until(clock.now() + REFRESH_SECONDS)
+            self.refresh()
+            self._rounds += 1
+            if self._rounds % LENGTHS_EVERY == 0:
+                self._publish_lengths()
+
+    def refresh(self) -> None:
+        """Apply the known VMs and targets to routing."""
+        known_vms = len(self._membership.live_vms())
+        self._state.view.set_known_vms(known_vms)
+        self._state.limits.set_known_vms(known_vms)
+        leaving = set()
+        for name, status in self._membership.target_statuses().items():
+            match status.availability:
+                case siblings.Availability.LEAVING:
+                    leaving.add(name)
+                case siblings.Availability.FAILED:
+                    until = self._state.clock.now() + FAILED_SECONDS
+                    self._state.view.set_failed(name, until)
+                case siblings.Availability.AVAILABLE:
+                    pass
+                case _:
+                    typing.assert_never(status.availability)
+        self._apply_leaving(leaving)
+
+    def note_reclaim(self, target: str, reclaim_at: float) -> None:
+        """Tell all VMs that a target will be reclaimed.
+
+        Args:
+            target: Name of the target.
+            reclaim_at: When, in epoch seconds.
+        """
+        if not self._membership.is_leaving(target):
+            until = reclaim_at + RECLAIM_MARGIN_SECONDS
+            self._membership.note_target_leaving(target, 'reclaim', until)
+            self.refresh()
+
+    def report_crash(self, crash: targets.Crash) -> None:
+        """Tell all VMs that a request crashed a target."""
+        data = json.dumps([crash.fingerprint, crash.target]).encode()
+        self._membership.publish(
+            siblings.EntryKind.CRASH,
+            f'{crash.fingerprint}@{crash.target}',
+            data,
+            crash.expires_at,
+        )
+
+    def _apply_leaving(self, leaving: set[str]) -> None:
+        for name in leaving - self._leaving:
+            _LOGGER.info(
+                'target is leaving; target=%s status=%s',
+                name,
+                self._membership.target_status(name),
+            )
+            self._state.view.set_leaving(name, True)
+        for name in self._leaving - leaving:
+            _LOGGER.info('target is back; target=%s', name)
+            self._state.view.set_leaving(name, False)
+        self._leaving = leaving
+
+    def _publish_lengths(self) -> None:
+        expires_at = self._state.clock.now() + LENGTHS_SECONDS
+        for workspace, model, sketch in self._state.lengths.take_changes(
+            MAX_SKETCHES
+        ):
+            self._membership.publish(
+                siblings.EntryKind.LENGTHS,
+                json.dumps([workspace, model]),
+                targets.encode_lengths(sketch),
+                expires_at,
+            )
+
+    def _take_crash(self, entry: siblings.GossipEntry) -> None:
+        match entry.value:
+            case siblings.DataValue(data):
+                try:
+                    fingerprint, target = json.loads(data)
+                except ValueError as error:
+                    _LOGGER.warning('malformed crash: %s', error)
+                    return
+                self._state.suspects.merge(
+                    targets.Crash(fingerprint, target, entry.expires_at)
+                )
+
+    def _take_lengths(self, entry: siblings.GossipEntry) -> None:
+        if entry.origin == self._vm:
+            return
+        match entry.value:
+            case siblings.DataValue(data):
+                try:
+                    workspace, model = json.loads(entry.subject)
+                    sketch = targets.decode_lengths(data)
+                except ValueError as error:
+                    _LOGGER.warning('malformed lengths: %s', error)
+                    return
+                self._state.lengths.merge(workspace, model, sketch)
--- a/packages/laburnumstep/src/laburnumstep/services.py
+++ b/packages/laburnumstep/src/laburnumstep/services.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import random
 import typing
 
+import attrs
+
 from laburnumstep import callers
 from laburnumstep import core
 from laburnumstep import log
@@ -12,6 +15,16 @@
 _LOGGER = core.get_logger('callers')
 
 
+@attrs.frozen
+class OutcomeReport:
+    """What became of a request."""
+
+    outcome: core.Outcome
+    """Whether it ran."""
+    result: core.CallResult | None = None
+    """What the service answered, where that is known."""
+
+
 class VMServices:
     """Serves requests with the parts of one VM, as `callers.Services`.
 
@@ -19,6 +32,8 @@
         state: What this VM knows for its routing decisions.
         placer: Finds engines.
         runner: Runs generations.
+        calls: Runs operations of plain services.
+        claims: Claims of request keys.
         follower: The configuration in force.
     """
 
@@ -27,12 +42,17 @@
         state: callers.RoutingState,
         placer: callers.EnginePlacer,
         runner: targets.GenerationRunner,
+        calls: targets.CallRunner,
+        claims: log.ClaimBook,
         follower: log.ConfigurationFollower,
     ) -> None:
         self._state = state
         self._placer = placer
         self._runner = runner
+        self._calls = calls
+        self._claims = claims
         self._follower = follower
+        self._rng = random.Random()
 
     def find_deployment(self) -> core.Deployment:
         """Return the configuration in force.
@@ -109,6 +129,39 @@
                 resend_at=self._state.clock.now() + 1.0,
             ) from error
 
+    async def call(self, call: core.ServiceCall) -> core.CallResult:
+        """Run one operation of a plain service.
+
+        Raises:
+            CodedError: With the outcome as far as it is known.
+        """
+        deployment = self.find_deployment()
+        operation = deployment.find_operation(call.service, call.operation)
+        if operation is None:
+            raise core.CodedError(
+                core.ErrorCode.NO_TARGET,
+                f'{call.service}.{call.operation} is not declared',
+            )
+        self._begin(call.workspace)
+        self._state.budget.record_request(self._state.clock.now())
+        try:
+            return await self._calls.run(
+                call, operation, self._order_targets(deployment, call.service)
+            )
+        finally:
+            self._state.limits.end(call.workspace)
+
+    async def find_outcome(
+        self, workspace: str, key: core.RequestKey
+    ) -> OutcomeReport:
+        """Tell what became of a request.
+
+        Raises:
+            CodedError: The log does not answer.
+        """
+        answer = await self._claims.outcome(key, workspace)
+        return report_outcome(answer)
+
     def _begin(self, workspace: str) -> None:
         now = self._state.clock.now()
         result = self._state.limits.try_begin(workspace, now)
@@ -125,3 +178,41 @@
                 )
             case _:
                 typing.assert_never(result)
+
+    def _order_targets(
+        self, deployment: core.Deployment, service: str
+    ) -> list[core.ServiceTarget]:
+        """Return the servers of a service, the preferred one first."""
+        chosen: list[core.ServiceTarget] = []
+        excluded: frozenset[str] = frozenset()
+        while True:
+            placement = targets.choose_service(
+                self._state.view, service, excluded, self._rng
+            )
+            match placement:
+                case targets.Placed(name):
+                    declared = deployment.targets[name]
+                    if isinstance(declared, core.ServiceTarget):
+                        chosen.append(declared)
+                    excluded |= {name}
+                case targets.NoRoom() | targets.NoTarget():
+                    return chosen
+                case _:
+                    typing.assert_never(placement)
+
+
+def report_outcome(answer: log.KeyOutcome) -> OutcomeReport:
+    """Return what a caller is told about a key.
+
+    Args:
+        answer: What the log says about the key.
+    """
+    match answer:
+        case log.Settled(result=result):
+            return OutcomeReport(core.Outcome.RAN, result)
+        case log.Held() | log.Expired() | log.Unclaimed():
+            # A request with an unclaimed key may still be on its way, so
+            # it cannot be said that it will not run.
+            return OutcomeReport(core.Outcome.UNKNOWN)
+        case _:
+            typing.assert_never(answer)
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import random
 import signal
 
 import anyio
 
 from laburnumstep import callers
+from laburnumstep import claim_forwarding
 from laburnumstep import core
 from laburnumstep import log
+from laburnumstep import routing_gossip
 from laburnumstep import services
+from laburnumstep import siblings
 from laburnumstep import targets
 from laburnumstep import transport
+from laburnumstep import vmlist
+
+FLUSH_SECONDS = 5.0
+"""Longest wait for the last settlements before the VM ends, in seconds."""
 
 _LOGGER = core.get_logger('vm')
 
@@ -32,13 +40,38 @@
         )
         self._log = log.LogClient(settings.log.address, clock)
         self._follower = log.ConfigurationFollower(self._log, clock)
+        self._claims = self._build_claims()
         self._gate = callers.RequestGate(clock)
         self._state = self._build_state()
         self._admission = callers.Admission(
-            clock, self._state.view, self._state.lengths
+            clock,
+            self._state.view,
+            self._state.lengths,
+            metrics=self._metrics,
+        )
+        self._membership = self._build_membership()
+        self._gossip = routing_gossip.RoutingGossip(
+            self._state, self._membership, settings.vm.name
+        )
+        self._vmlist = vmlist.VMListFollower(
+            vmlist.VMListClient(settings.vmlist.address),
+            clock,
+            self._membership.note_list,
+            random.Random(),
+        )
+        self._snapshots = log.SnapshotRepublisher(
+            self._log,
+            clock,
+            self._follower,
+            settings.vm.name,
+            self._membership.live_vms,
+            settings.log.retention_seconds,
         )
         self._loads = targets.LoadFollower(
-            self._state.clients, self._state.view, clock, self._note_reclaim
+            self._state.clients,
+            self._state.view,
+            clock,
+            self._gossip.note_reclaim,
         )
         self._callers = transport.HttpServer(
             self._build_callers_app().app,
@@ -46,39 +79,53 @@
             settings.callers.certificate,
             settings.callers.private_key,
         )
+        self._started = anyio.Event()
 
     @property
-    def callers_address(self) -> str:
-        """IP number and port on which callers are served."""
-        return self._callers.address
+    def addresses(self) -> dict[str, str]:
+        """IP number and port of each server, once started."""
+        return {
+            'callers': self._callers.address,
+            'siblings': self._membership.address,
+        }
+
+    async def wait_started(self) -> None:
+        """Wait until every server listens."""
+        await self._started.wait()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follower.run)
-            tasks.start_soon(self._apply_configurations)
-            tasks.start_soon(self._callers.run)
-            _LOGGER.info(
-                'running; name=%s callers=%s',
-                self._settings.vm.name,
-                self.callers_address,
-            )
-            await self._wait_for_signal()
-            await self._stop()
-            tasks.cancel_scope.cancel()
-
-    async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
         ) as signals:
-            async for received in signals:
-                _LOGGER.info('stopping; signal=%s', received.name)
-                return
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(self._membership.run)
+                tasks.start_soon(self._follower.run)
+                tasks.start_soon(self._apply_configurations)
+                tasks.start_soon(self._snapshots.run)
+                tasks.start_soon(self._claims.run)
+                tasks.start_soon(self._vmlist.run)
+                tasks.start_soon(self._gossip.run)
+                tasks.start_soon(self._callers.run)
+                self._started.set()
+                _LOGGER.info(
+                    'running; name=%s callers=%s siblings=%s',
+                    self._settings.vm.name,
+                    self._callers.address,
+                    self._membership.address,
+                )
+                async for received in signals:
+                    _LOGGER.info('stopping; signal=%s', received.name)
+                    break
+                await self._stop()
+                tasks.cancel_scope.cancel()
 
     async def _stop(self) -> None:
+        self._membership.note_stopping()
         deadline = self._clock.now() + self._settings.vm.stop_seconds
         await self._gate.drain(deadline)
         self._callers.stop()
+        await self._claims.flush(self._clock.now() + FLUSH_SECONDS)
         _LOGGER.info('stopped; every request has ended')
 
     async def _apply_configurations(self) -> None:
@@ -94,6 +141,7 @@
                 self._state.limits.apply_deployment(current.deployment)
                 self._admission.apply_deployment(current.deployment)
                 self._loads.apply_deployment(tasks)
+                self._membership.note_configuration()
                 _LOGGER.info(
                     'configuration in force; version=%d digest=%s',
                     version,
@@ -113,18 +161,57 @@
             self._metrics,
         )
 
+    def _build_claims(self) -> log.ClaimBook:
+        name = self._settings.vm.name
+        forwarder = claim_forwarding.SiblingClaims(
+            name, lambda: self._membership
+        )
+        return log.ClaimBook(self._log, name, self._clock, forwarder)
+
+    def _build_membership(self) -> siblings.Membership:
+        settings = self._settings
+        return siblings.Membership(
+            siblings.Identity(settings.vm.name, settings.vm.data_centre),
+            siblings.GrpcLinks(
+                settings.siblings.address, settings.siblings.key
+            ),
+            settings.siblings.seeds,
+            siblings.MembershipCallbacks(
+                lambda: self._follower.current,
+                self._follower.adopt,
+                self._serve_claims,
+            ),
+            self._clock,
+            self._metrics,
+            random.Random(),
+        )
+
+    async def _serve_claims(
+        self, request: siblings.ClaimForward
+    ) -> core.DocumentObject:
+        return await claim_forwarding.serve_claims(self._claims, request)
+
     def _build_callers_app(self) -> callers.CallersApp:
         placer = callers.EnginePlacer(
             self._state,
             self._admission,
             lambda decision: None,
-            lambda crash: None,
+            self._gossip.report_crash,
+        )
+        calls = targets.CallRunner(
+            targets.ServiceClients(),
+            self._claims,
+            self._state.budget,
+            self._clock,
+            self._metrics,
         )
         return callers.CallersApp(
             services.VMServices(
                 self._state,
                 placer,
                 targets.GenerationRunner(placer, self._clock),
+                calls,
+                self._claims,
                 self._follower,
             ),
             self._gate,
@@ -132,6 +219,3 @@
             self._clock,
             self._metrics,
         )
-
-    def _note_reclaim(self, target: str, reclaim_at: float) -> None:
-        self._state.view.set_leaving(target, True)
--- a/tests/laburnumstep/log/recovery.feature
+++ b/tests/laburnumstep/log/recovery.feature
@@ -85,7 +85,7 @@
     And the log has an outage that "vm-1" has noticed
     When the outage ends
     And an operator publishes a deployment with 2 workspaces from 1
-    And 2 seconds pass
+    And the clock advances by 2 seconds
     Then version 2 is in force at "vm-1"
 
   Scenario Outline: A publication whose reply is lost is recognised
--- a/tests/laburnumstep/log/snapshots.feature
+++ b/tests/laburnumstep/log/snapshots.feature
@@ -74,7 +74,7 @@
     And version 1 is in force at "vm-1"
     And a snapshot of "vm-1" is under way
     And the record "text" is appended
-    And 1201 seconds pass
+    And the clock advances by 1201 seconds
     And the snapshot under way arrives
     And "vm-1" reads the log to its end
     And "vm-1" republishes snapshots
--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -103,8 +103,8 @@
     context.log.set_faults(outage=False)
 
 
-@behave.given('{seconds:d} seconds pass')
-@behave.when('{seconds:d} seconds pass')
+@behave.given('the clock advances by {seconds:d} seconds')
+@behave.when('the clock advances by {seconds:d} seconds')
 def step_pass(context: typing.Any, seconds: int) -> None:
     context.portal.call(context.clock.advance, float(seconds))
 
