Cancel generations that nobody reads, and decide retries in one place

Ruled out: cancelling at once, because the caller may be resuming through another VM; gossip about resumes, because a partition would hide one.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
@@ -122,7 +122,9 @@
         generation = self._engine.find(request.path_params['name'])
         if generation is None:
             return responses.JSONResponse({'code': 'unknown'}, 404)
-        self._engine.cancel(generation)
+        unless = request.query_params.get('unless')
+        if unless != 'read' or not generation.readers:
+            self._engine.cancel(generation)
         return responses.JSONResponse({})
 
     async def _report_load(self, request: requests.Request) -> _Answer:
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_generations.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_generations.py
@@ -58,6 +58,8 @@
     """Times it lost its memory."""
     cancel_at: int | None = None
     """Position at which a cancelled generation ends."""
+    readers: int = 0
+    """Streams that follow it."""
     ending: Ending | None = None
     """How it ended, or None while it goes on."""
     ended_at: float = 0.0
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_stream.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_stream.py
@@ -53,10 +53,14 @@
         send: types.Send,
     ) -> None:
         """Write until the generation ends or the requester leaves."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch, receive, tasks.cancel_scope)
-            await self._write(send)
-            tasks.cancel_scope.cancel()
+        self._generation.readers += 1
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch, receive, tasks.cancel_scope)
+                await self._write(send)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._generation.readers -= 1
 
     async def _watch(
         self, receive: types.Receive, scope: anyio.CancelScope
--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -147,12 +147,25 @@
         send = self._state.view.begin(target, generation, '', '', 0, 0.0)
         return EnginePlacement(self._state, send, '', self._report_crash)
 
-    def try_retry(self, request: core.Generation) -> bool:
-        """Tell whether the retry budget allows another attempt."""
-        allowed = self._state.budget.try_spend(self._state.clock.now())
-        name = 'routing.retries' if allowed else 'routing.retries_refused'
-        self._state.metrics.count(name)
-        return allowed
+    def decide_retry(
+        self, request: core.Generation, failed: targets.FailedRun
+    ) -> targets.RetryDecision:
+        """Decide whether a request whose engine failed is tried again."""
+        fingerprint = targets.fingerprint_generation(request)
+        attempt = targets.FailedAttempt(
+            target=failed.target,
+            excluded=failed.excluded,
+            deadline=request.deadline,
+            outcome=failed.outcome,
+            repeatable=True,
+            delivered=failed.delivered,
+            refused=self._state.suspects.is_refused(fingerprint),
+        )
+        now = self._state.clock.now()
+        decision = targets.decide_retry(attempt, self._state.budget, now)
+        name = type(decision).__name__.lower()
+        self._state.metrics.count(f'routing.{name}')
+        return decision
 
     def _describe(
         self,
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -1,5 +1,6 @@
 """Model engines and plain services."""
 
+from laburnumstep.targets._abandoned import AbandonedGenerations
 from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
@@ -16,6 +17,7 @@
 from laburnumstep.targets._engine_events import StreamPosition
 from laburnumstep.targets._engine_events import TokenBatch
 from laburnumstep.targets._engine_events import WrongGeneration
+from laburnumstep.targets._generation_runner import FailedRun
 from laburnumstep.targets._generation_runner import GenerationPlace
 from laburnumstep.targets._generation_runner import GenerationRunner
 from laburnumstep.targets._generation_runner import GenerationSink
@@ -63,6 +65,7 @@
 from laburnumstep.targets._view import FleetView
 
 __all__ = [
+    'AbandonedGenerations',
     'Answered',
     'CacheEvent',
     'CacheEventKind',
@@ -76,6 +79,7 @@
     'EventRate',
     'Failed',
     'FailedAttempt',
+    'FailedRun',
     'Finished',
     'FleetView',
     'GenerationPlace',
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -125,8 +125,19 @@
         Raises:
             StreamBroken: The engine may not have seen the request.
         """
+        await self._delete(f'/v1/generations/{generation}', deadline)
+
+    async def cancel_unread(self, generation: str, deadline: float) -> None:
+        """Cancel a generation unless somebody reads its stream.
+
+        Raises:
+            StreamBroken: The engine may not have seen the request.
+        """
+        path = f'/v1/generations/{generation}?unless=read'
+        await self._delete(path, deadline)
+
+    async def _delete(self, path: str, deadline: float) -> None:
         try:
-            path = f'/v1/generations/{generation}'
             await self._http.request('DELETE', path, deadline)
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
             raise StreamBroken(str(error)) from error
--- a/packages/laburnumstep/src/laburnumstep/targets/_generation_runner.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_generation_runner.py
@@ -4,11 +4,14 @@
 
 import typing
 
+import anyio
 import attrs
 
 from laburnumstep import core
+from laburnumstep.targets import _abandoned
 from laburnumstep.targets import _engine_client
 from laburnumstep.targets import _engine_events
+from laburnumstep.targets import _retry_decisions
 
 SILENCE_SECONDS = 3.0
 """Silence after which a stream is opened again, in seconds."""
@@ -56,6 +59,20 @@
         ...
 
 
+@attrs.frozen
+class FailedRun:
+    """A generation whose engine failed."""
+
+    target: str
+    """Name of the engine."""
+    excluded: frozenset[str]
+    """Engines on which it failed before."""
+    outcome: core.Outcome
+    """Whether an engine began it."""
+    delivered: int
+    """Tokens that the caller has received."""
+
+
 class Placer(typing.Protocol):
     """Finds engines for generations and learns what became of them."""
 
@@ -69,8 +86,10 @@
         """
         ...
 
-    def try_retry(self, request: core.Generation) -> bool:
-        """Tell whether the retry budget allows another attempt."""
+    def decide_retry(
+        self, request: core.Generation, failed: FailedRun
+    ) -> _retry_decisions.RetryDecision:
+        """Decide whether a request whose engine failed is tried again."""
         ...
 
 
@@ -291,11 +310,18 @@
     Args:
         placer: Finds engines.
         clock: The time.
+        abandoned: Takes generations whose callers are gone.
     """
 
-    def __init__(self, placer: Placer, clock: core.Clock) -> None:
+    def __init__(
+        self,
+        placer: Placer,
+        clock: core.Clock,
+        abandoned: _abandoned.AbandonedGenerations,
+    ) -> None:
         self._placer = placer
         self._clock = clock
+        self._abandoned = abandoned
 
     async def run(
         self, request: core.Generation, sink: GenerationSink
@@ -322,11 +348,15 @@
             try:
                 await attempt.run()
                 return
+            except anyio.get_cancelled_exc_class():
+                self._abandoned.add(attempt.target, attempt.generation)
+                raise
             except (EngineLost, EngineGaveUp) as error:
                 started = started or attempt.started
-                excluded |= {placement.target}
                 await attempt.abandon()
-                self._check_retry(request, attempt, started, error)
+                excluded = self._exclude(
+                    request, attempt, excluded, started, error
+                )
 
     async def resume(
         self,
@@ -352,48 +382,58 @@
         try:
             tokens = await follower.resume(deadline)
             await sink.finish(placement.generation, tokens)
+        except anyio.get_cancelled_exc_class():
+            self._abandoned.add(placement.target, placement.generation)
+            raise
         except EngineLost as error:
             raise _lost_error(error, self._clock.now()) from error
         except EngineGaveUp as error:
-            if error.code == 'cancelled':
+            if _is_cancelled(error):
                 raise _cancelled_error() from error
             raise _lost_error(error, self._clock.now()) from error
         finally:
             # The length of a resumed answer is learned where it began.
             placement.release(complete=False)
 
-    def _check_retry(
+    def _exclude(
         self,
         request: core.Generation,
         attempt: _Attempt,
+        excluded: frozenset[str],
         started: bool,
         error: EngineLost | EngineGaveUp,
-    ) -> None:
-        ended = core.Outcome.RAN if started else core.Outcome.NOT_RUN
-        if isinstance(error, EngineGaveUp) and error.code == 'cancelled':
+    ) -> frozenset[str]:
+        """Return the engines to avoid, or raise when there is no retry."""
+        if _is_cancelled(error):
             raise _cancelled_error() from error
-        if attempt.delivered:
-            raise _lost_error(error, self._clock.now()) from error
-        if self._clock.now() >= request.deadline:
-            raise core.CodedError(
-                core.ErrorCode.DEADLINE_EXCEEDED,
-                f'the deadline passed after a failure: {error}',
-                ended,
-            ) from error
-        if not self._placer.try_retry(request):
-            raise core.CodedError(
-                core.ErrorCode.TARGET_FAILED,
-                f'the engine failed and the retry budget is spent: {error}',
-                ended,
-                resend=True,
-                resend_at=self._clock.now() + 1.0,
-            ) from error
-        _LOGGER.info(
-            'retry; request=%s failed=%s reason=%s',
-            request.key,
-            attempt.target,
-            error,
+        outcome = core.Outcome.RAN if started else core.Outcome.NOT_RUN
+        failed = FailedRun(
+            attempt.target, excluded, outcome, attempt.delivered
         )
+        decision = self._placer.decide_retry(request, failed)
+        match decision:
+            case _retry_decisions.Retry():
+                _LOGGER.info(
+                    'retry; request=%s failed=%s reason=%s',
+                    request.key,
+                    attempt.target,
+                    error,
+                )
+                return decision.excluded
+            case _retry_decisions.GiveUp():
+                raise core.CodedError(
+                    decision.code,
+                    f'the engine failed: {error}',
+                    decision.outcome,
+                    decision.resend,
+                    self._clock.now() if decision.resend else None,
+                ) from error
+            case _:
+                typing.assert_never(decision)
+
+
+def _is_cancelled(error: Exception) -> bool:
+    return isinstance(error, EngineGaveUp) and error.code == 'cancelled'
 
 
 def _lost_error(error: Exception, now: float) -> core.CodedError:
@@ -435,13 +475,21 @@
         self._follower = StreamFollower(
             clock, placement, self._position, self._deliver
         )
-        self.delivered = False
+        self._announced = False
         self.started = True
 
     @property
     def target(self) -> str:
         return self._placement.target
 
+    @property
+    def generation(self) -> str:
+        return self._position.generation
+
+    @property
+    def delivered(self) -> int:
+        return self._position.following if self._announced else 0
+
     async def run(self) -> None:
         complete = False
         request = self._request
@@ -454,7 +502,7 @@
         )
         try:
             tokens = await self._follower.start(start, request.deadline)
-            if self._held or not self.delivered:
+            if not self._announced:
                 await self._announce()
                 await self._sink.send(self._held)
             await self._sink.finish(self._position.generation, tokens)
@@ -479,7 +527,7 @@
             _LOGGER.info('cancel was not confirmed; reason=%s', error)
 
     async def _announce(self) -> None:
-        self.delivered = True
+        self._announced = True
         self._follower.unreachable_seconds = SHOWN_UNREACHABLE_SECONDS
         await self._sink.accept(
             PlacedGeneration(
@@ -492,7 +540,7 @@
             case core.Delivery.WHOLE:
                 self._held.extend(events)
             case core.Delivery.STREAM:
-                if not self.delivered:
+                if not self._announced:
                     await self._announce()
                 await self._sink.send(events)
             case _:
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -49,6 +49,9 @@
             self._state.lengths,
             metrics=self._metrics,
         )
+        self._abandoned = targets.AbandonedGenerations(
+            self._state.clients, clock
+        )
         self._membership = self._build_membership()
         self._gossip = routing_gossip.RoutingGossip(
             self._state, self._membership, settings.vm.name
@@ -106,6 +109,7 @@
                 tasks.start_soon(self._claims.run)
                 tasks.start_soon(self._vmlist.run)
                 tasks.start_soon(self._gossip.run)
+                tasks.start_soon(self._abandoned.run)
                 tasks.start_soon(self._callers.run)
                 self._started.set()
                 _LOGGER.info(
@@ -209,7 +213,7 @@
             services.VMServices(
                 self._state,
                 placer,
-                targets.GenerationRunner(placer, self._clock),
+                targets.GenerationRunner(placer, self._clock, self._abandoned),
                 calls,
                 self._claims,
                 self._follower,
--- a/tests/laburnumstep/targets/steps/generation_steps.py
+++ b/tests/laburnumstep/targets/steps/generation_steps.py
@@ -200,7 +200,9 @@
         lambda decision: None,
         lambda crash: None,
     )
-    return targets.GenerationRunner(placer, context.clock), placer
+    abandoned = targets.AbandonedGenerations(context.clients, context.clock)
+    runner = targets.GenerationRunner(placer, context.clock, abandoned)
+    return runner, placer
 
 
 @behave.then('the answer is "{answer}"')
