Add diff, status, explain and drain to the operators' command line

Cause: operators need to see what a document would change, what is in force at each VM, why a request went where it did, and to drain.

A document is read item by item, so one bad item hides no other finding.

--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_checks.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_checks.py
@@ -92,7 +92,7 @@
         if deployment.find_region(target.data_centre) is None:
             message = f'data centre {target.data_centre} is not declared'
             yield Problem(item, 'unknown_data_centre', message)
-        if not _is_address(target.address):
+        if not is_address(target.address):
             message = f'{target.address!r} must be <IP number>:<port>'
             yield Problem(item, 'bad_address', message)
         first = owners.setdefault(target.address, name)
@@ -179,7 +179,8 @@
             yield Problem(item, 'bad_value', message)
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP number and a port."""
     host, _, port = text.rpartition(':')
     try:
         ipaddress.ip_address(host.strip('[]'))
--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -34,8 +34,12 @@
 from laburnumstep.log._publications import SnapshotHeader
 from laburnumstep.log._publisher import ConfigurationPublisher
 from laburnumstep.log._publisher import Conflict
+from laburnumstep.log._publisher import NotNeeded
+from laburnumstep.log._publisher import Prepared
+from laburnumstep.log._publisher import PrepareResult
 from laburnumstep.log._publisher import Published
 from laburnumstep.log._publisher import PublishResult
+from laburnumstep.log._publisher import WrongDeployment
 from laburnumstep.log._records import LogPage
 from laburnumstep.log._records import LogRecord
 from laburnumstep.log._replay import ConfigurationReplay
@@ -66,7 +70,10 @@
     'LogRecord',
     'LogUnavailable',
     'NoSnapshot',
+    'NotNeeded',
     'NotValidYet',
+    'PrepareResult',
+    'Prepared',
     'Publication',
     'PublishResult',
     'Published',
@@ -86,6 +93,7 @@
     'SnapshotHeader',
     'SnapshotRepublisher',
     'Taken',
+    'WrongDeployment',
     'apply_changes',
     'decide_snapshot',
     'diff_deployments',
--- a/packages/laburnumstep/src/laburnumstep/log/_publisher.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_publisher.py
@@ -38,7 +38,34 @@
     """Version in force."""
 
 
-PublishResult = Published | Conflict
+@attrs.frozen
+class NotNeeded:
+    """The deployment is in force already."""
+
+    version: int
+    """Version in force."""
+
+
+@attrs.frozen
+class WrongDeployment:
+    """The log belongs to another deployment."""
+
+    in_force: str
+    """Name of the deployment in force."""
+
+
+@attrs.frozen
+class Prepared:
+    """A publication that follows the version in force."""
+
+    base: core.Deployment
+    """The deployment in force."""
+    publication: _publications.Publication
+    """What is to be appended."""
+
+
+PrepareResult = Prepared | Conflict | NotNeeded | WrongDeployment
+PublishResult = Published | Conflict | NotNeeded | WrongDeployment
 
 
 class ConfigurationPublisher:
@@ -88,13 +115,13 @@
             )
         return self._replay.state
 
-    async def publish(
+    async def prepare(
         self,
         deployment: core.Deployment,
         made_from: int,
         deadline: float,
-    ) -> PublishResult:
-        """Publish a deployment as the version after `made_from`.
+    ) -> PrepareResult:
+        """Make the publication of a deployment, and append nothing.
 
         Args:
             deployment: What is to be in force.
@@ -102,23 +129,52 @@
             deadline: When to give up, in epoch seconds.
 
         Raises:
-            LogUnavailable: The log did not answer before the deadline; if
-                `may_have_landed`, the publication may be in force.
+            LogUnavailable: As `read_in_force`.
             CodedError: As `read_in_force`.
         """
         state = await self.read_in_force(deadline)
+        base = state.deployment if state else core.Deployment('')
         in_force = state.version if state else 0
+        if state and base.name != deployment.name:
+            return WrongDeployment(base.name)
         if in_force != made_from:
             return Conflict(made_from, in_force)
-        base = state.deployment if state else core.Deployment('')
+        changes = _changes.diff_deployments(base, deployment)
+        if state and not changes:
+            return NotNeeded(in_force)
         publication = _publications.Publication(
             deployment.name,
             made_from + 1,
             made_from,
             secrets.token_hex(_NONCE_BYTES),
-            _changes.diff_deployments(base, deployment),
+            changes,
         )
-        return await self._append(publication, deadline)
+        return Prepared(base, publication)
+
+    async def publish(
+        self,
+        deployment: core.Deployment,
+        made_from: int,
+        deadline: float,
+    ) -> PublishResult:
+        """Publish a deployment as the version after `made_from`.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version from which it was made; 0 for the first.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: The log did not answer before the deadline; if
+                `may_have_landed`, the publication may be in force.
+            CodedError: As `read_in_force`.
+        """
+        prepared = await self.prepare(deployment, made_from, deadline)
+        match prepared:
+            case Prepared(publication=publication):
+                return await self._append(publication, deadline)
+            case _:
+                return prepared
 
     async def _append(
         self, publication: _publications.Publication, deadline: float
--- /dev/null
+++ b/tests/laburnumstep_operator/steps/commands_steps.py
@@ -0,0 +1,159 @@
+"""Steps for the operators' commands."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import shlex
+import tempfile
+import typing
+
+import attrs
+import behave
+
+from laburnumstep import core
+from laburnumstep import log
+from laburnumstep import transport
+from laburnumstep_operator import cli
+from laburnumstep_standins import log as log_standin
+from support import clocks
+from support import deployments
+from support import hooks
+from support import operators_interface
+from typer import testing
+
+
+def find_stream(context: typing.Any) -> typing.Any:
+    return context.log.find_stream(log.CONFIGURATION_STREAM)
+
+
+@behave.given('a log')
+def step_log(context: typing.Any) -> None:
+    context.log = log_standin.LogStandIn(clocks.ObservedClock())
+    context.server = hooks.enter(context, transport.serve_app(context.log.app))
+
+
+@behave.given('the fault {fault}')
+def step_fault(context: typing.Any, fault: str) -> None:
+    context.log.set_faults(**json.loads(fault))
+
+
+@behave.given('version {version:d} of "cuadrilla" is in force')
+def step_in_force(context: typing.Any, version: int) -> None:
+    new = deployments.make_deployment()
+    known = core.Deployment('')
+    for number in range(version):
+        changes = log.diff_deployments(known, new)
+        publication = log.Publication(
+            'cuadrilla', number + 1, number, f'n{number}', changes
+        )
+        record = log.encode_publication(publication)
+        context.portal.call(find_stream(context).append, [record])
+        known = new
+
+
+def make_document(kind: str) -> typing.Any:
+    deployment = deployments.make_deployment()
+    if kind == 'omake':
+        deployment = deployments.make_deployment('omake')
+    if kind == 'two drained':
+        targets = {
+            name: attrs.evolve(target, leaving=True)
+            for name, target in deployment.targets.items()
+        }
+        deployment = attrs.evolve(deployment, targets=targets)
+    document = core.encode_document(deployment)
+    if kind == 'mistakes':
+        document['extra'] = 1
+        document['targets']['gang-1']['kv_tokens'] = 'many'
+        document['targets']['booking-1']['service'] = 'bookings'
+        document['workspaces']['workspace-0']['key_digest'] = 'secret'
+        document['places']['lima'] = 7
+    return document
+
+
+def write(context: typing.Any, text: str) -> None:
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.document = pathlib.Path(folder) / 'document.json'
+    context.document.write_text(text)
+
+
+@behave.given('a document of "{kind}"')
+def step_document(context: typing.Any, kind: str) -> None:
+    write(context, json.dumps(make_document(kind)))
+
+
+@behave.given('a document with the text {text}')
+def step_text(context: typing.Any, text: str) -> None:
+    write(context, text)
+
+
+@behave.given('VMs that are "{kinds}"')
+def step_vms(context: typing.Any, kinds: str) -> None:
+    context.vms = []
+    context.at = []
+    for kind in kinds.split(', '):
+        if kind == 'down':
+            # Nothing listens on port 1 of loopback.
+            context.at.append('127.0.0.1:1')
+            continue
+        fault = '' if kind.startswith('at ') else kind
+        version = int(kind[3:]) if kind.startswith('at ') else 0
+        vm = operators_interface.FakeVM(version, fault)
+        server = hooks.enter(context, transport.serve_app(vm.app))
+        context.vms.append(vm)
+        context.at.append(server.address)
+
+
+@behave.when('the operator runs: {command}')
+def step_run(context: typing.Any, command: str) -> None:
+    # An option given twice counts as given last; the row's own comes last.
+    words = shlex.split(command)
+    if words.count('--key') == 2:
+        index = len(words) - words[::-1].index('--key') - 1
+        del words[index : index + 2]
+    arguments = []
+    for word in words:
+        match word:
+            case 'DOCUMENT':
+                arguments.append(str(context.document))
+            case 'LOG':
+                arguments.append(context.server.address)
+            case 'AT':
+                for address in context.at:
+                    arguments += ['--at', address]
+            case _:
+                arguments.append(word)
+    runner = testing.CliRunner(env={'TERMINAL_WIDTH': '200'})
+    context.result = runner.invoke(cli.app, arguments)
+
+
+@behave.then('the exit status is {status:d}')
+def step_status(context: typing.Any, status: int) -> None:
+    result = context.result
+    assert result.exit_code == status, (result.exit_code, result.output)
+
+
+@behave.then('the output has "{text}"')
+def step_output(context: typing.Any, text: str) -> None:
+    assert text in context.result.output, context.result.output
+
+
+@behave.then('the log holds {count:d} records')
+def step_records(context: typing.Any, count: int) -> None:
+    assert find_stream(context).end == count
+
+
+@behave.then('the findings are "{codes}"')
+def step_findings(context: typing.Any, codes: str) -> None:
+    findings = json.loads(context.result.output)['findings']
+    found = sorted(finding['code'] for finding in findings)
+    assert found == sorted(codes.split()), findings
+
+
+@behave.then('the VMs took "{counts}" orders to drain {order}')
+def step_drained(context: typing.Any, counts: str, order: str) -> None:
+    taken = ' '.join(str(len(vm.drained)) for vm in context.vms)
+    assert taken == counts, taken
+    orders = [item for vm in context.vms for item in vm.drained]
+    assert orders == [json.loads(order)], orders
--- /dev/null
+++ b/tests/support/operators_interface.py
@@ -0,0 +1,65 @@
+"""A small fake of the operators' interface of a VM."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+KEY = 'operators-test-key'
+
+
+class FakeVM:
+    """Answers as a VM does, or with a fault.
+
+    Args:
+        version: Version that it claims to have in force.
+        fault: `refuses`, `crashes` or `garbles`; empty for none.
+    """
+
+    def __init__(self, version: int, fault: str = '') -> None:
+        self._version = version
+        self._fault = fault
+        self.drained: list[typing.Any] = []
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route('/v1/status', self._status),
+                routing.Route('/v1/decisions/{request}', self._decision),
+                routing.Route('/v1/drain', self._drain, methods=['POST']),
+            ]
+        )
+
+    async def _status(self, request: requests.Request) -> responses.Response:
+        body = {'version': self._version, 'digest': f'd{self._version}'}
+        return self._answer(request, body)
+
+    async def _decision(self, request: requests.Request) -> responses.Response:
+        if request.path_params['request'] != '1764800000000-5f2c9a01':
+            error = {'code': 'not_found', 'message': 'no such request'}
+            return responses.JSONResponse({'error': error}, 404)
+        body = {'target': 'gang-1', 'reason': 'least memory in use'}
+        return self._answer(request, body)
+
+    async def _drain(self, request: requests.Request) -> responses.Response:
+        order = json.loads(await request.body())
+        answer = self._answer(request, {})
+        if answer.status_code == 200:
+            self.drained.append(order)
+        return answer
+
+    def _answer(
+        self, request: requests.Request, body: dict[str, typing.Any]
+    ) -> responses.Response:
+        if self._fault == 'garbles':
+            return responses.PlainTextResponse('<html>')
+        if self._fault == 'crashes':
+            return responses.PlainTextResponse('', 500)
+        wrong_key = request.headers['authorization'] != f'Bearer {KEY}'
+        if self._fault == 'refuses' or wrong_key:
+            error = {'code': 'unauthorized', 'message': 'wrong key'}
+            return responses.JSONResponse({'error': error}, 401)
+        return responses.JSONResponse(body)
