Tighten three scenarios that did not notice a broken mechanism

Quoting of a request's key, the log's waiting read and its loss of records could be broken by hand without a failing scenario. Each is now seen failing with the mechanism broken.

--- a/tests/laburnumstep_operator/commands.feature
+++ b/tests/laburnumstep_operator/commands.feature
@@ -95,7 +95,7 @@
       | at 3, at 3            | explain 1764800000000-5f2c9a01           | 0      | reason: least memory in use   |
       | down, at 3            | explain 1764800000000-5f2c9a01           | 0      | target: gang-1                |
       | at 3, at 3            | explain 1764800000000-ffffffff           | 1      | no VM remembers               |
-      | at 3, at 3            | explain ../status                        | 1      | no VM remembers               |
+      | at 3, at 3            | explain 1764800000000-5f2c9a01?x         | 1      | no VM remembers               |
       | down, at 3            | drain --target gang-1                    | 0      | gang-1 is draining            |
       | refuses, crashes      | drain --vm vm-7                          | 1      | no VM accepted to drain vm-7  |
       | at 3                  | drain --vm vm-7 --target gang-1          | 2      | either --target or --vm       |
--- a/tests/laburnumstep_standins/log/log.feature
+++ b/tests/laburnumstep_standins/log/log.feature
@@ -66,3 +66,5 @@
     When the stream is read from 0 with at most 10 records
     Then the offsets are "0" with next 1, first 0, end 1
     And the next append lands at 1
+    When the stream is read from 0 with at most 10 records
+    Then the offsets are "0 1" with next 2, first 0, end 2
--- a/tests/laburnumstep_standins/log/steps/log_steps.py
+++ b/tests/laburnumstep_standins/log/steps/log_steps.py
@@ -123,6 +123,14 @@
 async def read_and_append(context: typing.Any) -> typing.Any:
     deadline = context.clock.now() + clocks.WAIT_SECONDS
     pages = []
+    arrived = anyio.Event()
+    find_stream = context.log.find_stream
+
+    def find_and_signal(name: str) -> log.Stream:
+        arrived.set()
+        return find_stream(name)
+
+    context.log.find_stream = find_and_signal
 
     async def read() -> None:
         path = f'{PATH}?from=0&wait=20'
@@ -131,6 +139,7 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(read)
+        await arrived.wait()
         body = {'records': [{}]}
         await context.client.request('POST', PATH, deadline, body)
     return pages[0]
