--- a/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
@@ -9,8 +9,12 @@
 from laburnumstep import core
 from laburnumstep import log
 from laburnumstep.targets import _service_client
+from laburnumstep.targets import _suspects
 
 _LOGGER = core.get_logger('targets')
+_DIGEST_CHARACTERS = 12
+"""Part of the fingerprint that a claim carries; it only has to tell apart
+requests with the same key, and every claim is stored and sent."""
 _QUERY_SECONDS = 2.0
 """Longest time for an outcome query, in seconds."""
 _RESEND_SECONDS = 1.0
@@ -107,7 +111,7 @@
         operation: core.Operation,
         targets: list[core.ServiceTarget],
     ) -> core.CallResult:
-        request = _service_client.digest_call(call)
+        request = _suspects.fingerprint_call(call)[:_DIGEST_CHARACTERS]
         answer = await self._claims.claim(
             call.key, call.workspace, call.deadline, request
         )
