Found a history anew when nobody knows the configuration

Cause: once every VM and every record that told the configuration is gone, no publication could ever be accepted again, because a reader that does not know the version in force accepts none.

A page that only moved the reader on no longer makes the follower pause. The follower counts verdicts and failed reads. JSON nested too deeply is a broken exchange and no longer ends the task that reads it.

Seen failing first: the scenario of founding waited for ever in the follower's pause.

--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_configuration_commands.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_configuration_commands.py
@@ -79,6 +79,15 @@
     dry_run: typing.Annotated[
         bool, typer.Option(help='Show the changes and publish nothing.')
     ] = False,
+    found: typing.Annotated[
+        bool,
+        typer.Option(
+            '--found',
+            help='Begin anew when neither the log nor a VM tells the'
+            ' version in force. Give the highest version that was ever in'
+            ' force as --made-from.',
+        ),
+    ] = False,
     timeout: _options.Timeout = 15.0,
     as_json: _options.Json = False,
 ) -> None:
@@ -98,6 +107,8 @@
     ) -> log.PrepareResult | log.Published:
         if dry_run:
             return await publisher.prepare(deployment, made_from, deadline)
+        if found:
+            return await publisher.found(deployment, made_from, deadline)
         return await publisher.publish(deployment, made_from, deadline)
 
     result = _ask_log(run, log_address, timeout, as_json)
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
@@ -5,6 +5,7 @@
 import json
 import typing
 
+import anyio
 import attrs
 from starlette import applications
 from starlette import requests
@@ -99,6 +100,9 @@
     async def _read(self, request: requests.Request) -> responses.Response:
         if self.faults.outage:
             return responses.JSONResponse({'code': 'outage'}, 503)
+        if self.faults.stalled_reads > 0:
+            self.faults.stalled_reads -= 1
+            await anyio.sleep_forever()
         name = request.path_params['stream']
         stream = self.find_stream(name)
         start = int(request.query_params.get('from', '0'))
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/log/_streams.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/_streams.py
@@ -22,6 +22,8 @@
     """Appends to come whose connection is cut after they took effect."""
     hold_reads: bool = False
     """Answers reads as if nothing had been appended since."""
+    stalled_reads: int = 0
+    """Reads to come that are never answered."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/log/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_client.py
@@ -100,7 +100,7 @@
             raise LogUnavailable(message, reply.status >= 500)
         try:
             return AppendedAt(int(reply.body['first_offset']))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, OverflowError, TypeError, ValueError) as error:
             message = f'the log sent a reply that is malformed: {error!r}'
             raise LogUnavailable(message, True) from error
 
@@ -137,7 +137,7 @@
             raise LogUnavailable(message, False)
         try:
             return _codec.decode_page(reply.body)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, OverflowError, TypeError, ValueError) as error:
             message = f'the log sent a page that is malformed: {error!r}'
             raise LogUnavailable(message, False) from error
 
--- a/packages/laburnumstep/src/laburnumstep/log/_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_follower.py
@@ -57,6 +57,7 @@
         clock: Tells the deadlines of reads and retries.
         stream: Name of the stream.
         chooser: Source of the jitter of retries.
+        metrics: Counts verdicts and failed reads; None for none.
     """
 
     def __init__(
@@ -65,8 +66,10 @@
         clock: core.Clock,
         stream: str = CONFIGURATION_STREAM,
         chooser: random.Random | None = None,
+        metrics: core.Metrics | None = None,
     ) -> None:
         self._client = client
+        self._metrics = metrics or core.Metrics(None, '')
         self._clock = clock
         self._stream = stream
         self._random = chooser or random.Random()
@@ -100,7 +103,7 @@
         """Read the stream until cancelled."""
         failures = 0
         while True:
-            replay = self._replay
+            replay, position = self._replay, self._replay.position
             # Measures the log's wait, which a clock set by hand does not.
             started_at = anyio.current_time()
             try:
@@ -116,8 +119,8 @@
             if replay is self._replay:
                 self._take_page(page)
             waited = anyio.current_time() - started_at
-            idle = not page.records and replay is self._replay
-            if idle and waited < MIN_POLL_SECONDS:
+            unmoved = replay is self._replay and replay.position == position
+            if unmoved and waited < MIN_POLL_SECONDS:
                 resume_at = self._clock.now() + MIN_POLL_SECONDS
                 await self._clock.sleep_until(resume_at)
 
@@ -171,6 +174,7 @@
     async def _back_off(
         self, failures: int, error: _client.LogUnavailable
     ) -> None:
+        self._metrics.count('configuration.failed_reads')
         if failures == 0:
             _logger.warning('reads of %s fail: %s', self._stream, error)
         longest = min(MAX_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2**failures)
@@ -245,6 +249,9 @@
         self._advanced = anyio.Event()
 
     def _report(self, offset: int, verdict: _replay.Verdict) -> None:
+        if not isinstance(verdict, _replay.Unchanged):
+            name = type(verdict).__name__.lower()
+            self._metrics.count(f'configuration.{name}')
         match verdict:
             case _replay.Accepted(version=version):
                 _logger.info('accepted version %d at %d', version, offset)
@@ -294,6 +301,7 @@
             state.digest,
             source,
         )
+        self._metrics.set_gauge('configuration.version', state.version)
         self._changed.set()
         self._changed = anyio.Event()
 
--- a/packages/laburnumstep/src/laburnumstep/log/_publications.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_publications.py
@@ -11,7 +11,13 @@
     from laburnumstep.log import _changes
 
 RESTORED_THROUGH = -1
-"""`through` of a snapshot that restores a version which the log lost."""
+"""`through` of a snapshot by which a VM restores a version that the log
+lost.
+"""
+FOUNDED_THROUGH = -2
+"""`through` of a snapshot by which operators found a history anew when no
+VM and no retained record tells the configuration.
+"""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/log/_publisher.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_publisher.py
@@ -176,6 +176,41 @@
             case _:
                 return prepared
 
+    async def found(
+        self, deployment: core.Deployment, made_from: int, deadline: float
+    ) -> Published | Conflict:
+        """Found a history anew, where the log tells no version in force.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version that no earlier one exceeded. A VM that still
+                holds a later one would refuse the new history.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: As `publish`.
+        """
+        try:
+            state = await self.read_in_force(deadline)
+        except core.CodedError as error:
+            if error.code is not core.ErrorCode.NO_CONFIGURATION:
+                raise
+        else:
+            return Conflict(made_from, state.version if state else 0)
+        version = made_from + 1
+        founded = core.VersionedDeployment(
+            version,
+            core.digest_deployment(deployment),
+            _publications.FOUNDED_THROUGH,
+            deployment,
+        )
+        record = _configuration_codec.encode_snapshot(founded)
+        await self._client.append(self._stream, [record], deadline)
+        in_force = await self.read_in_force(deadline)
+        if in_force and in_force.digest == founded.digest:
+            return Published(in_force.version)
+        return Conflict(made_from, in_force.version if in_force else 0)
+
     async def _append(
         self, publication: _publications.Publication, deadline: float
     ) -> PublishResult:
--- a/packages/laburnumstep/src/laburnumstep/log/_replay.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_replay.py
@@ -94,6 +94,9 @@
 
     A snapshot whose `through` is `RESTORED_THROUGH` holds from its own
     offset on where it is newer. VMs append it after the log lost records.
+    One whose `through` is `FOUNDED_THROUGH` also holds where no version is
+    known. Operators give it a version above any earlier one, so that both
+    kinds of readers come to the same.
     """
 
     def __init__(self) -> None:
@@ -134,7 +137,7 @@
         Returns:
             Whether the configuration could be connected to the records.
         """
-        if state.through == _publications.RESTORED_THROUGH:
+        if state.through < 0:
             return False
         if state.through + 1 >= self._position:
             self._position = state.through + 1
@@ -172,12 +175,16 @@
         match record:
             case _publications.Snapshot(header=header) if (
                 self._searched_from - 1 <= header.through < offset
+                or header.through == _publications.FOUNDED_THROUGH
             ):
                 state = _read_snapshot(record)
                 if isinstance(state, Unusable):
                     return state
+                founded = header.through == _publications.FOUNDED_THROUGH
+                if founded:
+                    state = attrs.evolve(state, through=offset)
                 self._start_from(state)
-                return Loaded(header.version, False)
+                return Loaded(header.version, founded)
             case _:
                 self._waiting.append((offset, record))
                 return Unchanged()
@@ -211,7 +218,10 @@
     ) -> Verdict:
         header = snapshot.header
         newer = header.version > state.version
-        if header.through == _publications.RESTORED_THROUGH:
+        if header.through in (
+            _publications.RESTORED_THROUGH,
+            _publications.FOUNDED_THROUGH,
+        ):
             if not newer:
                 return Unchanged()
             restored = _read_snapshot(snapshot)
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -136,5 +136,5 @@
         return None
     try:
         return json.loads(content)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ExchangeFailed(f'{address}: the answer is no JSON') from error
--- a/tests/laburnumstep/log/recovery.feature
+++ b/tests/laburnumstep/log/recovery.feature
@@ -147,3 +147,37 @@
     And a VM "vm-2" that was given version 1 with 1 workspaces through 1
     When "vm-1" appends a snapshot of its configuration
     Then version 2 is in force at "vm-2"
+
+  Scenario: Operators found a history when nobody knows the configuration
+    Guards against a deployment that can never be configured again once
+    every record and every VM that knew the configuration is gone.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And the log drops the first 1 records
+    And a VM "vm-2"
+    And "vm-2" reads the log to its end
+    When an operator founds version 2 with 3 workspaces
+    Then version 2 is in force at "vm-2"
+    And version 2 is in force at "vm-1"
+    And an operator publishes a deployment with 4 workspaces from 2
+    And version 3 is in force at "vm-1"
+    And version 3 is in force at "vm-2"
+
+  Scenario: Nobody founds a history while the log tells the version
+    Given an operator publishes a deployment with 1 workspaces from 0
+    When an operator founds version 8 with 3 workspaces
+    Then the operator is told that version 1 is in force
+
+  Scenario: A read that is never answered is given up
+    Guards against a VM that waits on a dead connection while versions go
+    into force elsewhere. The machine's clock runs here.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And the next 1 reads are never answered
+    When a VM "vm-2" starts with the machine's clock
+    Then version 1 is in force at "vm-2"
+
+  Scenario: A lost reply followed by an outage
+    Given the next 1 replies to appends are lost
+    And the log has an outage after the next append
+    When an operator publishes in steps of time
+    Then the publication is in force as version 1
+    And the log holds 1 records
--- a/tests/laburnumstep/log/steps/configuration_steps.py
+++ b/tests/laburnumstep/log/steps/configuration_steps.py
@@ -66,7 +66,16 @@
 @behave.given('a VM "{name}"')
 @behave.when('a VM "{name}" starts')
 def step_vm(context: typing.Any, name: str) -> None:
-    follower = log.ConfigurationFollower(make_client(context), context.clock)
+    start_vm(context, name, context.clock)
+
+
+@behave.when('a VM "{name}" starts with the machine\'s clock')
+def step_vm_real(context: typing.Any, name: str) -> None:
+    start_vm(context, name, core.SystemClock())
+
+
+def start_vm(context: typing.Any, name: str, clock: core.Clock) -> None:
+    follower = log.ConfigurationFollower(make_client(context), clock)
     context.followers[name] = follower
     hooks.enter(context, run_follower(follower))
 
--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -235,3 +235,49 @@
 ) -> None:
     current = context.followers[name].current
     assert (current.version, current.through) == (version, through), current
+
+
+@behave.when(
+    'an operator founds version {version:d} with {count:d} workspaces'
+)
+def step_found(context: typing.Any, version: int, count: int) -> None:
+    client = log.LogClient(context.server.address, context.clock)
+    publisher = log.ConfigurationPublisher(client, context.clock)
+    context.results = [
+        context.portal.call(
+            publisher.found,
+            deployments.make_deployment(workspaces=count),
+            version - 1,
+            context.clock.now() + LIMIT_SECONDS,
+        )
+    ]
+
+
+@behave.then('the operator is told that version {version:d} is in force')
+def step_told(context: typing.Any, version: int) -> None:
+    assert context.results[0].in_force == version, context.results
+
+
+@behave.given('the next {count:d} reads are never answered')
+def step_stall(context: typing.Any, count: int) -> None:
+    context.portal.call(
+        clocks.await_bounded,
+        context.followers['vm-1'].wait_for_version,
+        1,
+    )
+    context.log.set_faults(stalled_reads=count)
+
+
+@behave.given('the log has an outage after the next append')
+def step_outage_after(context: typing.Any) -> None:
+    stream = find_stream(context)
+    sleeps = context.clock.sleeps
+
+    async def fail_for_a_while() -> None:
+        await stream.wait_beyond(stream.end, LIMIT_SECONDS)
+        context.log.set_faults(outage=True)
+        # The VM and the publisher have each met the outage.
+        await context.clock.wait_for_sleeps(sleeps + 3)
+        context.log.set_faults(outage=False)
+
+    context.portal.start_task_soon(fail_for_a_while)
