Run random schedules of faults against three claim books

Cause: the fault table holds the combinations that were thought of.

Change: a seeded schedule posts and resends twelve keys through three VMs while VMs die and pause, the log fails or loses replies, the service fails, refuses or delays, and VMs take each other for owners at random. At the end no key has two effects, "not_run" was only said of keys without effect, and every answered posting took effect. A caller resends a key no earlier than 2 s after its issue, as the claim book's FRESH_SECONDS assumes.

Found: a partition waited for ever for an owner that took a batch and died. The wait for an owner is now bounded by the partition itself and does not rely on the forwarder.

--- a/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
@@ -186,22 +186,10 @@
         # different beliefs do not pass them back and forth.
         if not forwarder or not owner or not all(w.own for w in batch):
             return False
-        until = self._clock.now() + _FORWARD_SECONDS
-        records = [work.record for work in batch]
         self._outbox.await_claims(batch)
-        try:
-            answers = await forwarder.forward(
-                owner,
-                _claims_forward.ForwardedRecords(self._number, records, until),
-            )
-        except core.CodedError as error:
-            _LOGGER.warning(
-                'partition %d: owner %s failed (%s); appending here',
-                self._number,
-                owner,
-                error,
-            )
-            return False
+        answers = await self._ask_owner(
+            forwarder, owner, [work.record for work in batch]
+        )
         if not _are_complete(batch, answers):
             return False
         self._outbox.confirm(batch)
@@ -210,6 +198,33 @@
             self._outbox.answer(work.record.nonce, answer)
         return True
 
+    async def _ask_owner(
+        self,
+        forwarder: _claims_forward.ClaimForwarder,
+        owner: str,
+        records: list[_claims_records.ClaimsRecord],
+    ) -> list[_claims_answers.ClaimAnswer | None]:
+        """Return the answers of an owner, none when it fails or is late."""
+        until = self._clock.now() + _FORWARD_SECONDS
+        batch = _claims_forward.ForwardedRecords(self._number, records, until)
+        answers: list[_claims_answers.ClaimAnswer | None] = []
+        reason = 'no answer in time'
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_at, until, tasks.cancel_scope)
+            try:
+                answers = await forwarder.forward(owner, batch)
+            except core.CodedError as error:
+                reason = str(error)
+            tasks.cancel_scope.cancel()
+        if not answers:
+            _LOGGER.warning(
+                'partition %d: owner %s failed (%s); appending here',
+                self._number,
+                owner,
+                reason,
+            )
+        return answers
+
     async def _append(self, batch: list[_claims_work.Work]) -> int:
         """Append a batch; return the offset up to which to read.
 
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -1,5 +1,7 @@
 """Model engines and plain services."""
 
+from laburnumstep.targets._codec import decode as decode_lengths
+from laburnumstep.targets._codec import encode as encode_lengths
 from laburnumstep.targets._hints import CacheEvent
 from laburnumstep.targets._hints import CacheEventKind
 from laburnumstep.targets._hints import PrefixHints
@@ -77,6 +79,8 @@
     'choose_engine',
     'choose_service',
     'decide_retry',
+    'decode_lengths',
+    'encode_lengths',
     'fingerprint_call',
     'fingerprint_generation',
     'list_unfinished',
--- a/tests/laburnumstep/log/claims.feature
+++ b/tests/laburnumstep/log/claims.feature
@@ -224,3 +224,18 @@
     And 700 seconds pass
     And VM "a" posts a key of that partition
     Then the index of VM "a" holds 1 key
+
+  Scenario Outline: Random faults and resends
+    When a schedule of 200 random steps runs from seed <seed>
+    Then no posting took effect twice
+    And "not_run" was only said of postings without effect
+    And every posting that was answered took effect
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
--- a/tests/laburnumstep/log/steps/claims_steps.py
+++ b/tests/laburnumstep/log/steps/claims_steps.py
@@ -11,6 +11,7 @@
 from laburnumstep import core
 from laburnumstep import log
 from support import claims_rig
+from support import claims_schedule
 from support import hooks
 
 LARGE = 10**1100
@@ -186,15 +187,15 @@
 
 @behave.when('VM "{vm}" dies')
 def step_die(context, vm: str) -> None:
-    context.portal.call(context.rig.vms[vm].scope.cancel)
+    context.dead = context.rig.vms[vm]
+    context.portal.call(context.rig.kill, vm)
 
 
 @behave.when('the service goes on')
 def step_service_goes_on(context) -> None:
     switch(context, 'service', delayed=False)
-    for vm in context.points:
-        if not context.rig.vms[vm].claims.hold:
-            context.portal.call(context.rig.finish_call, vm, 'k')
+    if not context.dead.claims.hold:
+        context.portal.call(wait_for, context.dead.ended['k'].wait)
 
 
 @behave.when('VM "{vm}" goes on')
@@ -267,11 +268,7 @@
         for vm in 'abc':
             context.rig.start_call(vm, name)
         for vm in 'abc':
-            ended = context.rig.vms[vm].ended[name]
-            while not ended.is_set():
-                context.rig.clock.advance(0.1)
-                with anyio.move_on_after(0.05):
-                    await ended.wait()
+            await context.rig.run_until(context.rig.vms[vm].ended[name])
 
     context.portal.call(race)
 
@@ -373,3 +370,34 @@
 def step_effects(context, name: str, count: int) -> None:
     effects = context.rig.count_effects(name)
     assert effects == count, effects
+
+
+@behave.when('a schedule of {steps:d} random steps runs from seed {seed:d}')
+def step_schedule(context, steps: int, seed: int) -> None:
+    schedule = claims_schedule.Schedule(context.rig, seed)
+    context.portal.call(schedule.run, steps)
+
+
+@behave.then('no posting took effect twice')
+def step_no_repeat(context) -> None:
+    effects = context.rig.service.ledger.effects
+    repeated = [key for key, count in effects.items() if count > 1]
+    assert not repeated, repeated
+
+
+@behave.then('"not_run" was only said of postings without effect')
+def step_honest(context) -> None:
+    told = [a for a in context.rig.answers if a.told.startswith('not_run')]
+    wrong = [answer for answer in told if answer.effects]
+    assert not wrong, wrong
+    others = {a.name for a in context.rig.answers if a not in told}
+    for answer in told:
+        if answer.name not in others | context.rig.lost:
+            assert context.rig.count_effects(answer.name) == 0, answer
+
+
+@behave.then('every posting that was answered took effect')
+def step_answers(context) -> None:
+    for answer in context.rig.answers:
+        if answer.told.startswith('posting'):
+            assert answer.effects == 1, answer
--- a/tests/support/claims_rig.py
+++ b/tests/support/claims_rig.py
@@ -74,7 +74,7 @@
         """Hand over a batch, through its encoding."""
         body = log.encode_claims(batch)
         read = log.decode_claims(batch.partition, body, batch.until)
-        if self.cut:
+        if self.cut or owner not in self.books:
             raise core.CodedError(core.ErrorCode.INTERNAL, 'cut')
         answers = await self.books[owner].serve(read)
         if self.lose_answers:
@@ -86,16 +86,30 @@
 class VM:
     """One entry VM, as far as calls concern it."""
 
+    name: str
     book: log.ClaimBook
     claims: HeldClaims
     runner: targets.CallRunner
     forwarder: DirectForwarder
-    scope: anyio.CancelScope
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    calls: list[anyio.CancelScope] = attrs.field(factory=list)
     told: dict[str, str] = attrs.field(factory=dict)
     """What callers were told, by name of the key."""
     ended: dict[str, anyio.Event] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class Answer:
+    """What a caller was told."""
+
+    name: str
+    """Name of the key."""
+    told: str
+    """Outcome and code, or the posting."""
+    effects: int
+    """Effects of the key when the caller was told."""
+
+
 class Rig:
     """A log, a service and VMs that share a clock."""
 
@@ -109,6 +123,9 @@
         self.operation = core.Operation(idempotent=False)
         self.target = core.ServiceTarget('ledger-1', 'whk-1', '', 'ledger')
         self.log_address = ''
+        self.answers: list[Answer] = []
+        self.lost: set[str] = set()
+        """Names of keys whose VM died before it answered."""
 
     def add_vm(self, name: str) -> VM:
         """Start a VM."""
@@ -125,7 +142,7 @@
             self.clock,
             core.Metrics(None, ''),
         )
-        vm = VM(book, claims, runner, forwarder, anyio.CancelScope())
+        vm = VM(name, book, claims, runner, forwarder)
         self._tasks.start_soon(self._run_vm, vm)
         self.vms[name] = vm
         for each in self.vms.values():
@@ -136,6 +153,14 @@
         with vm.scope:
             await vm.book.run()
 
+    def kill(self, name: str) -> None:
+        """End a VM; what it has sent to a target goes on there."""
+        vm = self.vms.pop(name)
+        vm.scope.cancel()
+        self.lost |= {n for n, e in vm.ended.items() if not e.is_set()}
+        for scope in vm.calls:
+            scope.cancel()
+
     def find_key(self, name: str) -> core.RequestKey:
         """Return a key, issued at its first use."""
         if name not in self.keys:
@@ -162,17 +187,32 @@
         )
         vm.told.pop(name, None)
         vm.ended[name] = anyio.Event()
-        self._tasks.start_soon(self._run_call, vm, name, call)
+        scope = anyio.CancelScope()
+        vm.calls.append(scope)
+        self._tasks.start_soon(self._run_call, vm, name, call, scope)
 
     async def _run_call(
-        self, vm: VM, name: str, call: core.ServiceCall
+        self,
+        vm: VM,
+        name: str,
+        call: core.ServiceCall,
+        scope: anyio.CancelScope,
     ) -> None:
-        try:
-            result = await vm.runner.run(call, self.operation, [self.target])
-            vm.told[name] = f'posting {result.result["posting"]}'
-        except core.CodedError as error:
-            vm.told[name] = f'{error.outcome.value} {error.code.value}'
-        vm.ended[name].set()
+        ended = vm.ended[name]
+        with scope:
+            try:
+                result = await vm.runner.run(
+                    call, self.operation, [self.target]
+                )
+                self._tell(vm, name, f'posting {result.result["posting"]}')
+            except core.CodedError as error:
+                told = f'{error.outcome.value} {error.code.value}'
+                self._tell(vm, name, told)
+        ended.set()
+
+    def _tell(self, vm: VM, name: str, told: str) -> None:
+        vm.told[name] = told
+        self.answers.append(Answer(name, told, self.count_effects(name)))
 
     async def finish_call(self, vm_name: str, name: str) -> str:
         """Wait for a call and return what its caller was told."""
@@ -180,6 +220,14 @@
             await self.vms[vm_name].ended[name].wait()
         return self.vms[vm_name].told[name]
 
+    async def run_until(self, event: anyio.Event) -> None:
+        """Let the clock run until an event."""
+        with anyio.fail_after(HANG_SECONDS):
+            while not event.is_set():
+                self.clock.advance(0.1)
+                with anyio.move_on_after(0.02):
+                    await event.wait()
+
     async def flush(self) -> None:
         """Let every VM append its releases and settlements."""
         with anyio.fail_after(HANG_SECONDS):
