Compare routing policies on real sockets

Cause: make bench has to compare the project's policy with baselines.

Found: httpcore tries to import sniffio for each lock, and anyio no longer brings it.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -24,7 +24,6 @@
 if typing.TYPE_CHECKING:
     from starlette import types
 
-_CRASH_STATUS = 70
 app = typer.Typer(help='Stand-ins for outside systems.', no_args_is_help=True)
 Address = typing.Annotated[
     str, typer.Option(help='IP number and port; port 0 picks one.')
--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/own_policy.py
@@ -0,0 +1,152 @@
+"""The project's own admission and placement as a policy of the load tool."""
+
+from __future__ import annotations
+
+import typing
+
+from laburnumstep import callers
+from laburnumstep import core
+from laburnumstep import targets
+from laburnumstep_standins.bench import policies
+from laburnumstep_standins.bench import workload
+from laburnumstep_standins import engine
+
+if typing.TYPE_CHECKING:
+    import random
+
+DATA_CENTRE = 'lima-1'
+"""Data centre of all VMs and targets."""
+FAILED_SECONDS = 2.0
+"""How long a target gets no work after a failed contact, in seconds."""
+_SHARED_SKETCHES = 100
+
+
+class OwnPolicy:
+    """Admission and placement of one VM.
+
+    Args:
+        clock: Tells the time.
+        addresses: Targets by name, with their address.
+        vms: VMs that send to the same targets.
+        rng: Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        addresses: typing.Mapping[str, str],
+        vms: int,
+        rng: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._view = targets.FleetView(clock, DATA_CENTRE)
+        self._lengths = targets.LengthEstimator()
+        self._admission = callers.Admission(
+            clock, self._view, self._lengths, rng
+        )
+        self._admitted: dict[str, callers.Admitted] = {}
+        self._siblings: list[OwnPolicy] = []
+        deployment = build_deployment(addresses)
+        self._view.apply_deployment(deployment)
+        self._view.set_known_vms(vms)
+        self._admission.apply_deployment(deployment)
+
+    def connect(self, siblings: list[OwnPolicy]) -> None:
+        """Share observed lengths with the other VMs, as gossip does."""
+        self._siblings = [other for other in siblings if other is not self]
+
+    async def choose(
+        self, attempt: policies.Attempt, view: policies.View
+    ) -> policies.Choice:
+        """Wait for room as a caller's task does."""
+        result = await self._admission.admit(_describe(attempt))
+        match result:
+            case callers.Admitted():
+                self._admitted[attempt.generation] = result
+                return policies.Send(result.placed.target)
+            case callers.Shed():
+                return policies.Refuse(result.resend_at)
+            case _ as other:
+                typing.assert_never(other)
+
+    def record_tokens(self, attempt: policies.Attempt, count: int) -> None:
+        """Count tokens of an attempt."""
+        send = self._admitted[attempt.generation].send
+        self._view.record_tokens(send, count)
+
+    def record_end(self, attempt: policies.Attempt, complete: bool) -> None:
+        """Give back the place and learn the length."""
+        admitted = self._admitted.pop(attempt.generation)
+        self._admission.release(admitted)
+        if complete:
+            self._lengths.observe(
+                attempt.request.workspace,
+                workload.MODEL,
+                admitted.send.tokens,
+            )
+
+    def record_contact(
+        self,
+        target: policies.TargetView,
+        events: list[policies.CacheEvent],
+        now: float,
+    ) -> None:
+        """Take in a report, or give the target no work for a while."""
+        if not target.reachable or target.report is None:
+            self._view.set_failed(target.name, now + FAILED_SECONDS)
+            return
+        report = {**target.report, 'models': [workload.MODEL]}
+        self._view.record_report(target.name, targets.LoadReport(**report))
+        decoded = [
+            targets.CacheEvent(
+                event.seq, targets.CacheEventKind(event.kind), event.prefix
+            )
+            for event in events
+        ]
+        self._view.hints.apply_events(target.name, decoded, target.next_event)
+        self._share_lengths()
+
+    def _share_lengths(self) -> None:
+        for change in self._lengths.take_changes(_SHARED_SKETCHES):
+            for sibling in self._siblings:
+                sibling._lengths.merge(*change)
+
+
+def build_deployment(
+    addresses: typing.Mapping[str, str],
+) -> core.Deployment:
+    """Return a deployment of engines in one data centre."""
+    return core.Deployment(
+        name='bench',
+        places={'lima': core.Place('lima', [DATA_CENTRE])},
+        targets={
+            name: core.EngineTarget(
+                name=name,
+                data_centre=DATA_CENTRE,
+                address=address,
+                models=[workload.MODEL],
+                kv_tokens=workload.ENGINE.kv_tokens,
+                checks_fence=True,
+            )
+            for name, address in addresses.items()
+        },
+    )
+
+
+def _describe(attempt: policies.Attempt) -> callers.AdmissionRequest:
+    request = attempt.request
+    return callers.AdmissionRequest(
+        placement=targets.PlacementRequest(
+            request=request.name,
+            workspace=request.workspace,
+            model=workload.MODEL,
+            prompt_tokens=request.prompt_tokens,
+            prefixes=engine.digest_prefixes(request.prompt),
+            priority=request.kind.priority,
+            excluded=attempt.excluded,
+            max_tokens=request.max_tokens,
+        ),
+        generation_id=attempt.generation,
+        deadline=attempt.deadline,
+        max_tokens=request.max_tokens,
+    )
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/processes.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/processes.py
@@ -45,32 +45,60 @@
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_SECOND
 
 
+@attrs.frozen
+class Engines:
+    """A process with several engines."""
+
+    process: anyio.abc.Process
+    """The running process."""
+    addresses: list[str]
+    """IP number and port of each engine."""
+
+
 @contextlib.asynccontextmanager
-async def run_stand_in(
-    name: str, *arguments: str
-) -> collections.abc.AsyncIterator[Child]:
-    """Run a stand-in as a process while the context is open.
+async def run_module(
+    module: str, *arguments: str
+) -> collections.abc.AsyncIterator[tuple[anyio.abc.Process, typing.Any]]:
+    """Run a module as a process while the context is open.
 
     Args:
-        name: Subcommand of `python -m laburnumstep_standins`.
-        arguments: Options of the subcommand.
+        module: Name of the module.
+        arguments: Arguments of the command line.
+
+    Returns:
+        The process and the JSON of its first line.
 
     Raises:
-        TimeoutError: When it does not print its address in time.
+        TimeoutError: When it does not print its first line in time.
     """
-    command = [sys.executable, '-m', 'laburnumstep_standins', name]
+    command = [sys.executable, '-m', module, *arguments]
     async with await anyio.open_process(
-        [*command, *arguments], stderr=subprocess.DEVNULL
+        command, stderr=subprocess.DEVNULL
     ) as process:
         try:
             with anyio.fail_after(_START_SECONDS):
                 line = await _read_line(process)
-            yield Child(process, json.loads(line)['address'])
+            yield process, json.loads(line)
         finally:
             if process.returncode is None:
                 process.kill()
 
 
+@contextlib.asynccontextmanager
+async def run_stand_in(
+    name: str, *arguments: str
+) -> collections.abc.AsyncIterator[Child]:
+    """Run a stand-in as a process while the context is open.
+
+    Args:
+        name: Subcommand of `python -m laburnumstep_standins`.
+        arguments: Options of the subcommand.
+    """
+    module = 'laburnumstep_standins'
+    async with run_module(module, name, *arguments) as (process, first):
+        yield Child(process, first['address'])
+
+
 def run_engine(
     config: engine.EngineConfig,
 ) -> contextlib.AbstractAsyncContextManager[Child]:
@@ -79,6 +107,18 @@
     return run_stand_in('engine', '--config', text)
 
 
+@contextlib.asynccontextmanager
+async def run_engines(
+    count: int, config: engine.EngineConfig
+) -> collections.abc.AsyncIterator[Engines]:
+    """Run several engines in one process while the context is open."""
+    text = json.dumps(core.encode_document(config))
+    module = 'laburnumstep_standins.bench.engines'
+    arguments = [str(count), '--config', text]
+    async with run_module(module, *arguments) as (process, first):
+        yield Engines(process, first['addresses'])
+
+
 async def _read_line(process: anyio.abc.Process) -> bytes:
     assert process.stdout is not None
     line = b''
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import importlib.util
 import json
+import sys
 import time
 import typing
 
 import attrs
 import httpcore
 
+if importlib.util.find_spec('sniffio') is None:
+    # httpcore tries to import sniffio for each new lock. A search that
+    # fails costs a tenth of a millisecond, so the absence is noted once.
+    sys.modules['sniffio'] = typing.cast(typing.Any, None)
+
 _MAX_CONNECTIONS = 1000
 """Connections to one peer; enough for each request to have its own."""
 _CONNECT_SECONDS = 2.0
