Divide the load tool among processes and add its figures

Cause: one process could not measure four policies; it was the bottleneck.

Ruled out: a run per policy one after another, which takes four times as long and meets different noise.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/gateway.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import json
 import time
@@ -99,8 +100,13 @@
                 case _ as other:
                     typing.assert_never(other)
 
-    def count_preemptions(self) -> int:
+    async def count_preemptions(self) -> int:
         """Return the preemptions of all targets, by their last reports."""
+        for target in self._view.values():
+            with contextlib.suppress(
+                transport.ConnectFailed, transport.ExchangeFailed
+            ):
+                await self._fetch(target, False)
         return sum(
             target.report['preemptions']
             for target in self._view.values()
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/own_policy.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/own_policy.py
@@ -55,6 +55,13 @@
         """Share observed lengths with the other VMs, as gossip does."""
         self._siblings = [other for other in siblings if other is not self]
 
+    def learn(self, past: list[workload.Request]) -> None:
+        """Take in the lengths of answers to earlier requests."""
+        for request in past:
+            length = engine.draw_length(request.prompt, workload.ENGINE)
+            self._lengths.observe(request.workspace, workload.MODEL, length)
+        self._lengths.take_changes(len(past))
+
     async def choose(
         self, attempt: policies.Attempt, view: policies.View
     ) -> policies.Choice:
@@ -78,7 +85,7 @@
         """Give back the place and learn the length."""
         admitted = self._admitted.pop(attempt.generation)
         self._admission.release(admitted)
-        if complete:
+        if complete and not attempt.request.filling:
             self._lengths.observe(
                 attempt.request.workspace,
                 workload.MODEL,
@@ -144,9 +151,9 @@
             prefixes=engine.digest_prefixes(request.prompt),
             priority=request.kind.priority,
             excluded=attempt.excluded,
-            max_tokens=request.max_tokens,
+            max_tokens=workload.ENGINE.max_length,
         ),
         generation_id=attempt.generation,
         deadline=attempt.deadline,
-        max_tokens=request.max_tokens,
+        max_tokens=workload.ENGINE.max_length,
     )
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/processes.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/processes.py
@@ -57,13 +57,14 @@
 
 @contextlib.asynccontextmanager
 async def run_module(
-    module: str, *arguments: str
+    module: str, *arguments: str, patience: float = _START_SECONDS
 ) -> collections.abc.AsyncIterator[tuple[anyio.abc.Process, typing.Any]]:
     """Run a module as a process while the context is open.
 
     Args:
         module: Name of the module.
         arguments: Arguments of the command line.
+        patience: Longest wait for the first line, in seconds.
 
     Returns:
         The process and the JSON of its first line.
@@ -76,7 +77,7 @@
         command, stderr=subprocess.DEVNULL
     ) as process:
         try:
-            with anyio.fail_after(_START_SECONDS):
+            with anyio.fail_after(patience):
                 line = await _read_line(process)
             yield process, json.loads(line)
         finally:
@@ -103,7 +104,7 @@
     config: engine.EngineConfig,
 ) -> contextlib.AbstractAsyncContextManager[Child]:
     """Run an engine as a process while the context is open."""
-    text = json.dumps(core.encode_document(config))
+    text = encode(config)
     return run_stand_in('engine', '--config', text)
 
 
@@ -112,13 +113,18 @@
     count: int, config: engine.EngineConfig
 ) -> collections.abc.AsyncIterator[Engines]:
     """Run several engines in one process while the context is open."""
-    text = json.dumps(core.encode_document(config))
+    text = encode(config)
     module = 'laburnumstep_standins.bench.engines'
     arguments = [str(count), '--config', text]
     async with run_module(module, *arguments) as (process, first):
         yield Engines(process, first['addresses'])
 
 
+def encode(value: attrs.AttrsInstance) -> str:
+    """Return an instance as JSON for a child's command line."""
+    return json.dumps(core.encode_document(value))
+
+
 async def _read_line(process: anyio.abc.Process) -> bytes:
     assert process.stdout is not None
     line = b''
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/records.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/records.py
@@ -116,6 +116,8 @@
     """In milliseconds, shown streams."""
     goodput: float
     """Tokens a second of answers that were complete in time."""
+    late: float
+    """Lateness of the load generator, 95th percentile, in milliseconds."""
 
 
 def find_percentile(values: list[float], percent: float) -> float:
@@ -133,6 +135,7 @@
     records: list[Record],
     preemptions: int,
     seconds: float,
+    late: float,
 ) -> Summary:
     """Return the figures of one policy in one run.
 
@@ -160,4 +163,5 @@
         inter_token_p95=find_percentile(gaps, 95) * 1000,
         inter_token_p99=find_percentile(gaps, 99) * 1000,
         goodput=good / seconds,
+        late=late * 1000,
     )
