--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/decisions.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/decisions.py
@@ -1,138 +1,252 @@
-"""Measures one placement decision over a large deployment."""
+"""Time and memory of placement, admission and limit decisions.
+
+Run with `python -m laburnumstep_standins.bench.decisions`.
+"""
 
 from __future__ import annotations
 
 import random
 import time
+import tracemalloc
 
 import attrs
 
+from laburnumstep import callers
 from laburnumstep import core
 from laburnumstep import targets
-from laburnumstep_standins.bench import figures
-from laburnumstep_standins.bench import own_policy
-from laburnumstep_standins.bench import records
-from laburnumstep_standins.bench import workload
 
-TARGETS = 500
-"""Engines of the deployment."""
-WORKSPACES = 1000
-"""Workspaces whose lengths are known."""
-_SENDS_PER_TARGET = 4
-"""This VM's sends to each target, on average."""
-_KNOWN_VMS = 8
+TARGET_COUNTS = (50, 500, 5000)
+"""Fleet sizes that are measured."""
+WORKSPACE_COUNT = 1000
+"""Workspaces that are measured."""
+MODELS_BY_TARGETS = 185
+"""Targets for each model; 27 models at 5,000 targets."""
+KV_TOKENS = 100_000
+"""Memory of each engine, in tokens."""
+SENDS_BY_TARGET = 8
+"""Own sends in progress on each target."""
+SAMPLES = 2000
+"""Decisions that are timed, one by one."""
+KNOWN_VMS = 8
+"""VMs that send to the same targets."""
 
 
 @attrs.frozen
-class Row:
-    """Times of the decisions, in microseconds."""
+class DecisionRow:
+    """Time of one kind of decision at one size."""
 
+    decision: str
+    """What is decided."""
     targets: int
-    """Engines."""
+    """Targets of the deployment."""
     workspaces: int
-    """Workspaces."""
-    decisions: int
-    """Decisions that were measured."""
-    placed: int
-    """Decisions that found room."""
-    p50: float
-    """Median."""
-    p95: float
-    """95th percentile."""
-    p99: float
-    """99th percentile."""
-
-
-def measure(seed: int, decisions: int) -> Row:
-    """Time decisions on a deployment with half of its memory in use."""
-    rng = random.Random(seed)
-    clock = core.SystemClock()
-    view, lengths = _build(clock, rng)
-    weights = core.PolicyWeights()
-    times = []
-    placed = 0
-    for number in range(decisions):
-        request = _ask(rng, number)
-        started = time.perf_counter()
-        result = targets.choose_engine(view, request, lengths, weights, rng)
-        times.append((time.perf_counter() - started) * 1e6)
-        if isinstance(result, targets.Placed):
-            placed += 1
-            send = _begin(view, result.target, request, rng)
-            view.end(send)
-    row = Row(
-        TARGETS,
-        WORKSPACES,
-        decisions,
-        placed,
-        records.find_percentile(times, 50),
-        records.find_percentile(times, 95),
-        records.find_percentile(times, 99),
-    )
-    figures.print_table(
-        f'Placement decisions, microseconds, seed {seed}', [row]
-    )
-    return row
+    """Workspaces of the deployment."""
+    median_seconds: float
+    """Median time of a decision."""
+    p99_seconds: float
+    """99th percentile of the time of a decision."""
 
 
-def _build(
-    clock: core.Clock, rng: random.Random
-) -> tuple[targets.FleetView, targets.LengthEstimator]:
-    view = targets.FleetView(clock, own_policy.DATA_CENTRE)
-    names = [f'engine-{number}' for number in range(TARGETS)]
-    addresses = dict.fromkeys(names, '127.0.0.1:1')
-    view.apply_deployment(own_policy.build_deployment(addresses))
-    view.set_known_vms(_KNOWN_VMS)
-    lengths = targets.LengthEstimator()
-    for number in range(WORKSPACES * 5):
-        length = max(1, round(rng.lognormvariate(4, 1)))
-        workspace = f'workspace-{number % WORKSPACES}'
-        lengths.observe(workspace, workload.MODEL, length)
-    for name in names:
-        sends = [
-            _begin(view, name, _ask(rng, number), rng)
-            for number in range(rng.randrange(2 * _SENDS_PER_TARGET))
-        ]
-        view.record_report(name, _report(sends, clock.now()))
-    return view, lengths
-
-
-def _report(sends: list[targets.Send], now: float) -> targets.LoadReport:
-    """Return a report in which other VMs use as much as this one."""
-    return targets.LoadReport(
-        measured_at=now,
-        running=2 * len(sends),
-        waiting=0,
-        kv_used=2 * sum(send.kv_tokens for send in sends),
-        kv_total=workload.ENGINE.kv_tokens,
-        preemptions=0,
-        models=[workload.MODEL],
+@attrs.frozen
+class MemoryRow:
+    """Memory as a slope between two sizes."""
+
+    subject: str
+    """What there is more of."""
+    bytes_each: float
+    """Memory of each further one, in bytes."""
+
+
+def measure_decisions(
+    target_counts: tuple[int, ...] = TARGET_COUNTS, samples: int = SAMPLES
+) -> list[DecisionRow]:
+    """Time decisions over fleets of several sizes."""
+    rows = []
+    for count in target_counts:
+        rows.append(_time_placement('place', count, 0.5, samples))
+        rows.append(_time_placement('place, no room', count, 1.5, samples))
+    rows.append(_time_limits(samples))
+    return rows
+
+
+def measure_memory(low: int = 500, high: int = 1500) -> list[MemoryRow]:
+    """Measure memory of targets and workspaces as slopes."""
+    span = high - low
+    return [
+        MemoryRow(
+            'target',
+            (_weigh_fleet(high) - _weigh_fleet(low)) / span,
+        ),
+        MemoryRow(
+            'workspace, limits and one length sketch',
+            (_weigh_workspaces(high) - _weigh_workspaces(low)) / span,
+        ),
+    ]
+
+
+def make_deployment(target_count: int) -> core.Deployment:
+    """Return a deployment with engines of several models."""
+    models = max(1, target_count // MODELS_BY_TARGETS)
+    place = core.Place('lima', ['lima-1', 'lima-2'])
+    engines: dict[str, core.Target] = {}
+    for number in range(target_count):
+        name = f'engine-{number}'
+        engines[name] = core.EngineTarget(
+            name,
+            place.data_centres[number % 2],
+            '127.0.0.1:1',
+            [f'model-{number % models}'],
+            KV_TOKENS,
+            True,
+        )
+    workspaces = {
+        name: core.Workspace(name, '', 1e9, 1_000_000, 1e9)
+        for name in map('workspace-{}'.format, range(WORKSPACE_COUNT))
+    }
+    return core.Deployment(
+        'bench', {'lima': place}, engines, workspaces=workspaces
     )
 
 
-def _ask(rng: random.Random, number: int) -> targets.PlacementRequest:
-    return targets.PlacementRequest(
-        request=f'request-{number}',
-        workspace=f'workspace-{rng.randrange(WORKSPACES)}',
-        model=workload.MODEL,
-        prompt_tokens=rng.randrange(100, 300),
-        prefixes=[f'prefix-{rng.randrange(100)}'],
+def _load_fleet(
+    deployment: core.Deployment, fill: float, rng: random.Random
+) -> targets.FleetView:
+    """Return a view with reports, sends and waiting requests."""
+    clock = core.ManualClock()
+    view = targets.FleetView(clock, 'lima-1')
+    view.set_known_vms(KNOWN_VMS)
+    view.apply_deployment(deployment)
+    for name, target in deployment.targets.items():
+        if not isinstance(target, core.EngineTarget):
+            continue
+        for number in range(SENDS_BY_TARGET):
+            send = view.begin(
+                name,
+                f'{name}-{number}',
+                f'workspace-{rng.randrange(WORKSPACE_COUNT)}',
+                target.models[0],
+                200,
+                300.0,
+            )
+            view.record_tokens(send, rng.randrange(300))
+        view.record_report(
+            name,
+            targets.LoadReport(
+                clock.now(),
+                running=40,
+                waiting=0,
+                kv_used=int(KV_TOKENS * fill * rng.uniform(0.9, 1.0)),
+                kv_total=KV_TOKENS,
+                preemptions=0,
+                models=target.models,
+            ),
+        )
+    clock.advance(0.5)
+    return view
+
+
+def _time_placement(
+    decision: str, target_count: int, fill: float, samples: int
+) -> DecisionRow:
+    rng = random.Random(target_count)
+    deployment = make_deployment(target_count)
+    view = _load_fleet(deployment, fill, rng)
+    models = max(1, target_count // MODELS_BY_TARGETS)
+    lengths = targets.LengthEstimator()
+    for _ in range(20 * WORKSPACE_COUNT):
+        lengths.observe(
+            f'workspace-{rng.randrange(WORKSPACE_COUNT)}',
+            f'model-{rng.randrange(models)}',
+            int(rng.lognormvariate(5.0, 1.0)) + 1,
+        )
+    requests = [
+        targets.PlacementRequest(
+            str(number),
+            f'workspace-{rng.randrange(WORKSPACE_COUNT)}',
+            f'model-{rng.randrange(models)}',
+            200,
+        )
+        for number in range(samples)
+    ]
+    times = []
+    for request in requests:
+        begun = time.perf_counter()
+        targets.choose_engine(view, request, lengths, deployment.weights, rng)
+        times.append(time.perf_counter() - begun)
+    return _summarise(decision, target_count, times)
+
+
+def _time_limits(samples: int) -> DecisionRow:
+    rng = random.Random(1)
+    clock = core.ManualClock()
+    limits = callers.WorkspaceLimits(clock)
+    limits.apply_deployment(make_deployment(50))
+    limits.set_known_vms(KNOWN_VMS)
+    times = []
+    for _ in range(samples):
+        workspace = f'workspace-{rng.randrange(WORKSPACE_COUNT)}'
+        begun = time.perf_counter()
+        limits.try_begin(workspace, clock.now())
+        times.append(time.perf_counter() - begun)
+    return _summarise('limits', 50, times)
+
+
+def _summarise(
+    decision: str, target_count: int, times: list[float]
+) -> DecisionRow:
+    times.sort()
+    return DecisionRow(
+        decision,
+        target_count,
+        WORKSPACE_COUNT,
+        times[len(times) // 2],
+        times[int(len(times) * 0.99)],
     )
 
 
-def _begin(
-    view: targets.FleetView,
-    target: str,
-    request: targets.PlacementRequest,
-    rng: random.Random,
-) -> targets.Send:
-    send = view.begin(
-        target,
-        f'{target}-{request.request}',
-        request.workspace,
-        request.model,
-        request.prompt_tokens,
-        100.0,
-    )
-    view.record_tokens(send, rng.randrange(50))
-    return send
+def _weigh_fleet(count: int) -> int:
+    rng = random.Random(1)
+    deployment = make_deployment(count)
+    tracemalloc.start()
+    view = _load_fleet(deployment, 0.5, rng)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del view
+    return size
+
+
+def _weigh_workspaces(count: int) -> int:
+    rng = random.Random(1)
+    names = [f'workspace-{number}' for number in range(count)]
+    workspaces = {n: core.Workspace(n, '', 1e9, 1_000_000, 1e9) for n in names}
+    deployment = core.Deployment('bench', workspaces=workspaces)
+    clock = core.ManualClock()
+    tracemalloc.start()
+    limits = callers.WorkspaceLimits(clock)
+    limits.apply_deployment(deployment)
+    lengths = targets.LengthEstimator()
+    for name in names:
+        limits.try_begin(name, clock.now())
+        for _ in range(50):
+            tokens = int(rng.lognormvariate(5.0, 1.0)) + 1
+            lengths.observe(name, 'model-0', tokens)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size
+
+
+def main() -> None:
+    """Print the rows."""
+    for row in measure_decisions():
+        print(
+            f'{row.decision}: {row.targets} targets, '
+            f'{row.workspaces} workspaces, '
+            f'median {row.median_seconds * 1e6:.0f} us, '
+            f'p99 {row.p99_seconds * 1e6:.0f} us'
+        )
+    for item in measure_memory():
+        print(f'memory of each {item.subject}: {item.bytes_each:.0f} bytes')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -13,13 +13,29 @@
 from laburnumstep.log._changes import RemoveWorkspace
 from laburnumstep.log._changes import SetLinks
 from laburnumstep.log._changes import SetWeights
-from laburnumstep.log._claim_answers import ClaimAnswer
-from laburnumstep.log._claim_answers import Expired
-from laburnumstep.log._claim_answers import Granted
-from laburnumstep.log._claim_answers import Held
-from laburnumstep.log._claim_answers import NotValidYet
-from laburnumstep.log._claim_answers import Settled
-from laburnumstep.log._claim_answers import Taken
+from laburnumstep.log._claims_answers import ClaimAnswer
+from laburnumstep.log._claims_answers import Expired
+from laburnumstep.log._claims_answers import Granted
+from laburnumstep.log._claims_answers import Held
+from laburnumstep.log._claims_answers import KeyOutcome
+from laburnumstep.log._claims_answers import NotValidYet
+from laburnumstep.log._claims_answers import Settled
+from laburnumstep.log._claims_answers import Taken
+from laburnumstep.log._claims_answers import Unclaimed
+from laburnumstep.log._claims_book import ClaimBook
+from laburnumstep.log._claims_book import FRESH_SECONDS
+from laburnumstep.log._claims_book import PARTITIONS
+from laburnumstep.log._claims_codec import decode_claim_answers
+from laburnumstep.log._claims_codec import decode_claims
+from laburnumstep.log._claims_codec import encode_claim_answers
+from laburnumstep.log._claims_codec import encode_claims
+from laburnumstep.log._claims_forward import ClaimForwarder
+from laburnumstep.log._claims_forward import ForwardedRecords
+from laburnumstep.log._claims_index import ClaimIndex
+from laburnumstep.log._claims_records import ClaimRecord
+from laburnumstep.log._claims_records import ClaimsRecord
+from laburnumstep.log._claims_records import ReleaseRecord
+from laburnumstep.log._claims_records import SettleRecord
 from laburnumstep.log._client import AppendedAt
 from laburnumstep.log._client import AppendRateExceeded
 from laburnumstep.log._client import LogClient
@@ -39,25 +55,43 @@
 from laburnumstep.log._records import LogPage
 from laburnumstep.log._records import LogRecord
 from laburnumstep.log._replay import ConfigurationReplay
+from laburnumstep.log._republisher import SnapshotRepublisher
+from laburnumstep.log._snapshots import AppendSnapshot
+from laburnumstep.log._snapshots import decide_snapshot
+from laburnumstep.log._snapshots import FollowerView
+from laburnumstep.log._snapshots import NoSnapshot
+from laburnumstep.log._snapshots import SnapshotDecision
 
 __all__ = [
     'AppendRateExceeded',
+    'AppendSnapshot',
     'AppendedAt',
     'CONFIGURATION_STREAM',
     'Change',
     'ClaimAnswer',
+    'ClaimBook',
+    'ClaimForwarder',
+    'ClaimIndex',
+    'ClaimRecord',
+    'ClaimsRecord',
     'ConfigurationFollower',
     'ConfigurationPublisher',
     'ConfigurationReplay',
     'Conflict',
     'Expired',
+    'FRESH_SECONDS',
+    'FollowerView',
+    'ForwardedRecords',
     'Granted',
     'Held',
+    'KeyOutcome',
     'LogClient',
     'LogPage',
     'LogRecord',
     'LogUnavailable',
+    'NoSnapshot',
     'NotValidYet',
+    'PARTITIONS',
     'Publication',
     'PublishResult',
     'Published',
@@ -65,19 +99,29 @@
     'PutService',
     'PutTarget',
     'PutWorkspace',
+    'ReleaseRecord',
     'RemovePlace',
     'RemoveService',
     'RemoveTarget',
     'RemoveWorkspace',
     'SetLinks',
     'SetWeights',
+    'SettleRecord',
     'Settled',
     'Snapshot',
+    'SnapshotDecision',
     'SnapshotHeader',
+    'SnapshotRepublisher',
     'Taken',
+    'Unclaimed',
     'apply_changes',
+    'decide_snapshot',
+    'decode_claim_answers',
+    'decode_claims',
     'diff_deployments',
     'encode_change',
+    'encode_claim_answers',
+    'encode_claims',
     'encode_publication',
     'encode_snapshot',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_service_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_client.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import json
 import typing
 import urllib.parse
 
@@ -13,7 +11,6 @@
 from laburnumstep import transport
 
 _NOT_STARTED_STATUS = 503
-_DIGEST_BYTES = 6
 
 
 @attrs.frozen
@@ -143,13 +140,5 @@
             await client.close()
 
 
-def digest_call(call: core.ServiceCall) -> str:
-    """Return a short digest that tells requests with one key apart."""
-    parts = [call.service, call.operation, call.payload]
-    text = json.dumps(parts, sort_keys=True)
-    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
-    return digest.hexdigest()
-
-
 def _says_not_started(body: typing.Any) -> bool:
     return isinstance(body, dict) and body.get('code') == 'not_started'
