--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -98,9 +98,6 @@
         waiter = self._make_waiter(request, queue)
         queue.add(waiter)
         self._view.set_waiting(model, len(queue))
-        if request.deadline <= self._clock.now():
-            self._shed(waiter, 0.0)
-            return waiter
         self._dispatch(model)
         if waiter.result is None:
             self._shed_early(waiter, queue)
--- a/tests/laburnumstep/callers/steps/admission_steps.py
+++ b/tests/laburnumstep/callers/steps/admission_steps.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+from anyio import lowlevel
 import attrs
 import behave
 
@@ -15,6 +16,13 @@
 from support import fleets
 
 _SIZE = 200
+_ROUNDS = 12
+
+
+async def _settle() -> None:
+    """Let each task run until it waits for the clock or an event."""
+    for _ in range(_ROUNDS):
+        await lowlevel.checkpoint()
 
 
 class _CountingClock(core.ManualClock):
@@ -66,7 +74,7 @@
             placement, name, self.clock.now() + left, 10_000
         )
         self.group.start_soon(self._run, name, request)
-        await anyio.wait_all_tasks_blocked()
+        await _settle()
 
     async def _run(self, name: str, request: callers.AdmissionRequest) -> None:
         with anyio.CancelScope() as scope:
@@ -85,7 +93,7 @@
     def act(self, action: typing.Callable[[], typing.Any]) -> None:
         async def run() -> None:
             action()
-            await anyio.wait_all_tasks_blocked()
+            await _settle()
 
         self.portal.call(run)
 
--- a/tests/laburnumstep/targets/retrying.feature
+++ b/tests/laburnumstep/targets/retrying.feature
@@ -49,12 +49,22 @@
       | 100      | 10      |
       | 1000     | 100     |
 
+  Scenario: Only the load of the last minute counts
+    Given 1000 requests in the last minute
+    Then 61 seconds later none is allowed
+    When 1000 retries are asked for at once, 61 seconds later, after 100 requests
+    Then 10 are allowed
+
   Scenario: A request that crashes targets is refused after two
     Given a request that crashes each target, and 8 healthy ones
     When all run on the same engine of 4, with retries kept apart
     Then 2 engines have crashed
     And only the crashing request is refused
 
+  Scenario: A suspect explains the crash of a target for the others on it
+    Given a target crashed with bad and first, another with bad and second
+    Then bad is refused, first is a suspect, and second is not
+
   Scenario: Crashes of other VMs count, each target once
     Given crashes of a request on target a, seen here and by a sibling
     Then the request is not refused
--- a/tests/laburnumstep/targets/steps/retrying_steps.py
+++ b/tests/laburnumstep/targets/steps/retrying_steps.py
@@ -108,6 +108,17 @@
     context.allowed = sum(context.budget.try_spend(now) for _ in range(count))
 
 
+@behave.when(
+    '1000 retries are asked for at once, 61 seconds later, after {count:d} '
+    'requests'
+)
+def step_ask_later(context: typing.Any, count: int) -> None:
+    now = _NOW + 31 + 61
+    for _ in range(count):
+        context.budget.record_request(now)
+    context.allowed = sum(context.budget.try_spend(now) for _ in range(1000))
+
+
 @behave.then('{count:d} are allowed')
 def step_allowed(context: typing.Any, count: int) -> None:
     assert context.allowed == count, context.allowed
@@ -190,6 +201,23 @@
     assert refused == ['bad'], refused
 
 
+@behave.given(
+    'a target crashed with bad and first, another with bad and second'
+)
+def step_two_crashes(context: typing.Any) -> None:
+    context.suspects = targets.CrashSuspects(clock=core.ManualClock())
+    context.suspects.record_target_crash('a', ['bad', 'first'])
+    context.suspects.record_target_crash('b', ['bad', 'second'])
+
+
+@behave.then('bad is refused, first is a suspect, and second is not')
+def step_explained(context: typing.Any) -> None:
+    assert context.suspects.is_refused('bad')
+    assert context.suspects.is_suspect('first')
+    assert not context.suspects.is_refused('first')
+    assert not context.suspects.is_suspect('second')
+
+
 @behave.given('crashes of a request on target a, seen here and by a sibling')
 def step_seen(context: typing.Any) -> None:
     context.clock = core.ManualClock()
--- a/tests/laburnumstep/targets/steps/view_steps.py
+++ b/tests/laburnumstep/targets/steps/view_steps.py
@@ -107,18 +107,15 @@
     context.view.record_report('engine-0', report)
 
 
-@behave.when('a send is ended twice')
+@behave.when('a send is ended at second 20 and again at second 40')
 def step_end_twice(context: typing.Any) -> None:
-    context.clock.advance(1)
+    context.clock.advance(10)
     send = context.view.begin(
         'engine-0', 'g', 'foremen', fleets.MODEL, 100, 50.0
     )
-    other = context.view.begin(
-        'engine-0', 'g', 'foremen', fleets.MODEL, 100, 50.0
-    )
-    context.view.end(other)
-    context.view.end(send)
-    context.view.end(send)
+    for second in (20, 40):
+        context.clock.advance(_BEGIN + second - context.clock.now())
+        context.view.end(send)
 
 
 @behave.then('the view counts {count:d} requests')
--- a/tests/laburnumstep/targets/view.feature
+++ b/tests/laburnumstep/targets/view.feature
@@ -19,6 +19,7 @@
       | 10    | 20    | 15       | 1        | 0        | 0      |
       | 10    | 20    | 25       | 0        | 0        | 0      |
       | 10    | 20    | 15       | 4        | 3        | 375    |
+      | 10    | 20    | 25       | 4        | 4        | 500    |
       | 10    | never | 15       | 4        | 4        | 525    |
 
   Scenario: An older report does not replace a newer one
@@ -27,6 +28,7 @@
     Then the view counts 5 requests
 
   Scenario: A second end of the same send has no effect
-    Given an engine with a report measured at second 0 of 3 requests
-    When a send is ended twice
-    Then the view counts 3 requests
+    Given an engine with a report measured at second 0 of 0 requests
+    When a send is ended at second 20 and again at second 40
+    And a report measured at second 30 of 4 requests arrives at second 50
+    Then the view counts 4 requests
