Prove promises with entry VMs as processes

17 scenarios start real entry VMs between stand-ins and kill (SIGKILL), freeze (SIGSTOP, SIGCONT), stop (SIGTERM) and cut them off, with log outages, lost replies, races and two at once: streams stay whole and from one generation, postings run at most once, the configuration reaches VMs that are cut off or start with nothing, and a reclaimed engine gets no new work.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/demo/_demo.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/demo/_demo.py
@@ -7,13 +7,11 @@
 import signal
 import subprocess
 import sys
-import time
 import typing
 
 import anyio
 
 from laburnumstep import core
-from laburnumstep import transport
 from laburnumstep_standins import caller
 from laburnumstep_standins import processes
 from laburnumstep_standins import settings
@@ -24,8 +22,6 @@
 _SECRET = 'callao-example-secret'
 _PLAN_TOKENS = 120
 _TOKENS_BEFORE_KILL = 30
-_START_SECONDS = 20.0
-"""Longest wait for the VMs to be ready, in seconds."""
 _REQUEST_SECONDS = 30.0
 """Longest wait for an answer, in seconds."""
 _ENGINE_CONFIG = (
@@ -70,7 +66,7 @@
             self.vms.append(child)
             seeds = child.addresses['siblings']
         for vm in self.vms:
-            await wait_until_ready(vm.addresses['callers'])
+            await processes.wait_until_ready(vm.addresses['callers'])
 
     async def stop(self) -> None:
         await self._stack.aclose()
@@ -113,29 +109,6 @@
     )
 
 
-async def wait_until_ready(address: str) -> None:
-    """Wait until a VM reports that it is ready.
-
-    Args:
-        address: Its address for callers.
-
-    Raises:
-        TimeoutError: It is not ready in time.
-    """
-    client = transport.JsonClient(address)
-    with anyio.fail_after(_START_SECONDS):
-        while True:
-            with contextlib.suppress(
-                transport.ConnectFailed, transport.ExchangeFailed
-            ):
-                reply = await client.request(
-                    'GET', '/readyz', time.time() + 1.0
-                )
-                if reply.status == 200:
-                    return
-            await anyio.sleep(0.1)
-
-
 async def run() -> int:
     """Run the demo; return 0 only if every promise shown held."""
     with processes.make_directory() as name:
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/processes.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/processes.py
@@ -9,15 +9,20 @@
 import subprocess
 import sys
 import tempfile
+import time
 import typing
 
 import anyio
 import anyio.abc
 import attrs
 
+from laburnumstep import transport
+
 if typing.TYPE_CHECKING:
     import collections.abc
 
+START_SECONDS = 20.0
+"""Longest wait for a VM to be ready, in seconds."""
 STOP_SECONDS = 10.0
 """Longest wait for a process after SIGTERM, in seconds."""
 
@@ -108,6 +113,29 @@
         yield child
 
 
+async def wait_until_ready(address: str) -> None:
+    """Wait until a VM reports that it is ready.
+
+    Args:
+        address: Its address for callers.
+
+    Raises:
+        TimeoutError: It is not ready in time.
+    """
+    client = transport.JsonClient(address)
+    with anyio.fail_after(START_SECONDS):
+        while True:
+            with contextlib.suppress(
+                transport.ConnectFailed, transport.ExchangeFailed
+            ):
+                reply = await client.request(
+                    'GET', '/readyz', time.time() + 1.0
+                )
+                if reply.status == 200:
+                    return
+            await anyio.sleep(0.1)
+
+
 def make_directory() -> contextlib.AbstractContextManager[str]:
     """Return a temporary directory for logs and settings."""
     return tempfile.TemporaryDirectory(prefix='laburnumstep-')
--- /dev/null
+++ b/tests/laburnumstep/vm/steps/vm_steps.py
@@ -0,0 +1,396 @@
+"""Steps for the features with entry VMs as processes."""
+
+from __future__ import annotations
+
+import signal
+import typing
+
+import anyio
+import attrs
+import behave
+
+from laburnumstep import core
+from laburnumstep import log
+from laburnumstep_standins import caller
+from support import cluster
+from support import hooks
+
+_POLL_SECONDS = 0.01
+
+
+def _names(text: str) -> list[str]:
+    plain = text.replace('"', '').replace(' and ', ',')
+    return [name for name in plain.split(',') if name]
+
+
+async def _wait_for(condition: typing.Callable[[], bool]) -> None:
+    with anyio.fail_after(cluster.DEADLINE_SECONDS):
+        while not condition():
+            await anyio.sleep(_POLL_SECONDS)
+
+
+async def _read(
+    context: typing.Any, client: caller.Caller, answer: caller.Answer
+) -> None:
+    body = {'model': cluster.MODEL, 'prompt': 'Plan the night shift.'}
+    deadline = context.cluster.clock.now() + cluster.DEADLINE_SECONDS
+    await client.generate(body, deadline, answer)
+
+
+def _call(
+    context: typing.Any,
+    names: list[str],
+    operation: str,
+    key: core.RequestKey | None = None,
+) -> caller.CallReply:
+    client = context.cluster.make_caller(*names)
+    deadline = context.cluster.clock.now() + cluster.DEADLINE_SECONDS
+    body = {
+        'service': cluster.SERVICE,
+        'operation': operation,
+        'payload': {'gang': 'A7'},
+    }
+    context.key = key or client.issue_key()
+    return context.portal.call(client.call, body, context.key, deadline)
+
+
+@behave.given('VMs {names} and answers of {tokens:d} tokens')
+def step_cluster(context: typing.Any, names: str, tokens: int) -> None:
+    manager = cluster.run_cluster(tokens, *_names(names))
+    context.cluster = hooks.enter(context, manager)
+
+
+@behave.given('VMs {names}')
+def step_plain_cluster(context: typing.Any, names: str) -> None:
+    step_cluster(context, names, 50)
+
+
+@behave.when('a caller of {names} reads a stream')
+def step_read(context: typing.Any, names: str) -> None:
+    listed = _names(names.replace(' and then ', ','))
+    client = context.cluster.make_caller(*listed)
+    context.answer = caller.Answer()
+    context.reading = context.portal.start_task_soon(
+        _read, context, client, context.answer
+    )
+
+
+@behave.when('"{name}" gets {number} at token {count:d}')
+def step_signal_at(
+    context: typing.Any, name: str, number: str, count: int
+) -> None:
+    answer = context.answer
+    context.portal.call(_wait_for, lambda: answer.position >= count)
+    step_signal(context, name, number)
+
+
+@behave.when('"{name}" gets {number}')
+def step_signal(context: typing.Any, name: str, number: str) -> None:
+    context.cluster.vms[name].send_signal(signal.Signals[number])
+
+
+@behave.when('at the same time: {fault}')
+def step_more(context: typing.Any, fault: str) -> None:
+    if fault == 'log outage':
+        step_outage(context)
+
+
+@behave.given('the log has an outage')
+@behave.when('the log has an outage')
+def step_outage(context: typing.Any) -> None:
+    def fail() -> None:
+        context.cluster.log.set_faults(outage=True)
+
+    context.portal.call(fail)
+
+
+@behave.when('the log answers again')
+def step_log_back(context: typing.Any) -> None:
+    def mend() -> None:
+        context.cluster.log.set_faults(outage=False)
+
+    context.portal.call(mend)
+
+
+@behave.when('the caller resumes through "{name}"')
+def step_resume(context: typing.Any, name: str) -> None:
+    old = context.answer
+    context.reading.cancel()
+    client = context.cluster.make_caller(name)
+    context.answer = attrs.evolve(old)
+
+    async def resume() -> None:
+        await client._follow(
+            '/v1/generations/resume',
+            {'handle': old.handle, 'position': old.position},
+            {},
+            context.cluster.clock.now() + cluster.DEADLINE_SECONDS,
+            context.answer,
+        )
+
+    context.reading = context.portal.start_task_soon(resume)
+
+
+@behave.then('the answer is whole and every token came once and in order')
+def step_whole(context: typing.Any) -> None:
+    context.reading.result(cluster.DEADLINE_SECONDS)
+    answer = context.answer
+    assert answer.whole, answer.error
+    texts = answer.tokens
+    assert len(texts) == answer.position
+
+
+@behave.then('it was resumed {times:d} times')
+def step_resumed(context: typing.Any, times: int) -> None:
+    assert context.answer.resumed == times, context.answer.resumed
+
+
+@behave.then('one generation was begun')
+def step_one_generation(context: typing.Any) -> None:
+    hosts = context.cluster.engines.values()
+    assert sum(host.stand_in.started for host in hosts) == 1
+
+
+@behave.then('"{name}" is not ready')
+def step_not_ready(context: typing.Any, name: str) -> None:
+    async def wait() -> None:
+        with anyio.fail_after(cluster.DEADLINE_SECONDS):
+            while await context.cluster.is_ready(name):
+                await anyio.sleep(_POLL_SECONDS)
+
+    context.portal.call(wait)
+
+
+@behave.then('"{name}" becomes ready')
+def step_ready(context: typing.Any, name: str) -> None:
+    async def wait() -> None:
+        with anyio.fail_after(cluster.DEADLINE_SECONDS):
+            while not await context.cluster.is_ready(name):
+                await anyio.sleep(_POLL_SECONDS)
+
+    context.portal.call(wait)
+
+
+@behave.then('"{name}" ends with status {status:d}')
+def step_ends(context: typing.Any, name: str, status: int) -> None:
+    async def wait() -> int:
+        with anyio.fail_after(cluster.DEADLINE_SECONDS):
+            return await context.cluster.vms[name].process.wait()
+
+    assert context.portal.call(wait) == status
+
+
+# Postings.
+
+
+@behave.when('"{operation}" is sent through "{name}" and held by the service')
+def step_held(context: typing.Any, operation: str, name: str) -> None:
+    stand_in = context.cluster.service
+
+    def hold() -> None:
+        stand_in.set_faults(delayed=True)
+
+    context.portal.call(hold)
+    client = context.cluster.make_caller(name)
+    context.key = client.issue_key()
+    body = {
+        'service': cluster.SERVICE,
+        'operation': operation,
+        'payload': {'gang': 'A7'},
+    }
+    deadline = context.cluster.clock.now() + cluster.DEADLINE_SECONDS
+    context.sending = context.portal.start_task_soon(
+        client.call, body, context.key, deadline
+    )
+    context.portal.call(stand_in.wait_for_arrival)
+
+
+@behave.when('the service goes on')
+def step_service_goes_on(context: typing.Any) -> None:
+    def release() -> None:
+        context.cluster.service.set_faults(delayed=False)
+
+    context.portal.call(release)
+
+
+@behave.given('the service loses {count:d} replies after the effect')
+def step_lost_replies(context: typing.Any, count: int) -> None:
+    def lose() -> None:
+        context.cluster.service.set_faults(lost_replies=count)
+
+    context.portal.call(lose)
+
+
+@behave.when('"{operation}" is sent through "{name}"')
+def step_call(context: typing.Any, operation: str, name: str) -> None:
+    context.reply = _call(context, [name], operation)
+
+
+@behave.when('"{operation}" is sent again through "{name}"')
+def step_call_again(context: typing.Any, operation: str, name: str) -> None:
+    context.reply = _call(context, [name], operation, context.key)
+
+
+@behave.when('"{operation}" is sent through {names} at the same time')
+def step_call_race(context: typing.Any, operation: str, names: str) -> None:
+    listed = _names(names)
+    key = context.cluster.make_caller(*listed).issue_key()
+    body = {
+        'service': cluster.SERVICE,
+        'operation': operation,
+        'payload': {'gang': 'A7'},
+    }
+    deadline = context.cluster.clock.now() + cluster.DEADLINE_SECONDS
+    tasks = [
+        context.portal.start_task_soon(
+            context.cluster.make_caller(name).call, body, key, deadline
+        )
+        for name in listed
+    ]
+    context.key = key
+    context.replies = [task.result() for task in tasks]
+
+
+@behave.then('the caller is told "{outcome}"')
+def step_outcome(context: typing.Any, outcome: str) -> None:
+    assert context.reply.outcome == outcome, context.reply
+
+
+@behave.then('one caller at least is told "{outcome}"')
+def step_one_outcome(context: typing.Any, outcome: str) -> None:
+    outcomes = [reply.outcome for reply in context.replies]
+    assert outcome in outcomes, context.replies
+    assert 'not_run' not in outcomes, context.replies
+
+
+@behave.then('the operation had {count:d} effects')
+def step_effects(context: typing.Any, count: int) -> None:
+    effects = context.cluster.service.ledger.effects[str(context.key)]
+    assert effects == count, effects
+
+
+# Configuration.
+
+
+@behave.when('a configuration with workspace "{name}" is published')
+def step_publish(context: typing.Any, name: str) -> None:
+    context.result = context.portal.call(
+        context.cluster.publish, _with_workspace(context, name)
+    )
+
+
+@behave.when('two operators publish workspaces "{first}" and "{second}"')
+def step_race(context: typing.Any, first: str, second: str) -> None:
+    base = context.cluster.version
+    tasks = [
+        context.portal.start_task_soon(
+            context.cluster.publish, _with_workspace(context, name), base
+        )
+        for name in (first, second)
+    ]
+    context.results = [task.result() for task in tasks]
+
+
+def _with_workspace(context: typing.Any, name: str) -> core.Deployment:
+    deployment = context.cluster.deployment
+    digest = core.digest_secret(cluster.SECRET)
+    added = core.Workspace(name, digest, 10, 10, 1e6)
+    workspaces = {**deployment.workspaces, name: added}
+    return attrs.evolve(deployment, workspaces=workspaces)
+
+
+@behave.when('"{name}" is cut off from the log')
+def step_cut_log(context: typing.Any, name: str) -> None:
+    context.portal.call(context.cluster.cut_log, name)
+
+
+@behave.when('"{name}" starts with nothing')
+def step_start(context: typing.Any, name: str) -> None:
+    context.portal.call(context.cluster.start_vm, name, False)
+
+
+@behave.then('workspace "{workspace}" is served by "{name}"')
+def step_served(context: typing.Any, workspace: str, name: str) -> None:
+    vm = context.cluster.vms[name]
+    client = caller.Caller(
+        [vm.addresses['callers']],
+        workspace,
+        cluster.SECRET,
+        context.cluster.clock,
+    )
+    body = {
+        'service': cluster.SERVICE,
+        'operation': 'roster',
+        'payload': {},
+    }
+
+    async def ask() -> None:
+        deadline = context.cluster.clock.now() + cluster.DEADLINE_SECONDS
+        with anyio.fail_after(cluster.DEADLINE_SECONDS):
+            while True:
+                key = client.issue_key()
+                reply = await client.call(body, key, deadline)
+                if reply.outcome == 'ran':
+                    return
+                await anyio.sleep(_POLL_SECONDS)
+
+    context.portal.call(ask)
+
+
+@behave.then('one publication is accepted and the other is told so')
+def step_one_accepted(context: typing.Any) -> None:
+    kinds = sorted(type(result).__name__ for result in context.results)
+    assert kinds == ['Conflict', 'Published'], context.results
+    conflict = next(r for r in context.results if isinstance(r, log.Conflict))
+    assert conflict.in_force == context.cluster.version
+
+
+# Leaving targets.
+
+
+@behave.when('engine "{name}" announces its reclaim')
+def step_reclaim(context: typing.Any, name: str) -> None:
+    stand_in = context.cluster.engines[name].stand_in
+    reclaim_at = context.cluster.clock.now() + 3600
+
+    def announce() -> None:
+        stand_in.set_faults(reclaim_at=reclaim_at)
+
+    context.portal.call(announce)
+
+
+@behave.when('{names} know that "{target}" is leaving')
+def step_know(context: typing.Any, names: str, target: str) -> None:
+    mark = f'target is leaving; target={target}'
+    for name in _names(names):
+        vm = context.cluster.vms[name]
+        context.portal.call(_wait_for, lambda vm=vm: mark in vm.read_log())
+
+
+@behave.when('{count:d} generations are requested through {names}')
+def step_many(context: typing.Any, count: int, names: str) -> None:
+    hosts = context.cluster.engines
+    context.begun = {n: h.stand_in.started for n, h in hosts.items()}
+    client = context.cluster.make_caller(*_names(names))
+    for _ in range(count):
+        answer = caller.Answer()
+        context.portal.call(_read, context, client, answer)
+        assert answer.whole, answer.error
+
+
+@behave.then('none of them was begun on "{name}"')
+def step_none_on(context: typing.Any, name: str) -> None:
+    host = context.cluster.engines[name]
+    assert host.stand_in.started == context.begun[name]
+
+
+@behave.then('the operation had {count:d} effects after the first send ends')
+def step_effects_later(context: typing.Any, count: int) -> None:
+    context.sending.result(cluster.DEADLINE_SECONDS)
+    step_effects(context, count)
+
+
+@behave.given('the log has an outage before VMs start')
+def step_early_outage(context: typing.Any) -> None:
+    step_cluster(context, '', 50)
+    step_outage(context)
