--- a/tests/laburnumstep/siblings/server.feature
+++ b/tests/laburnumstep/siblings/server.feature
@@ -39,3 +39,10 @@
     Given the server announces a configuration with a wrong digest
     When the configuration is fetched
     Then the fetch fails with "wrong_digest"
+
+  Scenario: A configuration without a position in the log can be fetched
+    Guards against a VM that cannot give its configuration to siblings
+    while the log has lost the records of it.
+    Given the server holds a configuration through -1
+    When the configuration is fetched
+    Then the fetched configuration is through -1
--- a/tests/laburnumstep/siblings/steps/server_steps.py
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -208,10 +208,24 @@
     )
 
 
+@behave.given('the server holds a configuration through {through:d}')
+def step_through(context: typing.Any, through: int) -> None:
+    deployment = core.Deployment('cuadrilla')
+    digest = core.digest_deployment(deployment)
+    context.handler.configuration = core.VersionedDeployment(
+        3, digest, through, deployment
+    )
+
+
+@behave.then('the fetched configuration is through {through:d}')
+def step_fetched_through(context: typing.Any, through: int) -> None:
+    assert context.fetched.through == through, context.fetched
+
+
 @behave.when('the configuration is fetched')
 def step_fetch(context: typing.Any) -> None:
     try:
-        context.portal.call(
+        context.fetched = context.portal.call(
             siblings.fetch_configuration, context.server.address, KEY, 0, 10
         )
     except core.FindingsError as error:
