Put a replaced version in force on a VM that knows its number

Cause: after the log lost version 2 and gave the number to another publication, the VM waited for version 3 and kept the old limits.

Change: the VM waits for another configuration, not for a higher number.

--- a/packages/laburnumstep/src/laburnumstep/log/_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_follower.py
@@ -154,6 +154,20 @@
         while self._current is None or self._current.version < version:
             await self._changed.wait()
 
+    async def wait_for_change(
+        self, known: core.VersionedDeployment | None
+    ) -> core.VersionedDeployment:
+        """Wait until another configuration than `known` is in force.
+
+        Its version is the same as before where the log lost a version and
+        gave its number to another one.
+        """
+        while self._current is None or (
+            known is not None and _is_same(self._current, known)
+        ):
+            await self._changed.wait()
+        return self._current
+
     async def wait_for_view(
         self, accepts: typing.Callable[[_snapshots.FollowerView], bool]
     ) -> None:
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -133,13 +133,10 @@
         _LOGGER.info('stopped; every request has ended')
 
     async def _apply_configurations(self) -> None:
-        version = 0
+        current = None
         async with anyio.create_task_group() as tasks:
             while True:
-                await self._follower.wait_for_version(version + 1)
-                current = self._follower.current
-                assert current is not None
-                version = current.version
+                current = await self._follower.wait_for_change(current)
                 self._state.clients.apply_deployment(current.deployment)
                 self._state.view.apply_deployment(current.deployment)
                 self._state.limits.apply_deployment(current.deployment)
@@ -148,7 +145,7 @@
                 self._membership.note_configuration()
                 _LOGGER.info(
                     'configuration in force; version=%d digest=%s',
-                    version,
+                    current.version,
                     current.digest,
                 )
 
--- a/tests/laburnumstep/log/recovery.feature
+++ b/tests/laburnumstep/log/recovery.feature
@@ -128,6 +128,17 @@
       | 0   |
       | 1   |
 
+  Scenario: A version that the log gave to another publication is replaced
+    Guards against VMs that stay apart under the same version number.
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And an operator publishes a deployment with 5 workspaces from 1
+    And version 2 is in force at "vm-1"
+    And the log loses the records from 1 on
+    When an operator publishes a deployment with 7 workspaces from 1
+    Then another configuration is in force at "vm-1"
+    And version 2 is in force at "vm-1"
+    And "vm-1" knows 7 workspaces
+
   Scenario: A VM that follows a sibling beyond lagging reads stays in step
     Guards against lagging reads that pass for a log that lost records.
     Given an operator publishes a deployment with 1 workspaces from 0
--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -208,6 +208,7 @@
 
 @behave.given('the log loses the records from {end:d} on')
 def step_truncate(context: typing.Any, end: int) -> None:
+    context.held = context.followers['vm-1'].current
     context.portal.call(find_stream(context).truncate, end)
     for follower in context.followers.values():
         context.portal.call(
@@ -281,3 +282,11 @@
         context.log.set_faults(outage=False)
 
     context.portal.start_task_soon(fail_for_a_while)
+
+
+@behave.then('another configuration is in force at "{name}"')
+def step_changed(context: typing.Any, name: str) -> None:
+    follower = context.followers[name]
+    context.portal.call(
+        clocks.await_bounded, follower.wait_for_change, context.held
+    )
