Test the batches of claims and the pace of their appends

Change: one scenario counts the appends of 50 concurrent claims of one partition, another runs a claim against a log that refuses appends because of its rate. Both were seen failing: with batches of one record, and with a refused append treated as an outage.

--- a/tests/laburnumstep/log/claims.feature
+++ b/tests/laburnumstep/log/claims.feature
@@ -225,6 +225,17 @@
     And VM "a" posts a key of that partition
     Then the index of VM "a" holds 1 key
 
+  Scenario: Claims of one partition share appends
+    When VM "a" claims 50 keys of one partition at once
+    Then every claim is granted with at most 3 appends
+
+  Scenario: A claim waits when the log refuses appends because of their rate
+    Given claiming VMs "a", "b" and "c" and a log of 1 append a second
+    And the claims log accepts no more appends for now
+    When VM "a" posts "k" while time passes
+    Then "a" is told "posting 1"
+    And "k" took effect 1 times
+
   Scenario Outline: Random faults and resends
     When a schedule of 200 random steps runs from seed <seed>
     Then no posting took effect twice
--- a/tests/laburnumstep/log/steps/claims_steps.py
+++ b/tests/laburnumstep/log/steps/claims_steps.py
@@ -48,6 +48,14 @@
     await context.rig.finish_call(vm, name)
 
 
+def make_key(context) -> core.RequestKey:
+    """Return a new key of partition 7."""
+    while True:
+        key = core.RequestKey.new(context.rig.clock.now())
+        if key.partition(log.PARTITIONS) == 7:
+            return key
+
+
 async def wait_for(event) -> None:
     with anyio.fail_after(claims_rig.HANG_SECONDS):
         await event()
@@ -58,9 +66,15 @@
     context.portal.call(lambda: target.set_faults(**faults))
 
 
+@behave.given('claiming VMs "a", "b" and "c" and a log of 1 append a second')
+def step_slow_log(context) -> None:
+    step_vms(context, 1.0)
+
+
 @behave.given('claiming VMs "a", "b" and "c"')
-def step_vms(context) -> None:
-    context.rig = hooks.enter(context, claims_rig.open_rig())
+def step_vms(context, appends_per_second: float = 300.0) -> None:
+    rig = claims_rig.open_rig(appends_per_second)
+    context.rig = hooks.enter(context, rig)
     for name in 'abc':
         context.portal.call(context.rig.add_vm, name)
     context.points = {}
@@ -328,13 +342,9 @@
 @behave.when('VM "{vm}" posts {count:d} keys of one partition')
 def step_post_many(context, vm: str, count: int) -> None:
     async def claim_many():
-        context.many = []
-        while len(context.many) < count + 1:
-            key = core.RequestKey.new(context.rig.clock.now())
-            if key.partition(log.PARTITIONS) == 7:
-                context.many.append(key)
         book = context.rig.vms[vm].book
-        for key in context.many[:count]:
+        for _ in range(count):
+            key = make_key(context)
             await book.claim(key, 'clerks', key.expires_at)
 
     context.portal.call(claim_many)
@@ -342,16 +352,9 @@
 
 @behave.when('VM "{vm}" posts a key of that partition')
 def step_post_last(context, vm: str) -> None:
-    async def claim_last():
-        nonce = context.many[-1].nonce
-        while True:
-            key = core.RequestKey.new(context.rig.clock.now())
-            if key.partition(log.PARTITIONS) == 7:
-                break
-        assert nonce != key.nonce
-        await context.rig.vms[vm].book.claim(key, 'clerks', key.expires_at)
-
-    context.portal.call(claim_last)
+    key = make_key(context)
+    book = context.rig.vms[vm].book
+    context.portal.call(book.claim, key, 'clerks', key.expires_at)
 
 
 @behave.then('the index of VM "{vm}" holds {count:d} key')
@@ -372,6 +375,58 @@
     assert effects == count, effects
 
 
+@behave.when('VM "{vm}" claims {count:d} keys of one partition at once')
+def step_claim_at_once(context, vm: str, count: int) -> None:
+    async def claim(key):
+        book = context.rig.vms[vm].book
+        context.many.append(await book.claim(key, 'clerks', key.expires_at))
+
+    async def claim_at_once():
+        stream = context.rig.log.find_stream('claims-07')
+        append_records = stream.append
+        context.appends = []
+
+        def append_and_count(records):
+            context.appends.append(len(records))
+            return append_records(records)
+
+        stream.append = append_and_count
+        context.many = []
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(claim, make_key(context))
+
+    context.portal.call(claim_at_once)
+
+
+@behave.then('every claim is granted with at most {count:d} appends')
+def step_shared(context, count: int) -> None:
+    assert all(isinstance(a, log.Granted) for a in context.many)
+    assert len(context.appends) <= count, context.appends
+
+
+@behave.given('the claims log accepts no more appends for now')
+def step_rate(context) -> None:
+    async def use_up():
+        client = log.LogClient(context.rig.log_address, context.rig.clock)
+        while True:
+            try:
+                await client.append('other', [{}], time.time() + 10)
+            except log.AppendRateExceeded:
+                return
+
+    context.portal.call(use_up)
+
+
+@behave.when('VM "{vm}" posts "{name}" while time passes')
+def step_post_slowly(context, vm: str, name: str) -> None:
+    async def post_slowly():
+        context.rig.start_call(vm, name)
+        await context.rig.run_until(context.rig.vms[vm].ended[name])
+
+    context.portal.call(post_slowly)
+
+
 @behave.when('a schedule of {steps:d} random steps runs from seed {seed:d}')
 def step_schedule(context, steps: int, seed: int) -> None:
     schedule = claims_schedule.Schedule(context.rig, seed)
--- a/tests/support/claims_rig.py
+++ b/tests/support/claims_rig.py
@@ -113,10 +113,12 @@
 class Rig:
     """A log, a service and VMs that share a clock."""
 
-    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+    def __init__(
+        self, tasks: anyio.abc.TaskGroup, appends_per_second: float
+    ) -> None:
         self._tasks = tasks
         self.clock = core.ManualClock(time.time())
-        self.log = log_standin.LogStandIn(self.clock)
+        self.log = log_standin.LogStandIn(self.clock, appends_per_second)
         self.service = service.ServiceStandIn()
         self.vms: dict[str, VM] = {}
         self.keys: dict[str, core.RequestKey] = {}
@@ -241,10 +243,12 @@
 
 
 @contextlib.asynccontextmanager
-async def open_rig() -> typing.AsyncIterator[Rig]:
+async def open_rig(
+    appends_per_second: float = 300.0,
+) -> typing.AsyncIterator[Rig]:
     """Serve the stand-ins of a rig while the context is open."""
     async with anyio.create_task_group() as tasks:
-        rig = Rig(tasks)
+        rig = Rig(tasks, appends_per_second)
         async with (
             transport.serve_app(rig.log.app) as log_server,
             transport.serve_app(rig.service.app) as service_server,
