--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -50,14 +50,25 @@
 from laburnumstep.log._publications import SnapshotHeader
 from laburnumstep.log._publisher import ConfigurationPublisher
 from laburnumstep.log._publisher import Conflict
+from laburnumstep.log._publisher import NotNeeded
+from laburnumstep.log._publisher import Prepared
+from laburnumstep.log._publisher import PrepareResult
 from laburnumstep.log._publisher import Published
 from laburnumstep.log._publisher import PublishResult
+from laburnumstep.log._publisher import WrongDeployment
 from laburnumstep.log._records import LogPage
 from laburnumstep.log._records import LogRecord
 from laburnumstep.log._replay import ConfigurationReplay
+from laburnumstep.log._republisher import SnapshotRepublisher
+from laburnumstep.log._snapshots import AppendSnapshot
+from laburnumstep.log._snapshots import decide_snapshot
+from laburnumstep.log._snapshots import FollowerView
+from laburnumstep.log._snapshots import NoSnapshot
+from laburnumstep.log._snapshots import SnapshotDecision
 
 __all__ = [
     'AppendRateExceeded',
+    'AppendSnapshot',
     'AppendedAt',
     'CONFIGURATION_STREAM',
     'Change',
@@ -73,6 +84,7 @@
     'Conflict',
     'Expired',
     'FRESH_SECONDS',
+    'FollowerView',
     'ForwardedRecords',
     'Granted',
     'Held',
@@ -81,8 +93,12 @@
     'LogPage',
     'LogRecord',
     'LogUnavailable',
+    'NoSnapshot',
+    'NotNeeded',
     'NotValidYet',
     'PARTITIONS',
+    'PrepareResult',
+    'Prepared',
     'Publication',
     'PublishResult',
     'Published',
@@ -100,10 +116,14 @@
     'SettleRecord',
     'Settled',
     'Snapshot',
+    'SnapshotDecision',
     'SnapshotHeader',
+    'SnapshotRepublisher',
     'Taken',
     'Unclaimed',
+    'WrongDeployment',
     'apply_changes',
+    'decide_snapshot',
     'decode_claim_answers',
     'decode_claims',
     'diff_deployments',
--- a/packages/laburnumstep/src/laburnumstep/log/_publisher.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_publisher.py
@@ -13,6 +13,7 @@
 from laburnumstep.log import _follower
 from laburnumstep.log import _publications
 from laburnumstep.log import _replay
+from laburnumstep.log import _replay_pages
 
 _NONCE_BYTES = 8
 _RETRY_SECONDS = 0.3
@@ -37,7 +38,34 @@
     """Version in force."""
 
 
-PublishResult = Published | Conflict
+@attrs.frozen
+class NotNeeded:
+    """The deployment is in force already."""
+
+    version: int
+    """Version in force."""
+
+
+@attrs.frozen
+class WrongDeployment:
+    """The log belongs to another deployment."""
+
+    in_force: str
+    """Name of the deployment in force."""
+
+
+@attrs.frozen
+class Prepared:
+    """A publication that follows the version in force."""
+
+    base: core.Deployment
+    """The deployment in force."""
+    publication: _publications.Publication
+    """What is to be appended."""
+
+
+PrepareResult = Prepared | Conflict | NotNeeded | WrongDeployment
+PublishResult = Published | Conflict | NotNeeded | WrongDeployment
 
 
 class ConfigurationPublisher:
@@ -87,13 +115,13 @@
             )
         return self._replay.state
 
-    async def publish(
+    async def prepare(
         self,
         deployment: core.Deployment,
         made_from: int,
         deadline: float,
-    ) -> PublishResult:
-        """Publish a deployment as the version after `made_from`.
+    ) -> PrepareResult:
+        """Make the publication of a deployment, and append nothing.
 
         Args:
             deployment: What is to be in force.
@@ -101,23 +129,87 @@
             deadline: When to give up, in epoch seconds.
 
         Raises:
-            LogUnavailable: The log did not answer before the deadline; if
-                `may_have_landed`, the publication may be in force.
+            LogUnavailable: As `read_in_force`.
             CodedError: As `read_in_force`.
         """
         state = await self.read_in_force(deadline)
+        base = state.deployment if state else core.Deployment('')
         in_force = state.version if state else 0
+        if state and base.name != deployment.name:
+            return WrongDeployment(base.name)
         if in_force != made_from:
             return Conflict(made_from, in_force)
-        base = state.deployment if state else core.Deployment('')
+        changes = _changes.diff_deployments(base, deployment)
+        if state and not changes:
+            return NotNeeded(in_force)
         publication = _publications.Publication(
             deployment.name,
             made_from + 1,
             made_from,
             secrets.token_hex(_NONCE_BYTES),
-            _changes.diff_deployments(base, deployment),
+            changes,
+        )
+        return Prepared(base, publication)
+
+    async def publish(
+        self,
+        deployment: core.Deployment,
+        made_from: int,
+        deadline: float,
+    ) -> PublishResult:
+        """Publish a deployment as the version after `made_from`.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version from which it was made; 0 for the first.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: The log did not answer before the deadline; if
+                `may_have_landed`, the publication may be in force.
+            CodedError: As `read_in_force`.
+        """
+        prepared = await self.prepare(deployment, made_from, deadline)
+        match prepared:
+            case Prepared(publication=publication):
+                return await self._append(publication, deadline)
+            case _:
+                return prepared
+
+    async def found(
+        self, deployment: core.Deployment, made_from: int, deadline: float
+    ) -> Published | Conflict:
+        """Found a history anew, where the log tells no version in force.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version that no earlier one exceeded. A VM that still
+                holds a later one would refuse the new history.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: As `publish`.
+        """
+        try:
+            state = await self.read_in_force(deadline)
+        except core.CodedError as error:
+            if error.code is not core.ErrorCode.NO_CONFIGURATION:
+                raise
+        else:
+            return Conflict(made_from, state.version if state else 0)
+        version = made_from + 1
+        founded = core.VersionedDeployment(
+            version,
+            core.digest_deployment(deployment),
+            _publications.FOUNDED_THROUGH,
+            deployment,
         )
-        return await self._append(publication, deadline)
+        record = _configuration_codec.encode_snapshot(founded)
+        await self._client.append(self._stream, [record], deadline)
+        in_force = await self.read_in_force(deadline)
+        if in_force and in_force.digest == founded.digest:
+            return Published(in_force.version)
+        return Conflict(made_from, in_force.version if in_force else 0)
 
     async def _append(
         self, publication: _publications.Publication, deadline: float
@@ -125,15 +217,19 @@
         record = _configuration_codec.encode_publication(publication)
         may_have_landed = False
         while True:
+            end = 0
             try:
-                await self._client.append(self._stream, [record], deadline)
+                appended = await self._client.append(
+                    self._stream, [record], deadline
+                )
                 may_have_landed = True
+                end = appended.first_offset + 1
             except _client.AppendRateExceeded as error:
                 await self._wait_until(error.retry_at, deadline, error)
             except _client.LogUnavailable as error:
                 may_have_landed = may_have_landed or error.may_have_landed
                 await self._wait_to_retry(deadline, error, may_have_landed)
-            await self._read_back(deadline, may_have_landed)
+            await self._read_back(end, deadline, may_have_landed)
             match self._verdicts.get(publication.nonce):
                 case _replay.Accepted(version=version):
                     return Published(version)
@@ -144,14 +240,19 @@
                     # the first one lands late, the rule refuses the other.
                     continue
 
-    async def _read_back(self, deadline: float, may_have_landed: bool) -> None:
+    async def _read_back(
+        self, end: int, deadline: float, may_have_landed: bool
+    ) -> None:
         while True:
             try:
                 await self.read_in_force(deadline)
             except _client.LogUnavailable as error:
-                await self._wait_to_retry(deadline, error, may_have_landed)
+                failure = error
             else:
-                return
+                if self._replay.position >= end:
+                    return
+                failure = _client.LogUnavailable('reads lag', True)
+            await self._wait_to_retry(deadline, failure, may_have_landed)
 
     async def _wait_to_retry(
         self,
@@ -178,15 +279,14 @@
             0,
             deadline,
         )
-        for record in page.records:
-            try:
-                decoded = _configuration_codec.decode_record(record.data)
-            except _configuration_codec.BadRecord:
-                decoded = None
-            verdict = self._replay.observe(record.offset, decoded)
+        if page.end < self._replay.position:
+            # The log has lost records; its replay begins anew.
+            self._replay = _replay.ConfigurationReplay()
+            return True
+        before = self._replay.position
+        for item in _replay_pages.replay_page(self._replay, page):
+            verdict = item.verdict
             if isinstance(verdict, (_replay.Accepted, _replay.Refused)):
                 # A repeated record is refused; the first verdict counts.
                 self._verdicts.setdefault(verdict.nonce, verdict)
-        if not page.records and page.first > self._replay.position:
-            self._replay.skip_to(page.first)
-        return self._replay.position < page.end
+        return before < self._replay.position < page.end
