Give orders to engines under leases from the log

Cause: a holder of a lease can be paused, so two VMs may both believe that they hold it; some engines ignore fencing numbers; reports lag; the weight store's rate holds for the whole fleet.

Change: LeaseTable decides leases in log order by the log's own time; the fencing number is the offset of the record that began the lease. LeaseKeeper counts a lease as held only by its own reading and from before its append was sent. OrderKeeper compares the declared with the reported versions and sends an order only while it holds the lease, asks again after it has fetched the weights, and gives an engine 60 s before it repeats an order. Load reports carry the versions of the loaded models. Stand-in weights counts fetches that exceed the rate.

Ruled out: a share of the rate for each lease holder, because two holders of one lease would both use it.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -20,6 +20,7 @@
 from laburnumstep_standins import log
 from laburnumstep_standins import service
 from laburnumstep_standins import vmlist
+from laburnumstep_standins import weights
 
 if typing.TYPE_CHECKING:
     from starlette import types
@@ -95,5 +96,14 @@
     anyio.run(serve, stand_in.app, address)
 
 
+@app.command('weights')
+def run_weights(
+    address: Address = '127.0.0.1:0', fetches_per_second: float = 1.0
+) -> None:
+    """Run the weight store."""
+    stand_in = weights.WeightStandIn(core.SystemClock(), fetches_per_second)
+    anyio.run(serve, stand_in.app, address)
+
+
 if __name__ == '__main__':
     app()
--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -45,6 +45,12 @@
 from laburnumstep.log._configuration_codec import encode_snapshot
 from laburnumstep.log._follower import CONFIGURATION_STREAM
 from laburnumstep.log._follower import ConfigurationFollower
+from laburnumstep.log._lease_keeper import LeaseKeeper
+from laburnumstep.log._lease_keeper import LEASES_STREAM
+from laburnumstep.log._lease_table import AcquireRecord
+from laburnumstep.log._lease_table import Lease
+from laburnumstep.log._lease_table import LEASE_SECONDS
+from laburnumstep.log._lease_table import LeaseTable
 from laburnumstep.log._publications import Publication
 from laburnumstep.log._publications import Snapshot
 from laburnumstep.log._publications import SnapshotHeader
@@ -67,6 +73,7 @@
 from laburnumstep.log._snapshots import SnapshotDecision
 
 __all__ = [
+    'AcquireRecord',
     'AppendRateExceeded',
     'AppendSnapshot',
     'AppendedAt',
@@ -89,6 +96,11 @@
     'Granted',
     'Held',
     'KeyOutcome',
+    'LEASES_STREAM',
+    'LEASE_SECONDS',
+    'Lease',
+    'LeaseKeeper',
+    'LeaseTable',
     'LogClient',
     'LogPage',
     'LogRecord',
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -29,6 +29,16 @@
 from laburnumstep.targets._lengths import LengthSketch
 from laburnumstep.targets._links import LinkMeter
 from laburnumstep.targets._load_follower import LoadFollower
+from laburnumstep.targets._orders import compare_models
+from laburnumstep.targets._orders import LeaseView
+from laburnumstep.targets._orders import OrderKeeper
+from laburnumstep.targets._orders import WeightSource
+from laburnumstep.targets._orders_client import Accepted
+from laburnumstep.targets._orders_client import Order
+from laburnumstep.targets._orders_client import OrderAnswer
+from laburnumstep.targets._orders_client import OrderClient
+from laburnumstep.targets._orders_client import OrderFailed
+from laburnumstep.targets._orders_client import StaleFence
 from laburnumstep.targets._pace import EventRate
 from laburnumstep.targets._placement import choose_engine
 from laburnumstep.targets._placement import choose_service
@@ -66,6 +76,7 @@
 
 __all__ = [
     'AbandonedGenerations',
+    'Accepted',
     'Answered',
     'CacheEvent',
     'CacheEventKind',
@@ -86,6 +97,7 @@
     'GenerationRunner',
     'GenerationSink',
     'GiveUp',
+    'LeaseView',
     'LengthEstimator',
     'LengthSketch',
     'LinkMeter',
@@ -97,6 +109,11 @@
     'NoTarget',
     'NotReached',
     'NotStarted',
+    'Order',
+    'OrderAnswer',
+    'OrderClient',
+    'OrderFailed',
+    'OrderKeeper',
     'Placed',
     'PlacedGeneration',
     'Placement',
@@ -112,14 +129,17 @@
     'ServiceAnswer',
     'ServiceClient',
     'ServiceClients',
+    'StaleFence',
     'StreamBroken',
     'StreamGap',
     'StreamPosition',
     'TargetState',
     'TokenBatch',
+    'WeightSource',
     'WrongGeneration',
     'choose_engine',
     'choose_service',
+    'compare_models',
     'decide_retry',
     'decode_lengths',
     'digest_prefixes',
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
@@ -114,8 +114,12 @@
             preemptions=int(body['preemptions']),
             models=[str(model['name']) for model in body['models']],
             reclaim_at=None if reclaim_at is None else float(reclaim_at),
+            versions={
+                str(model['name']): str(model.get('version', ''))
+                for model in body['models']
+            },
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         message = f'malformed load report: {body!r}'[:120]
         raise _engine_events.MalformedStream(message) from error
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_reports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_reports.py
@@ -25,3 +25,5 @@
     """Models that are loaded."""
     reclaim_at: float | None = None
     """When the platform takes the engine back, in epoch seconds."""
+    versions: dict[str, str] = attrs.field(factory=dict)
+    """Version of each loaded model, where the engine reports it."""
