Measure VM processes in the load tool

Cause: relay rate, spread, leaving targets and the promises to callers can only be measured at VM processes.

--- /dev/null
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/platform.py
@@ -0,0 +1,64 @@
+"""All outside systems of a deployment in one process.
+
+Run as `python -m laburnumstep_standins.bench.platform`; the first line on
+standard output is a JSON object with the address of each.
+"""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import anyio
+import typer
+
+from laburnumstep import core
+from laburnumstep import transport
+from laburnumstep_standins import engine
+from laburnumstep_standins import log
+from laburnumstep_standins import service
+from laburnumstep_standins import vmlist
+
+if typing.TYPE_CHECKING:
+    from starlette import types
+
+
+def build_apps(
+    engines: int, services: int, config: engine.EngineConfig
+) -> dict[str, types.ASGIApp]:
+    """Return the stand-ins by name; the servers share one ledger."""
+    clock = core.SystemClock()
+    apps: dict[str, types.ASGIApp] = {
+        'log': log.LogStandIn(clock).app,
+        'vmlist': vmlist.VMListStandIn(clock).app,
+    }
+    for number in range(engines):
+        apps[f'engine-{number}'] = engine.EngineStandIn(clock, config).app
+    ledger = service.Ledger()
+    for number in range(services):
+        apps[f'service-{number}'] = service.ServiceStandIn(ledger).app
+    return apps
+
+
+async def serve(apps: dict[str, types.ASGIApp]) -> None:
+    """Serve until the process is ended."""
+    async with anyio.create_task_group() as tasks:
+        addresses = {}
+        for name, app in apps.items():
+            server = transport.HttpServer(app, '127.0.0.1:0')
+            tasks.start_soon(server.run)
+            addresses[name] = server.address
+        print(json.dumps(addresses), flush=True)
+
+
+def main(engines: int, services: int, config: str = '{}') -> None:
+    """Serve the stand-ins with one configuration of the engines."""
+    core.configure_logging('error', 'text')
+    decoded = core.decode_document(
+        json.loads(config), engine.EngineConfig, '--config'
+    )
+    anyio.run(serve, build_apps(engines, services, decoded))
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
@@ -59,6 +59,7 @@
                 self._route('GET', '/v1/load', self._report_load),
                 self._route('GET', '/v1/cache/events', self._read_cache),
                 self._route('POST', '/v1/orders', self._order),
+                self._route('GET', '/starts', self._list_starts),
                 self._route('POST', '/control', self._control),
             ]
         )
@@ -72,7 +73,7 @@
     @property
     def started(self) -> int:
         """Generations started since the start of the engine."""
-        return self._engine.started
+        return len(self._engine.starts)
 
     @property
     def faults(self) -> _config.EngineFaults:
@@ -152,6 +153,13 @@
             return responses.JSONResponse({'code': 'stale_fence'}, 409)
         return responses.JSONResponse({})
 
+    async def _list_starts(self, request: requests.Request) -> _Answer:
+        # No engine's protocol has this; tests and the load tool compare it
+        # with what callers were told.
+        return responses.JSONResponse(
+            [attrs.asdict(start) for start in self._engine.starts]
+        )
+
     async def _control(self, request: requests.Request) -> _Answer:
         self._engine.set_faults(json.loads(await request.body()))
         return responses.JSONResponse(attrs.asdict(self._engine.faults))
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_engine.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_engine.py
@@ -25,6 +25,18 @@
     """An order carries an older fencing number than an earlier one."""
 
 
+@attrs.frozen
+class Start:
+    """The start of a generation."""
+
+    generation: str
+    """Id that the requester gave it."""
+    prompt: str
+    """Text to continue."""
+    at: float
+    """When it was accepted, in epoch seconds."""
+
+
 @attrs.frozen
 class Order:
     """An instruction to the engine."""
@@ -75,8 +87,8 @@
         """Faults in force."""
         self.crashed = False
         """Whether a fault has ended the engine."""
-        self.started = 0
-        """Generations started since the start of the engine."""
+        self.starts: list[Start] = []
+        """Every generation that was started."""
 
     @property
     def next_step_at(self) -> float:
@@ -133,7 +145,7 @@
         if not self._batch.busy:
             self._next_step_at = self._clock.now()
         self._batch.add(generation)
-        self.started += 1
+        self.starts.append(Start(name, prompt, self._clock.now()))
         return generation
 
     def find(self, name: str) -> _generations.Generation | None:
