Add the operators' interface

Cause: operators need to see what is in force at a VM, why a request was routed where it was, and a way to drain a target or a VM.

Change: status, decisions by request from a ring buffer, and drain orders that need the operators' key.

Ruled out: a key on the two reads, which the design does not ask for.

--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/operators/_codec.py
@@ -0,0 +1,117 @@
+"""Encoding of what operators read and order as JSON."""
+
+from __future__ import annotations
+
+import typing
+
+from laburnumstep import core
+from laburnumstep.operators import _records
+
+if typing.TYPE_CHECKING:
+    from laburnumstep.operators import _decisions
+    from laburnumstep import siblings
+
+MAX_NAME_LENGTH = 256
+"""Longest name in an order, in characters."""
+
+
+def encode_status(status: _records.VMStatus) -> core.DocumentObject:
+    """Return a VM's status as a JSON object."""
+    return {
+        'vm': status.vm,
+        'data_centre': status.data_centre,
+        'version': status.version,
+        'digest': status.digest,
+        'members': [_encode_member(member) for member in status.members],
+        'targets': [_encode_target(target) for target in status.targets],
+        'requests_in_progress': status.requests_in_progress,
+        'stopping': status.stopping,
+    }
+
+
+def _encode_member(member: siblings.Member) -> core.DocumentObject:
+    return {
+        'name': member.name,
+        'address': member.address,
+        'data_centre': member.data_centre,
+        'state': member.state.value,
+        'said_by': member.said_by,
+    }
+
+
+def _encode_target(status: siblings.TargetStatus) -> core.DocumentObject:
+    return {
+        'name': status.name,
+        'status': status.availability.value,
+        'reports': [
+            {
+                'state': report.state.value,
+                'source': report.source,
+                'vm': report.vm,
+                'until': report.until,
+            }
+            for report in status.reports
+        ],
+    }
+
+
+def encode_decision(decision: _decisions.Decision) -> core.DocumentObject:
+    """Return a decision as a JSON object."""
+    return {
+        'request': decision.request,
+        'workspace': decision.workspace,
+        'target': decision.target,
+        'reason': decision.reason,
+        'runners_up': decision.runners_up,
+        'decided_at': decision.decided_at,
+    }
+
+
+def decode_order(body: bytes) -> _records.DrainOrder:
+    """Read a drain order.
+
+    Raises:
+        CodedError: `bad_request` when the body is no order.
+    """
+    try:
+        data = core.load_json(body, 'body')
+    except core.FindingsError as error:
+        raise _refuse(str(error)) from error
+    if not isinstance(data, dict) or len(data) != 1:
+        raise _refuse('the body must have either "target" or "vm"')
+    field, name = next(iter(data.items()))
+    if field not in ('target', 'vm'):
+        raise _refuse(f'the field "{field:.64}" is not known')
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise _refuse(f'"{field}" must be a name')
+    if field == 'target':
+        return _records.DrainTarget(name)
+    return _records.DrainVM(name)
+
+
+def encode_order(order: _records.DrainOrder) -> core.DocumentObject:
+    """Return a drain order as a JSON object."""
+    match order:
+        case _records.DrainTarget(target):
+            return {'target': target}
+        case _records.DrainVM(vm):
+            return {'vm': vm}
+        case _:
+            typing.assert_never(order)
+
+
+def encode_error(error: core.CodedError) -> core.DocumentObject:
+    """Return an error as a JSON object."""
+    return {
+        'error': {
+            'code': error.code.value,
+            'message': error.message,
+            'outcome': error.outcome.value,
+            'resend': error.resend,
+            'resend_at': error.resend_at,
+        }
+    }
+
+
+def _refuse(message: str) -> core.CodedError:
+    return core.CodedError(core.ErrorCode.BAD_REQUEST, message)
--- /dev/null
+++ b/tests/laburnumstep/operators/operators.feature
@@ -0,0 +1,64 @@
+Feature: Operators read status and decisions and order drains
+  Guards against orders from strangers, against malformed orders that take
+  effect, and against a decision buffer that grows without bound.
+
+  Background:
+    Given the operators' interface of vm-1 with 3 places for decisions
+
+  Scenario: The status shows members, targets and the configuration
+    When an operator reads the status
+    Then the answer is 200
+    And it shows version 7, member vm-1 and "engine-1" leaving by "operator"
+
+  Scenario: A request that was rerun has both decisions in order
+    Given decisions for "a" on engine-1, "b" on engine-2, "a" on engine-3
+    When an operator reads the decisions for "a"
+    Then the answer is 200
+    And it shows targets "engine-1, engine-3"
+
+  Scenario: The oldest decisions make room
+    Given decisions for "a" on engine-1, "b" on engine-2, "a" on engine-3
+    And 2 more decisions
+    When an operator reads the decisions for "b"
+    Then the answer is 404
+    When an operator reads the decisions for "a"
+    Then it shows targets "engine-3"
+
+  Scenario Outline: An order needs the operators' key
+    When a drain is ordered with authorization "<given>"
+    Then the answer is <status>
+    And <count> drains were carried out
+
+    Examples:
+      | given                       | status | count |
+      | Bearer operators-test-key   | 202    | 1     |
+      | none                        | 401    | 0     |
+      | Bearer another-key          | 401    | 0     |
+      | Bearer operators-test-key-2 | 401    | 0     |
+      | Basic operators-test-key    | 401    | 0     |
+      | operators-test-key          | 401    | 0     |
+      | Bearer operators-tést-key   | 401    | 0     |
+
+  Scenario Outline: A malformed order is refused and has no effect
+    When a drain is ordered with body '<body>'
+    Then the answer is <status>
+    And 0 drains were carried out
+
+    Examples:
+      | body                                 | status |
+      | {"target": "engine-9"}               | 404    |
+      | {"target": "engine-1", "vm": "vm-1"} | 400    |
+      | {"target": "engine-1", "force": 1}   | 400    |
+      | {"targets": "engine-1"}              | 400    |
+      | {"vm": "vm-1", "vm": "vm-2"}         | 400    |
+      | {"vm": ""}                           | 400    |
+      | {"vm": 7}                            | 400    |
+      | {}                                   | 400    |
+      | ["engine-1"]                         | 400    |
+      | not JSON                             | 400    |
+      | 1048577 bytes                        | 400    |
+
+  Scenario: A VM is drained
+    When a drain is ordered with body '{"vm": "vm-1"}'
+    Then the answer is 202
+    And 1 drains were carried out
