--- a/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/__main__.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import functools
 import json
+import os
 import signal
 import typing
 
@@ -14,8 +16,11 @@
 
 from laburnumstep import core
 from laburnumstep import transport
+from laburnumstep_standins import engine
 from laburnumstep_standins import log
+from laburnumstep_standins import service
 from laburnumstep_standins import vmlist
+from laburnumstep_standins import weights
 
 if typing.TYPE_CHECKING:
     from starlette import types
@@ -24,6 +29,8 @@
 Address = typing.Annotated[
     str, typer.Option(help='IP number and port; port 0 picks one.')
 ]
+_CRASH_STATUS = 70
+"""Exit status of a stand-in that a fault crashes."""
 
 
 async def serve(application: types.ASGIApp, address: str) -> None:
@@ -58,6 +65,19 @@
     anyio.run(serve, stand_in.app, address)
 
 
+@app.command('engine')
+def run_engine(address: Address = '127.0.0.1:0', config: str = '{}') -> None:
+    """Run a model engine; the configuration is a JSON object."""
+    stand_in = engine.EngineStandIn(
+        core.SystemClock(),
+        core.decode_document(
+            json.loads(config), engine.EngineConfig, '--config'
+        ),
+        lambda: os._exit(_CRASH_STATUS),
+    )
+    anyio.run(serve, stand_in.app, address)
+
+
 @app.command('vmlist')
 def run_vmlist(
     address: Address = '127.0.0.1:0', lag_seconds: float = 0.0
@@ -68,5 +88,22 @@
     anyio.run(serve, stand_in.app, address)
 
 
+@app.command('service')
+def run_service(address: Address = '127.0.0.1:0') -> None:
+    """Run a plain service."""
+    crash = functools.partial(os._exit, _CRASH_STATUS)
+    stand_in = service.ServiceStandIn(crash=crash)
+    anyio.run(serve, stand_in.app, address)
+
+
+@app.command('weights')
+def run_weights(
+    address: Address = '127.0.0.1:0', fetches_per_second: float = 1.0
+) -> None:
+    """Run the weight store."""
+    stand_in = weights.WeightStandIn(core.SystemClock(), fetches_per_second)
+    anyio.run(serve, stand_in.app, address)
+
+
 if __name__ == '__main__':
     app()
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
@@ -5,6 +5,7 @@
 import json
 import typing
 
+import anyio
 import attrs
 from starlette import applications
 from starlette import requests
@@ -99,6 +100,9 @@
     async def _read(self, request: requests.Request) -> responses.Response:
         if self.faults.outage:
             return responses.JSONResponse({'code': 'outage'}, 503)
+        if self.faults.stalled_reads > 0:
+            self.faults.stalled_reads -= 1
+            await anyio.sleep_forever()
         name = request.path_params['stream']
         stream = self.find_stream(name)
         start = int(request.query_params.get('from', '0'))
@@ -123,6 +127,10 @@
             }
         )
 
+    # Besides the faults by name, `truncate` takes a new end by stream.
     async def _control(self, request: requests.Request) -> responses.Response:
-        self.set_faults(**json.loads(await request.body()))
+        changes = json.loads(await request.body())
+        for name, end in changes.pop('truncate', {}).items():
+            self.find_stream(name).truncate(end)
+        self.set_faults(**changes)
         return responses.JSONResponse(attrs.asdict(self.faults))
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/log/_publisher.py
@@ -0,0 +1,292 @@
+"""Publishes a configuration and tells what became of it."""
+
+from __future__ import annotations
+
+import secrets
+
+import attrs
+
+from laburnumstep import core
+from laburnumstep.log import _changes
+from laburnumstep.log import _client
+from laburnumstep.log import _configuration_codec
+from laburnumstep.log import _follower
+from laburnumstep.log import _publications
+from laburnumstep.log import _replay
+from laburnumstep.log import _replay_pages
+
+_NONCE_BYTES = 8
+_RETRY_SECONDS = 0.3
+"""Delay before another try after the log failed, in seconds."""
+
+
+@attrs.frozen
+class Published:
+    """The publication is in force."""
+
+    version: int
+    """Its version."""
+
+
+@attrs.frozen
+class Conflict:
+    """Another publication was accepted first."""
+
+    made_from: int
+    """Version that the publication was made from."""
+    in_force: int
+    """Version in force."""
+
+
+@attrs.frozen
+class NotNeeded:
+    """The deployment is in force already."""
+
+    version: int
+    """Version in force."""
+
+
+@attrs.frozen
+class WrongDeployment:
+    """The log belongs to another deployment."""
+
+    in_force: str
+    """Name of the deployment in force."""
+
+
+@attrs.frozen
+class Prepared:
+    """A publication that follows the version in force."""
+
+    base: core.Deployment
+    """The deployment in force."""
+    publication: _publications.Publication
+    """What is to be appended."""
+
+
+PrepareResult = Prepared | Conflict | NotNeeded | WrongDeployment
+PublishResult = Published | Conflict | NotNeeded | WrongDeployment
+
+
+class ConfigurationPublisher:
+    """Appends publications and reads back what became of them.
+
+    Args:
+        client: Client of the log.
+        clock: Tells the deadlines of requests.
+        stream: Name of the stream.
+    """
+
+    def __init__(
+        self,
+        client: _client.LogClient,
+        clock: core.Clock,
+        stream: str = _follower.CONFIGURATION_STREAM,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._stream = stream
+        self._replay = _replay.ConfigurationReplay()
+        self._verdicts: dict[str, _replay.Accepted | _replay.Refused] = {}
+
+    async def read_in_force(
+        self, deadline: float
+    ) -> core.VersionedDeployment | None:
+        """Read the log to its end.
+
+        Args:
+            deadline: When to give up, in epoch seconds.
+
+        Returns:
+            The configuration in force, or None if nothing is published.
+
+        Raises:
+            LogUnavailable: The log did not answer before the deadline.
+            CodedError: `no_configuration` when the retained records do not
+                tell which version is in force.
+        """
+        while await self._read_page(deadline):
+            pass
+        if not self._replay.complete:
+            raise core.CodedError(
+                core.ErrorCode.NO_CONFIGURATION,
+                'the retained records of the log do not tell the version'
+                ' in force; wait for the next snapshot of a VM',
+            )
+        return self._replay.state
+
+    async def prepare(
+        self,
+        deployment: core.Deployment,
+        made_from: int,
+        deadline: float,
+    ) -> PrepareResult:
+        """Make the publication of a deployment, and append nothing.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version from which it was made; 0 for the first.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: As `read_in_force`.
+            CodedError: As `read_in_force`.
+        """
+        state = await self.read_in_force(deadline)
+        base = state.deployment if state else core.Deployment('')
+        in_force = state.version if state else 0
+        if state and base.name != deployment.name:
+            return WrongDeployment(base.name)
+        if in_force != made_from:
+            return Conflict(made_from, in_force)
+        changes = _changes.diff_deployments(base, deployment)
+        if state and not changes:
+            return NotNeeded(in_force)
+        publication = _publications.Publication(
+            deployment.name,
+            made_from + 1,
+            made_from,
+            secrets.token_hex(_NONCE_BYTES),
+            changes,
+        )
+        return Prepared(base, publication)
+
+    async def publish(
+        self,
+        deployment: core.Deployment,
+        made_from: int,
+        deadline: float,
+    ) -> PublishResult:
+        """Publish a deployment as the version after `made_from`.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version from which it was made; 0 for the first.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: The log did not answer before the deadline; if
+                `may_have_landed`, the publication may be in force.
+            CodedError: As `read_in_force`.
+        """
+        prepared = await self.prepare(deployment, made_from, deadline)
+        match prepared:
+            case Prepared(publication=publication):
+                return await self._append(publication, deadline)
+            case _:
+                return prepared
+
+    async def found(
+        self, deployment: core.Deployment, made_from: int, deadline: float
+    ) -> Published | Conflict:
+        """Found a history anew, where the log tells no version in force.
+
+        Args:
+            deployment: What is to be in force.
+            made_from: Version that no earlier one exceeded. A VM that still
+                holds a later one would refuse the new history.
+            deadline: When to give up, in epoch seconds.
+
+        Raises:
+            LogUnavailable: As `publish`.
+        """
+        try:
+            state = await self.read_in_force(deadline)
+        except core.CodedError as error:
+            if error.code is not core.ErrorCode.NO_CONFIGURATION:
+                raise
+        else:
+            return Conflict(made_from, state.version if state else 0)
+        version = made_from + 1
+        founded = core.VersionedDeployment(
+            version,
+            core.digest_deployment(deployment),
+            _publications.FOUNDED_THROUGH,
+            deployment,
+        )
+        record = _configuration_codec.encode_snapshot(founded)
+        await self._client.append(self._stream, [record], deadline)
+        in_force = await self.read_in_force(deadline)
+        if in_force and in_force.digest == founded.digest:
+            return Published(in_force.version)
+        return Conflict(made_from, in_force.version if in_force else 0)
+
+    async def _append(
+        self, publication: _publications.Publication, deadline: float
+    ) -> PublishResult:
+        record = _configuration_codec.encode_publication(publication)
+        may_have_landed = False
+        while True:
+            end = 0
+            try:
+                appended = await self._client.append(
+                    self._stream, [record], deadline
+                )
+                may_have_landed = True
+                end = appended.first_offset + 1
+            except _client.AppendRateExceeded as error:
+                await self._wait_until(error.retry_at, deadline, error)
+            except _client.LogUnavailable as error:
+                may_have_landed = may_have_landed or error.may_have_landed
+                await self._wait_to_retry(deadline, error, may_have_landed)
+            await self._read_back(end, deadline, may_have_landed)
+            match self._verdicts.get(publication.nonce):
+                case _replay.Accepted(version=version):
+                    return Published(version)
+                case _replay.Refused(made_from=made_from, in_force=in_force):
+                    return Conflict(made_from, in_force)
+                case None:
+                    # The record has not landed. It can be sent again: if
+                    # the first one lands late, the rule refuses the other.
+                    continue
+
+    async def _read_back(
+        self, end: int, deadline: float, may_have_landed: bool
+    ) -> None:
+        while True:
+            try:
+                await self.read_in_force(deadline)
+            except _client.LogUnavailable as error:
+                failure = error
+            else:
+                if self._replay.position >= end:
+                    return
+                failure = _client.LogUnavailable('reads lag', True)
+            await self._wait_to_retry(deadline, failure, may_have_landed)
+
+    async def _wait_to_retry(
+        self,
+        deadline: float,
+        error: _client.LogUnavailable,
+        may_have_landed: bool,
+    ) -> None:
+        error.may_have_landed = may_have_landed
+        retry_at = self._clock.now() + _RETRY_SECONDS
+        await self._wait_until(retry_at, deadline, error)
+
+    async def _wait_until(
+        self, retry_at: float, deadline: float, error: core.CodedError
+    ) -> None:
+        if retry_at >= deadline:
+            raise error
+        await self._clock.sleep_until(retry_at)
+
+    async def _read_page(self, deadline: float) -> bool:
+        page = await self._client.read(
+            self._stream,
+            self._replay.position,
+            _follower.PAGE_RECORDS,
+            0,
+            deadline,
+        )
+        if page.end < self._replay.position:
+            # The log has lost records; its replay begins anew.
+            self._replay = _replay.ConfigurationReplay()
+            return True
+        before = self._replay.position
+        for item in _replay_pages.replay_page(self._replay, page):
+            verdict = item.verdict
+            if isinstance(verdict, (_replay.Accepted, _replay.Refused)):
+                # A repeated record is refused; the first verdict counts.
+                self._verdicts.setdefault(verdict.nonce, verdict)
+        return before < self._replay.position < page.end
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -1,1 +1,151 @@
-"""Peer package: targets."""
+"""Model engines and plain services."""
+
+from laburnumstep.targets._abandoned import AbandonedGenerations
+from laburnumstep.targets._coalescing import ReadPacer
+from laburnumstep.targets._codec import decode as decode_lengths
+from laburnumstep.targets._codec import encode as encode_lengths
+from laburnumstep.targets._engine_client import EngineClient
+from laburnumstep.targets._engine_client import new_generation_id
+from laburnumstep.targets._engine_client import StreamBroken
+from laburnumstep.targets._engine_clients import EngineClients
+from laburnumstep.targets._engine_codec import EventDecoder
+from laburnumstep.targets._engine_events import Failed
+from laburnumstep.targets._engine_events import Finished
+from laburnumstep.targets._engine_events import MalformedStream
+from laburnumstep.targets._engine_events import Preempted
+from laburnumstep.targets._engine_events import StreamGap
+from laburnumstep.targets._engine_events import StreamPosition
+from laburnumstep.targets._engine_events import TokenBatch
+from laburnumstep.targets._engine_events import WrongGeneration
+from laburnumstep.targets._generation_runner import FailedRun
+from laburnumstep.targets._generation_runner import GenerationPlace
+from laburnumstep.targets._generation_runner import GenerationRunner
+from laburnumstep.targets._generation_runner import GenerationSink
+from laburnumstep.targets._generation_runner import PlacedGeneration
+from laburnumstep.targets._hints import CacheEvent
+from laburnumstep.targets._hints import CacheEventKind
+from laburnumstep.targets._hints import PrefixHints
+from laburnumstep.targets._lengths import LengthEstimator
+from laburnumstep.targets._lengths import LengthSketch
+from laburnumstep.targets._links import LinkMeter
+from laburnumstep.targets._load_follower import LoadFollower
+from laburnumstep.targets._orders import compare_models
+from laburnumstep.targets._orders import LeaseView
+from laburnumstep.targets._orders import OrderKeeper
+from laburnumstep.targets._orders import WeightSource
+from laburnumstep.targets._orders_client import Accepted
+from laburnumstep.targets._orders_client import Order
+from laburnumstep.targets._orders_client import OrderAnswer
+from laburnumstep.targets._orders_client import OrderClient
+from laburnumstep.targets._orders_client import OrderFailed
+from laburnumstep.targets._orders_client import StaleFence
+from laburnumstep.targets._pace import EventRate
+from laburnumstep.targets._placement import choose_engine
+from laburnumstep.targets._placement import choose_service
+from laburnumstep.targets._policy import MemoryPolicy
+from laburnumstep.targets._prefixes import digest_prefixes
+from laburnumstep.targets._reclaims import list_unfinished
+from laburnumstep.targets._reports import LoadReport
+from laburnumstep.targets._results import NoRoom
+from laburnumstep.targets._results import NoTarget
+from laburnumstep.targets._results import Placed
+from laburnumstep.targets._results import Placement
+from laburnumstep.targets._results import PlacementRequest
+from laburnumstep.targets._retries import RetryBudget
+from laburnumstep.targets._retry_decisions import decide_retry
+from laburnumstep.targets._retry_decisions import FailedAttempt
+from laburnumstep.targets._retry_decisions import GiveUp
+from laburnumstep.targets._retry_decisions import Retry
+from laburnumstep.targets._retry_decisions import RetryDecision
+from laburnumstep.targets._sends import Send
+from laburnumstep.targets._service_calls import CallRunner
+from laburnumstep.targets._service_calls import ClaimKeeper
+from laburnumstep.targets._service_client import Answered
+from laburnumstep.targets._service_client import NotReached
+from laburnumstep.targets._service_client import NotStarted
+from laburnumstep.targets._service_client import ReplyLost
+from laburnumstep.targets._service_client import ServiceAnswer
+from laburnumstep.targets._service_client import ServiceClient
+from laburnumstep.targets._service_client import ServiceClients
+from laburnumstep.targets._states import TargetState
+from laburnumstep.targets._suspects import Crash
+from laburnumstep.targets._suspects import CrashSuspects
+from laburnumstep.targets._suspects import fingerprint_call
+from laburnumstep.targets._suspects import fingerprint_generation
+from laburnumstep.targets._view import FleetView
+
+__all__ = [
+    'AbandonedGenerations',
+    'Accepted',
+    'Answered',
+    'CacheEvent',
+    'CacheEventKind',
+    'CallRunner',
+    'ClaimKeeper',
+    'Crash',
+    'CrashSuspects',
+    'EngineClient',
+    'EngineClients',
+    'EventDecoder',
+    'EventRate',
+    'Failed',
+    'FailedAttempt',
+    'FailedRun',
+    'Finished',
+    'FleetView',
+    'GenerationPlace',
+    'GenerationRunner',
+    'GenerationSink',
+    'GiveUp',
+    'LeaseView',
+    'LengthEstimator',
+    'LengthSketch',
+    'LinkMeter',
+    'LoadFollower',
+    'LoadReport',
+    'MalformedStream',
+    'MemoryPolicy',
+    'NoRoom',
+    'NoTarget',
+    'NotReached',
+    'NotStarted',
+    'Order',
+    'OrderAnswer',
+    'OrderClient',
+    'OrderFailed',
+    'OrderKeeper',
+    'Placed',
+    'PlacedGeneration',
+    'Placement',
+    'PlacementRequest',
+    'Preempted',
+    'PrefixHints',
+    'ReadPacer',
+    'ReplyLost',
+    'Retry',
+    'RetryBudget',
+    'RetryDecision',
+    'Send',
+    'ServiceAnswer',
+    'ServiceClient',
+    'ServiceClients',
+    'StaleFence',
+    'StreamBroken',
+    'StreamGap',
+    'StreamPosition',
+    'TargetState',
+    'TokenBatch',
+    'WeightSource',
+    'WrongGeneration',
+    'choose_engine',
+    'choose_service',
+    'compare_models',
+    'decide_retry',
+    'decode_lengths',
+    'digest_prefixes',
+    'encode_lengths',
+    'fingerprint_call',
+    'fingerprint_generation',
+    'list_unfinished',
+    'new_generation_id',
+]
