Exchange shares of limits, move work before a reclaim, and serve operators

Workspaces' aggregators divide limits among the VMs that report demand; a reclaim notice moves generations of which no token was delivered, those that have produced least first, without spending the retry budget; operators read status and decisions and order drains over HTTP.

--- a/packages/laburnumstep/src/laburnumstep/callers/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/__init__.py
@@ -6,7 +6,6 @@
 from laburnumstep.callers._admission_queue import Admitted
 from laburnumstep.callers._admission_queue import Shed
 from laburnumstep.callers._app import CallersApp
-from laburnumstep.callers._engine_placer import Decision
 from laburnumstep.callers._engine_placer import EnginePlacer
 from laburnumstep.callers._engine_placer import RoutingState
 from laburnumstep.callers._gate import RequestGate
@@ -27,7 +26,6 @@
     'Admitted',
     'Allowed',
     'CallersApp',
-    'Decision',
     'Demand',
     'EnginePlacer',
     'HandleSigner',
--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -8,6 +8,7 @@
 
 from laburnumstep.callers import _admission_queue
 from laburnumstep import core
+from laburnumstep import operators
 from laburnumstep import targets
 
 if typing.TYPE_CHECKING:
@@ -24,24 +25,6 @@
 FindPrefixes = typing.Callable[[str], list[str]]
 
 
-@attrs.frozen
-class Decision:
-    """One routing decision, for logs and operators."""
-
-    request: str
-    """Request key, in its text form."""
-    workspace: str
-    """Name of the workspace."""
-    target: str
-    """Name of the chosen target."""
-    reason: str
-    """Why it was chosen."""
-    runners_up: list[str]
-    """Other candidates, best first."""
-    decided_at: float
-    """When it was chosen, in epoch seconds."""
-
-
 @attrs.frozen
 class RoutingState:
     """What this VM knows for its routing decisions."""
@@ -78,7 +61,7 @@
         self,
         state: RoutingState,
         admission: _admission.Admission,
-        record: typing.Callable[[Decision], None],
+        record: typing.Callable[[operators.Decision], None],
         report_crash: typing.Callable[[targets.Crash], None],
     ) -> None:
         self._state = state
@@ -194,7 +177,7 @@
         self, request: core.Generation, placed: targets.Placed
     ) -> None:
         self._record(
-            Decision(
+            operators.Decision(
                 str(request.key),
                 request.workspace,
                 placed.target,
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -44,6 +44,7 @@
 from laburnumstep.core._settings import load_settings
 from laburnumstep.core._settings import parse_settings
 from laburnumstep.core._settings import Settings
+from laburnumstep.core._settings import VMSettings
 
 __all__ = [
     'CallResult',
@@ -76,6 +77,7 @@
     'SourcePosition',
     'SystemClock',
     'Target',
+    'VMSettings',
     'VersionedDeployment',
     'Workspace',
     'choose_by_rendezvous',
--- a/packages/laburnumstep/src/laburnumstep/services.py
+++ b/packages/laburnumstep/src/laburnumstep/services.py
@@ -10,6 +10,7 @@
 from laburnumstep import callers
 from laburnumstep import core
 from laburnumstep import log
+from laburnumstep import operators
 from laburnumstep import targets
 
 _LOGGER = core.get_logger('callers')
@@ -35,6 +36,7 @@
         calls: Runs operations of plain services.
         claims: Claims of request keys.
         follower: The configuration in force.
+        record: Keeps decisions for operators.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         calls: targets.CallRunner,
         claims: log.ClaimBook,
         follower: log.ConfigurationFollower,
+        record: typing.Callable[[operators.Decision], None],
     ) -> None:
+        self._record = record
         self._state = state
         self._placer = placer
         self._runner = runner
@@ -145,9 +149,9 @@
         self._begin(call.workspace)
         self._state.budget.record_request(self._state.clock.now())
         try:
-            return await self._calls.run(
-                call, operation, self._order_targets(deployment, call.service)
-            )
+            ordered = self._order_targets(deployment, call.service)
+            self._keep_decision(call, [target.name for target in ordered])
+            return await self._calls.run(call, operation, ordered)
         finally:
             self._state.limits.end(call.workspace)
 
@@ -179,6 +183,18 @@
             case _:
                 typing.assert_never(result)
 
+    def _keep_decision(self, call: core.ServiceCall, names: list[str]) -> None:
+        self._record(
+            operators.Decision(
+                str(call.key),
+                call.workspace,
+                names[0] if names else None,
+                'the fewest own calls of two' if names else 'no live target',
+                names[1:],
+                self._state.clock.now(),
+            )
+        )
+
     def _order_targets(
         self, deployment: core.Deployment, service: str
     ) -> list[core.ServiceTarget]:
--- a/packages/laburnumstep/src/laburnumstep/targets/_generation_runner.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_generation_runner.py
@@ -145,6 +145,10 @@
         self.crashed = crashed
 
 
+class Moved(Exception):
+    """The request goes to another engine before this one is reclaimed."""
+
+
 class EngineGaveUp(Exception):
     """The engine ended the generation before it was complete.
 
@@ -322,6 +326,18 @@
         self._placer = placer
         self._clock = clock
         self._abandoned = abandoned
+        self._attempts: dict[str, _Attempt] = {}
+
+    def move(self, generations: list[str]) -> None:
+        """Run generations on other engines, where no token was delivered.
+
+        Args:
+            generations: Identifiers, the ones to move first in front.
+        """
+        for generation in generations:
+            attempt = self._attempts.get(generation)
+            if attempt is not None and not attempt.delivered:
+                attempt.move()
 
     async def run(
         self, request: core.Generation, sink: GenerationSink
@@ -345,9 +361,15 @@
                     error.outcome = core.Outcome.RAN
                 raise
             attempt = _Attempt(self._clock, placement, request, sink)
+            self._attempts[attempt.generation] = attempt
             try:
                 await attempt.run()
                 return
+            except Moved:
+                # The engine is not at fault, so this is no retry.
+                started = True
+                excluded |= {attempt.target}
+                await attempt.abandon()
             except anyio.get_cancelled_exc_class():
                 self._abandoned.add(attempt.target, attempt.generation)
                 raise
@@ -357,6 +379,8 @@
                 excluded = self._exclude(
                     request, attempt, excluded, started, error
                 )
+            finally:
+                del self._attempts[attempt.generation]
 
     async def resume(
         self,
@@ -476,6 +500,7 @@
             clock, placement, self._position, self._deliver
         )
         self._announced = False
+        self._scope = anyio.CancelScope()
         self.started = True
 
     @property
@@ -490,6 +515,10 @@
     def delivered(self) -> int:
         return self._position.following if self._announced else 0
 
+    def move(self) -> None:
+        """End the attempt so that the request runs on another engine."""
+        self._scope.cancel()
+
     async def run(self) -> None:
         complete = False
         request = self._request
@@ -501,12 +530,12 @@
             request.priority,
         )
         try:
-            tokens = await self._follower.start(start, request.deadline)
-            if not self._announced:
-                await self._announce()
-                await self._sink.send(self._held)
-            await self._sink.finish(self._position.generation, tokens)
-            complete = True
+            with self._scope:
+                tokens = await self._follower.start(start, request.deadline)
+                complete = True
+            if not complete:
+                raise Moved
+            await self._hand_over(tokens)
         except EngineLost as error:
             self.started = error.started
             self._placement.record_loss(error.crashed)
@@ -514,6 +543,13 @@
         finally:
             self._placement.release(complete)
 
+    async def _hand_over(self, tokens: int) -> None:
+        """Send what is held back, and the end of the answer."""
+        if not self._announced:
+            await self._announce()
+            await self._sink.send(self._held)
+        await self._sink.finish(self._position.generation, tokens)
+
     async def abandon(self) -> None:
         """Cancel the generation where the engine may still run it."""
         if not self.started:
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -4,6 +4,7 @@
 
 import random
 import signal
+import typing
 
 import anyio
 
@@ -11,8 +12,11 @@
 from laburnumstep import claim_forwarding
 from laburnumstep import core
 from laburnumstep import log
+from laburnumstep import operations
+from laburnumstep import operators
 from laburnumstep import routing_gossip
 from laburnumstep import services
+from laburnumstep import share_exchange
 from laburnumstep import siblings
 from laburnumstep import targets
 from laburnumstep import transport
@@ -74,7 +78,30 @@
             self._state.clients,
             self._state.view,
             clock,
-            self._gossip.note_reclaim,
+            self._note_reclaim,
+        )
+        self._shares = share_exchange.ShareExchange(
+            self._state.limits,
+            self._membership,
+            self._follower,
+            clock,
+            settings.vm.name,
+        )
+        self._decisions = operators.DecisionLog()
+        self._operations = operations.VMOperations(
+            settings.vm, self._follower, self._membership, self._gate, clock
+        )
+        self._placer = callers.EnginePlacer(
+            self._state,
+            self._admission,
+            self._decisions.record,
+            self._gossip.report_crash,
+        )
+        self._runner = targets.GenerationRunner(
+            self._placer, clock, self._abandoned
+        )
+        self._operators = transport.HttpServer(
+            self._build_operators_app().app, settings.operators.address
         )
         self._callers = transport.HttpServer(
             self._build_callers_app().app,
@@ -89,6 +116,7 @@
         """IP number and port of each server, once started."""
         return {
             'callers': self._callers.address,
+            'operators': self._operators.address,
             'siblings': self._membership.address,
         }
 
@@ -110,7 +138,9 @@
                 tasks.start_soon(self._vmlist.run)
                 tasks.start_soon(self._gossip.run)
                 tasks.start_soon(self._abandoned.run)
+                tasks.start_soon(self._shares.run)
                 tasks.start_soon(self._callers.run)
+                tasks.start_soon(self._operators.run)
                 self._started.set()
                 _LOGGER.info(
                     'running; name=%s callers=%s siblings=%s',
@@ -118,17 +148,30 @@
                     self._callers.address,
                     self._membership.address,
                 )
-                async for received in signals:
-                    _LOGGER.info('stopping; signal=%s', received.name)
-                    break
+                async with anyio.create_task_group() as waiting:
+                    waiting.start_soon(
+                        self._wait_for_signal, signals, waiting.cancel_scope
+                    )
+                    await self._operations.wait_for_drain()
+                    waiting.cancel_scope.cancel()
                 await self._stop()
                 tasks.cancel_scope.cancel()
 
+    async def _wait_for_signal(
+        self,
+        signals: typing.AsyncIterator[signal.Signals],
+        scope: anyio.CancelScope,
+    ) -> None:
+        async for received in signals:
+            _LOGGER.info('stopping; signal=%s', received.name)
+            scope.cancel()
+
     async def _stop(self) -> None:
         self._membership.note_stopping()
         deadline = self._clock.now() + self._settings.vm.stop_seconds
         await self._gate.drain(deadline)
         self._callers.stop()
+        self._operators.stop()
         await self._claims.flush(self._clock.now() + FLUSH_SECONDS)
         _LOGGER.info('stopped; every request has ended')
 
@@ -192,13 +235,23 @@
     ) -> core.DocumentObject:
         return await claim_forwarding.serve_claims(self._claims, request)
 
-    def _build_callers_app(self) -> callers.CallersApp:
-        placer = callers.EnginePlacer(
-            self._state,
-            self._admission,
-            lambda decision: None,
-            self._gossip.report_crash,
+    def _note_reclaim(self, target: str, reclaim_at: float) -> None:
+        """Give a target no new work and move what it cannot finish."""
+        self._gossip.note_reclaim(target, reclaim_at)
+        unfinished = targets.list_unfinished(
+            self._state.view, target, self._state.lengths
+        )
+        self._runner.move([send.generation_id for send in unfinished])
+
+    def _build_operators_app(self) -> operators.OperatorsApp:
+        return operators.OperatorsApp(
+            self._settings.operators.key,
+            self._operations,
+            self._decisions,
+            self._operations,
         )
+
+    def _build_callers_app(self) -> callers.CallersApp:
         calls = targets.CallRunner(
             targets.ServiceClients(),
             self._claims,
@@ -209,11 +262,12 @@
         return callers.CallersApp(
             services.VMServices(
                 self._state,
-                placer,
-                targets.GenerationRunner(placer, self._clock, self._abandoned),
+                self._placer,
+                self._runner,
                 calls,
                 self._claims,
                 self._follower,
+                self._decisions.record,
             ),
             self._gate,
             callers.HandleSigner(self._settings.siblings.signing_key),
