Give idle VMs their share so that busy ones get more

Cause: the aggregator answered only VMs that had reported demand. An idle VM counts as using its equal part until it confirms a smaller share, so a busy VM never got more than its equal part. Ruled out: counting silent VMs as idle, because the sum could then pass the limit when a share is on its way.

--- a/packages/laburnumstep/src/laburnumstep/share_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/share_exchange.py
@@ -102,13 +102,14 @@
         allocator = self._allocators.setdefault(
             workspace, callers.ShareAllocator()
         )
-        shares = allocator.allocate(
+        # Idle VMs get a share too: until they confirm a smaller one, they
+        # count as using their equal part, and nobody else can have it.
+        return allocator.allocate(
             {vm: item.demand for vm, item in reported.items()},
             self._membership.live_vms(),
             declared.concurrency,
             now,
         )
-        return {vm: share for vm, share in shares.items() if vm in reported}
 
     def _find_workspace(self, name: str) -> core.Workspace | None:
         current = self._follower.current
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -252,7 +252,7 @@
                 pending.append(chunk)
             await flush()
         except httpcore.ReadTimeout as error:
-            raise EngineSilent(str(error)) from error
+            raise EngineSilent('no event for a while') from error
         finally:
             network.flush = None
         if not ended:
--- /dev/null
+++ b/tests/laburnumstep/vm/operations.feature
@@ -0,0 +1,28 @@
+Feature: Operators see and drain VMs and targets
+  Guards against drain orders that do not reach every VM or cut requests
+  off, and against decisions that cannot be explained afterwards.
+
+  Scenario: A drained target gets no new work through any VM
+    Given VMs "vm-1" and "vm-2" and answers of 5 tokens
+    When an operator drains target "gang-1" through "vm-1"
+    And "vm-1" and "vm-2" know that "gang-1" is leaving
+    And 6 generations are requested through "vm-1" and "vm-2"
+    Then none of them was begun on "gang-1"
+
+  Scenario: A drained VM lets its stream end and then its process
+    Given VMs "vm-1" and "vm-2" and answers of 200 tokens
+    When a caller of "vm-1" reads a stream
+    And an operator drains VM "vm-1" after token 40
+    Then "vm-1" is not ready
+    And the answer is whole and every token came once and in order
+    And "vm-1" ends with status 0
+
+  Scenario: A decision is explained by its request key
+    Given VMs "vm-1" and answers of 5 tokens
+    When "post" is sent through "vm-1"
+    Then "vm-1" explains that "booking-1" was chosen
+
+  Scenario: An order without the operators' key is refused
+    Given VMs "vm-1" and answers of 5 tokens
+    When a stranger drains target "gang-1" through "vm-1"
+    Then the order is refused with status 401
--- /dev/null
+++ b/tests/laburnumstep/vm/steps/operation_steps.py
@@ -0,0 +1,150 @@
+"""Steps for the operators' features with entry VMs as processes."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+import anyio
+import attrs
+import behave
+
+from laburnumstep import transport
+from laburnumstep_standins import caller
+from laburnumstep_standins import settings
+from support import cluster
+
+_POLL_SECONDS = 0.05
+
+
+async def _ask(
+    context: typing.Any,
+    name: str,
+    method: str,
+    path: str,
+    body: dict[str, str] | None = None,
+    key: str = settings.OPERATORS_KEY,
+) -> transport.JsonResponse:
+    vm = context.cluster.vms[name]
+    client = transport.JsonClient(vm.addresses['operators'])
+    headers = {'Authorization': f'Bearer {key}'}
+    deadline = time.time() + cluster.DEADLINE_SECONDS
+    try:
+        return await client.request(method, path, deadline, body, headers)
+    finally:
+        await client.close()
+
+
+def _drain(
+    context: typing.Any, name: str, body: dict[str, str], key: str
+) -> None:
+    context.reply = context.portal.call(
+        _ask, context, name, 'POST', '/v1/drain', body, key
+    )
+
+
+@behave.when('an operator drains target "{target}" through "{name}"')
+def step_drain_target(context: typing.Any, target: str, name: str) -> None:
+    _drain(context, name, {'target': target}, settings.OPERATORS_KEY)
+    assert context.reply.status == 202, context.reply
+
+
+@behave.when('an operator drains VM "{name}" after token {count:d}')
+def step_drain_vm(context: typing.Any, name: str, count: int) -> None:
+    async def wait() -> None:
+        while context.answer.position < count:
+            await anyio.sleep(_POLL_SECONDS)
+
+    context.portal.call(wait)
+    _drain(context, name, {'vm': name}, settings.OPERATORS_KEY)
+    assert context.reply.status == 202, context.reply
+
+
+@behave.when('a stranger drains target "{target}" through "{name}"')
+def step_stranger(context: typing.Any, target: str, name: str) -> None:
+    _drain(context, name, {'target': target}, 'not-the-operators-key')
+
+
+@behave.then('the order is refused with status {status:d}')
+def step_order_refused(context: typing.Any, status: int) -> None:
+    assert context.reply.status == status, context.reply
+
+
+@behave.then('"{name}" explains that "{target}" was chosen')
+def step_explains(context: typing.Any, name: str, target: str) -> None:
+    path = f'/v1/decisions/{context.key}'
+    reply = context.portal.call(_ask, context, name, 'GET', path)
+    assert reply.status == 200, reply
+    assert f"'target': '{target}'" in str(reply.body), reply.body
+
+
+# Limits.
+
+
+@behave.given('the limit of concurrency is {limit:d}')
+def step_limit(context: typing.Any, limit: int) -> None:
+    deployment = context.cluster.deployment
+    workspace = deployment.workspaces[cluster.WORKSPACE]
+    lowered = attrs.evolve(workspace, concurrency=limit)
+    changed = attrs.evolve(deployment, workspaces={cluster.WORKSPACE: lowered})
+    context.portal.call(context.cluster.publish, changed)
+    mark = f'configuration in force; version={context.cluster.version}'
+
+    async def wait() -> None:
+        for vm in context.cluster.vms.values():
+            while mark not in vm.read_log():
+                await anyio.sleep(_POLL_SECONDS)
+
+    context.portal.call(wait)
+
+
+@behave.when('"{name}" has {count:d} streams that wait')
+def step_streams(context: typing.Any, name: str, count: int) -> None:
+    hosts = context.cluster.engines.values()
+
+    def stall() -> None:
+        for host in hosts:
+            host.stand_in.set_faults(stall=True)
+
+    context.portal.call(stall)
+    client = context.cluster.make_caller(name)
+    deadline = time.time() + cluster.DEADLINE_SECONDS
+
+    async def ask(number: int) -> None:
+        body = {'model': cluster.MODEL, 'prompt': f'Plan {number}.'}
+        while True:
+            answer = caller.Answer()
+            await client.generate(body, deadline, answer)
+            code = answer.error['code'] if answer.error else ''
+            if code != 'limit_exceeded':
+                return
+            await anyio.sleep(_POLL_SECONDS)
+
+    context.streams = [
+        context.portal.start_task_soon(ask, number) for number in range(count)
+    ]
+
+
+@behave.then('all {count:d} are begun in time on "{name}"')
+def step_all_begun(context: typing.Any, count: int, name: str) -> None:
+    hosts = context.cluster.engines.values()
+
+    async def wait() -> None:
+        with anyio.fail_after(cluster.DEADLINE_SECONDS):
+            while sum(h.stand_in.started for h in hosts) < count:
+                await anyio.sleep(_POLL_SECONDS)
+
+    context.portal.call(wait)
+
+
+@behave.then('a further generation through "{name}" is refused with "{code}"')
+def step_further(context: typing.Any, name: str, code: str) -> None:
+    client = context.cluster.make_caller(name)
+    body = {'model': cluster.MODEL, 'prompt': 'Plan one more.'}
+    answer = caller.Answer()
+    deadline = time.time() + cluster.DEADLINE_SECONDS
+    context.portal.call(client.generate, body, deadline, answer)
+    assert answer.error is not None
+    assert answer.error['code'] == code, answer.error
+    for stream in context.streams:
+        stream.cancel()
