--- a/tests/laburnumstep/log/steps/configuration_steps.py
+++ b/tests/laburnumstep/log/steps/configuration_steps.py
@@ -20,8 +20,6 @@
 
 LIMIT_SECONDS = 20.0
 RETENTION_SECONDS = 3600.0
-TICK_SECONDS = 10.0
-"""Time between records, so that retention can end between them."""
 
 
 @contextlib.asynccontextmanager
@@ -46,12 +44,6 @@
     return core.VersionedDeployment(version, digest, through, deployment)
 
 
-def append(context: typing.Any, record: typing.Any) -> None:
-    context.portal.call(context.clock.advance, TICK_SECONDS)
-    stream = context.log.find_stream(log.CONFIGURATION_STREAM)
-    context.portal.call(stream.append, [record])
-
-
 @behave.given('a log')
 def step_log(context: typing.Any) -> None:
     context.clock = clocks.ObservedClock()
@@ -115,7 +107,7 @@
     'an operator publishes a deployment with {count:d} workspaces from {old:d}'
 )
 def step_publish(context: typing.Any, count: int, old: int) -> None:
-    context.portal.call(context.clock.advance, TICK_SECONDS)
+    context.portal.call(context.clock.advance, deployments.TICK_SECONDS)
     publisher = log.ConfigurationPublisher(make_client(context), context.clock)
     context.result = context.portal.call(
         publisher.publish,
@@ -127,7 +119,7 @@
 
 @behave.given('the record {record} is appended')
 def step_append(context: typing.Any, record: str) -> None:
-    append(context, json.loads(record))
+    deployments.append(context, json.loads(record))
 
 
 @behave.given('the log has an outage')
@@ -139,9 +131,7 @@
 @behave.then('version {version:d} is in force at "{name}"')
 def step_in_force(context: typing.Any, version: int, name: str) -> None:
     follower = context.followers[name]
-    context.portal.call(
-        clocks.await_bounded, follower.wait_for_version, version
-    )
+    clocks.wait(context, follower.wait_for_version, version)
     assert follower.current.version == version, follower.current.version
     expected = core.digest_deployment(follower.current.deployment)
     assert follower.current.digest == expected
--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -13,17 +13,6 @@
 
 LIMIT_SECONDS = 20.0
 RETENTION_SECONDS = 3600.0
-TICK_SECONDS = 10.0
-"""Time between records, so that retention can end between them."""
-
-
-def find_stream(context: typing.Any) -> typing.Any:
-    return context.log.find_stream(log.CONFIGURATION_STREAM)
-
-
-def append(context: typing.Any, record: typing.Any) -> None:
-    context.portal.call(context.clock.advance, TICK_SECONDS)
-    context.portal.call(find_stream(context).append, [record])
 
 
 def encode_current(context: typing.Any, name: str) -> typing.Any:
@@ -34,7 +23,7 @@
 @behave.when('"{name}" appends a snapshot of its configuration')
 @behave.then('"{name}" appends a snapshot of its configuration')
 def step_snapshot(context: typing.Any, name: str) -> None:
-    append(context, encode_current(context, name))
+    deployments.append(context, encode_current(context, name))
 
 
 @behave.given('a snapshot of "{name}" is under way')
@@ -51,14 +40,16 @@
 
 @behave.given('the snapshot under way arrives')
 def step_arrives(context: typing.Any) -> None:
-    append(context, context.under_way)
+    deployments.append(context, context.under_way)
 
 
 @behave.given('the log drops the first {count:d} records')
 def step_drop(context: typing.Any, count: int) -> None:
-    stream = find_stream(context)
+    stream = deployments.find_stream(context)
     last = stream.read(stream.first, count)[-1]
-    drop_at = last.appended_at + RETENTION_SECONDS + TICK_SECONDS / 2
+    drop_at = (
+        last.appended_at + RETENTION_SECONDS + deployments.TICK_SECONDS / 2
+    )
     context.portal.call(context.clock.advance, drop_at - context.clock.now())
     assert stream.first == last.offset + 1
 
@@ -67,9 +58,9 @@
 @behave.then('"{name}" reads the log to its end')
 def step_read_to_end(context: typing.Any, name: str) -> None:
     follower = context.followers[name]
-    end = find_stream(context).end
-    context.portal.call(
-        clocks.await_bounded,
+    end = deployments.find_stream(context).end
+    clocks.wait(
+        context,
         follower.wait_for_view,
         lambda view: view.position >= end,
     )
@@ -91,7 +82,7 @@
     publication = log.Publication(
         new.name, old + 1, old, 'nonce', log.diff_deployments(known, new)
     )
-    append(context, log.encode_publication(publication))
+    deployments.append(context, log.encode_publication(publication))
 
 
 @behave.given('the log has an outage that "{name}" has noticed')
@@ -99,10 +90,8 @@
     sleeps = context.clock.sleeps
     context.log.set_faults(outage=True)
     # A record wakes the read that is in progress.
-    append(context, 'outage')
-    context.portal.call(
-        clocks.await_bounded, context.clock.wait_for_sleeps, sleeps + 1
-    )
+    deployments.append(context, 'outage')
+    clocks.wait(context, context.clock.wait_for_sleeps, sleeps + 1)
 
 
 @behave.when('the outage ends')
@@ -158,9 +147,7 @@
 
 @behave.when('an operator publishes in steps of time')
 def step_publish_in_steps(context: typing.Any) -> None:
-    context.results = context.portal.call(
-        clocks.await_bounded, publish_in_steps, context, 0, [1]
-    )
+    context.results = clocks.wait(context, publish_in_steps, context, 0, [1])
 
 
 @behave.then('the publication is in force as version {version:d}')
@@ -170,7 +157,7 @@
 
 @behave.then('the log holds {count:d} records')
 def step_records(context: typing.Any, count: int) -> None:
-    assert find_stream(context).end == count
+    assert deployments.find_stream(context).end == count
 
 
 @behave.given('reads of the log lag behind')
@@ -181,7 +168,7 @@
 
 async def race(context: typing.Any, made_from: int) -> typing.Any:
     """Publish twice, with reads held until both publishers wait."""
-    stream = find_stream(context)
+    stream = deployments.find_stream(context)
     sleeps = context.clock.sleeps
 
     async def release() -> None:
@@ -196,9 +183,7 @@
 
 @behave.when('two operators publish from {made_from:d} at once')
 def step_race(context: typing.Any, made_from: int) -> None:
-    context.results = context.portal.call(
-        clocks.await_bounded, race, context, made_from
-    )
+    context.results = clocks.wait(context, race, context, made_from)
 
 
 @behave.then('one has version {version:d} in force')
@@ -210,16 +195,16 @@
 def step_loser(context: typing.Any, version: int) -> None:
     expected = log.Conflict(version - 1, version)
     assert context.results.count(expected) == 1, context.results
-    assert find_stream(context).end == 3
+    assert deployments.find_stream(context).end == 3
 
 
 @behave.given('the log loses the records from {end:d} on')
 def step_truncate(context: typing.Any, end: int) -> None:
     context.held = context.followers['vm-1'].current
-    context.portal.call(find_stream(context).truncate, end)
+    context.portal.call(deployments.find_stream(context).truncate, end)
     for follower in context.followers.values():
-        context.portal.call(
-            clocks.await_bounded,
+        clocks.wait(
+            context,
             follower.wait_for_view,
             lambda view: view.position == end and view.in_step,
         )
@@ -229,12 +214,8 @@
 def step_read_again(context: typing.Any, name: str) -> None:
     # Each VM waits before the next read once it reads nothing new.
     begun = context.sleeps + len(context.followers)
-    context.portal.call(
-        clocks.await_bounded, context.clock.wait_for_sleeps, begun
-    )
-    context.portal.call(
-        clocks.await_bounded, context.clock.advance_and_settle, 1.0
-    )
+    clocks.wait(context, context.clock.wait_for_sleeps, begun)
+    clocks.wait(context, context.clock.advance_and_settle, 1.0)
 
 
 @behave.then('version {version:d} is in force at "{name}" through {through:d}')
@@ -268,8 +249,8 @@
 
 @behave.given('the next {count:d} reads are never answered')
 def step_stall(context: typing.Any, count: int) -> None:
-    context.portal.call(
-        clocks.await_bounded,
+    clocks.wait(
+        context,
         context.followers['vm-1'].wait_for_version,
         1,
     )
@@ -278,7 +259,7 @@
 
 @behave.given('the log has an outage after the next append')
 def step_outage_after(context: typing.Any) -> None:
-    stream = find_stream(context)
+    stream = deployments.find_stream(context)
     sleeps = context.clock.sleeps
 
     async def fail_for_a_while() -> None:
@@ -294,6 +275,4 @@
 @behave.then('another configuration is in force at "{name}"')
 def step_changed(context: typing.Any, name: str) -> None:
     follower = context.followers[name]
-    context.portal.call(
-        clocks.await_bounded, follower.wait_for_change, context.held
-    )
+    clocks.wait(context, follower.wait_for_change, context.held)
--- a/tests/laburnumstep/log/steps/snapshots_steps.py
+++ b/tests/laburnumstep/log/steps/snapshots_steps.py
@@ -91,8 +91,8 @@
     context.republishing += names
     sleeps = context.clock.sleeps
     hooks.enter(context, run_republishers(republishers))
-    context.portal.call(
-        clocks.await_bounded,
+    clocks.wait(
+        context,
         context.clock.wait_for_sleeps,
         sleeps + len(names),
     )
@@ -130,7 +130,7 @@
     context: typing.Any, seconds: float, until_append: bool
 ) -> None:
     """Let time pass in steps that every VM takes before the next."""
-    stream = context.log.find_stream(log.CONFIGURATION_STREAM)
+    stream = deployments.find_stream(context)
     start = stream.end
     end = context.clock.now() + seconds
     while context.clock.now() < end:
@@ -146,21 +146,17 @@
 
 @behave.when('the snapshot due is appended')
 def step_due(context: typing.Any) -> None:
-    context.portal.call(
-        clocks.await_bounded, pass_time, context, MAX_SECONDS, True
-    )
+    clocks.wait(context, pass_time, context, MAX_SECONDS, True)
 
 
 @behave.when('{seconds:d} seconds pass in steps')
 @behave.then('{seconds:d} seconds pass in steps')
 def step_pass(context: typing.Any, seconds: int) -> None:
-    context.portal.call(
-        clocks.await_bounded, pass_time, context, float(seconds), False
-    )
+    clocks.wait(context, pass_time, context, float(seconds), False)
 
 
 def find_snapshots(context: typing.Any) -> list[typing.Any]:
-    stream = context.log.find_stream(log.CONFIGURATION_STREAM)
+    stream = deployments.find_stream(context)
     return [
         record.data
         for record in stream.read(0, 1000)
--- a/tests/laburnumstep_operator/steps/commands_steps.py
+++ b/tests/laburnumstep_operator/steps/commands_steps.py
@@ -23,10 +23,6 @@
 from typer import testing
 
 
-def find_stream(context: typing.Any) -> typing.Any:
-    return context.log.find_stream(log.CONFIGURATION_STREAM)
-
-
 @behave.given('a log')
 def step_log(context: typing.Any) -> None:
     context.log = log_standin.LogStandIn(clocks.ObservedClock())
@@ -48,7 +44,7 @@
             'cuadrilla', number + 1, number, f'n{number}', changes
         )
         record = log.encode_publication(publication)
-        context.portal.call(find_stream(context).append, [record])
+        context.portal.call(deployments.find_stream(context).append, [record])
         known = new
 
 
@@ -141,7 +137,7 @@
 
 @behave.then('the log holds {count:d} records')
 def step_records(context: typing.Any, count: int) -> None:
-    assert find_stream(context).end == count
+    assert deployments.find_stream(context).end == count
 
 
 @behave.then('the findings are "{codes}"')
--- a/tests/laburnumstep_standins/log/steps/log_steps.py
+++ b/tests/laburnumstep_standins/log/steps/log_steps.py
@@ -147,9 +147,7 @@
 
 @behave.when('a read from 0 waits and a record is appended')
 def step_wait_read(context: typing.Any) -> None:
-    context.page = context.portal.call(
-        clocks.await_bounded, read_and_append, context
-    )
+    context.page = clocks.wait(context, read_and_append, context)
 
 
 @behave.then('the waiting read returns {count:d} records')
--- a/tests/support/clocks.py
+++ b/tests/support/clocks.py
@@ -53,3 +53,8 @@
     """Await a coroutine; fail where its event never comes."""
     with anyio.fail_after(WAIT_SECONDS):
         return await waits(*args)
+
+
+def wait(context: typing.Any, *call: typing.Any) -> typing.Any:
+    """Await a coroutine function with its arguments in a scenario."""
+    return context.portal.call(await_bounded, *call)
--- a/tests/support/deployments.py
+++ b/tests/support/deployments.py
@@ -2,7 +2,24 @@
 
 from __future__ import annotations
 
+import typing
+
 from laburnumstep import core
+from laburnumstep import log
+
+TICK_SECONDS = 10.0
+"""Time between records, so that retention can end between them."""
+
+
+def find_stream(context: typing.Any) -> typing.Any:
+    """Return the configuration stream of a scenario's log."""
+    return context.log.find_stream(log.CONFIGURATION_STREAM)
+
+
+def append(context: typing.Any, record: typing.Any) -> None:
+    """Append a record some time after the one before it."""
+    context.portal.call(context.clock.advance, TICK_SECONDS)
+    context.portal.call(find_stream(context).append, [record])
 
 
 def make_workspace(name: str) -> core.Workspace:
