Test that a held lease is not given to another VM

Cause: with the holder check of LeaseTable removed, all lease scenarios still passed, because no VM asks for a lease that it knows to be held.

Change: a scenario appends a rival's record while the lease is held.

Conclusion: it fails without the check.

--- a/tests/laburnumstep/log/leases.feature
+++ b/tests/laburnumstep/log/leases.feature
@@ -10,6 +10,12 @@
     And time runs for 90 seconds
     Then the same VM holds the lease with the same fencing number
 
+  Scenario: A VM that asks for a held lease does not get it
+    When a VM holds the lease
+    And a lease record of another VM is in the leases stream
+    And time runs for 5 seconds
+    Then the same VM holds the lease with the same fencing number
+
   Scenario: A paused holder finds its lease ended when it resumes
     When a VM holds the lease
     And the holder is paused until the other VM holds the lease
--- a/tests/laburnumstep/log/steps/leases_steps.py
+++ b/tests/laburnumstep/log/steps/leases_steps.py
@@ -52,6 +52,16 @@
 
 @behave.given('a lease record that claims to last {seconds:d} seconds')
 def step_long(context, seconds: int) -> None:
+    append_rival(context, seconds)
+    start(context)
+
+
+@behave.when('a lease record of another VM is in the leases stream')
+def step_rival(context) -> None:
+    append_rival(context, 30)
+
+
+def append_rival(context, seconds: int) -> None:
     append(
         context,
         {
@@ -64,7 +74,6 @@
             'until': context.rig.clock.now() + seconds,
         },
     )
-    start(context)
 
 
 @behave.when('a VM holds the lease')
