--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -42,6 +42,13 @@
     context.under_way = encode_current(context, name)
 
 
+@behave.given('a snapshot of "{name}" with {kind} digest is under way')
+def step_digest(context: typing.Any, name: str, kind: str) -> None:
+    context.under_way = encode_current(context, name)
+    if kind == 'a wrong':
+        context.under_way['digest'] = 'wrong'
+
+
 @behave.given('the snapshot under way arrives')
 def step_arrives(context: typing.Any) -> None:
     append(context, context.under_way)
@@ -208,6 +215,7 @@
 
 @behave.given('the log loses the records from {end:d} on')
 def step_truncate(context: typing.Any, end: int) -> None:
+    context.held = context.followers['vm-1'].current
     context.portal.call(find_stream(context).truncate, end)
     for follower in context.followers.values():
         context.portal.call(
@@ -281,3 +289,11 @@
         context.log.set_faults(outage=False)
 
     context.portal.start_task_soon(fail_for_a_while)
+
+
+@behave.then('another configuration is in force at "{name}"')
+def step_changed(context: typing.Any, name: str) -> None:
+    follower = context.followers[name]
+    context.portal.call(
+        clocks.await_bounded, follower.wait_for_change, context.held
+    )
