--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -62,6 +62,11 @@
         """Number of generations that wait."""
         return sum(len(queue) for queue in self._queues.values())
 
+    @property
+    def models(self) -> list[str]:
+        """Models for which the VM keeps a queue."""
+        return list(self._queues)
+
     def apply_deployment(self, deployment: core.Deployment) -> None:
         """Use the weights of a new configuration."""
         self._weights = deployment.weights
@@ -102,6 +107,10 @@
         self._dispatch(model)
         if waiter.result is None:
             self._shed_early(waiter, queue)
+        if not len(queue) and not len(self._view.get_pool(model)):
+            # Callers choose the names of models; a queue for each unknown
+            # name would grow without bound.
+            del self._queues[model]
         return waiter
 
     def _make_waiter(
@@ -185,8 +194,8 @@
 
     def _dispatch(self, model: str) -> None:
         """Give room to waiters in order; small ones may pass large ones."""
-        queue = self._queues[model]
-        if self._dispatching or not len(queue):
+        queue = self._queues.get(model)
+        if queue is None or self._dispatching or not len(queue):
             return
         self._dispatching = True
         try:
@@ -318,7 +327,9 @@
 
     def _remove(self, waiter: _admission_queue.Waiter) -> None:
         model = waiter.request.placement.model
-        queue = self._queues[model]
+        queue = self._queues.get(model)
+        if queue is None:
+            return
         was_first = queue.first is waiter
         queue.remove(waiter)
         self._view.set_waiting(model, len(queue))
--- a/tests/laburnumstep/callers/admission.feature
+++ b/tests/laburnumstep/callers/admission.feature
@@ -142,6 +142,7 @@
     Given an engine with room for 1 requests
     When a request for an unknown model arrives
     Then it is shed as no_target with a time to resend in the future
+    And no queue is kept for the unknown model
 
   Scenario Outline: A caller that is gone holds no place
     Given an engine with room for 1 requests
--- a/tests/laburnumstep/callers/steps/admission_steps.py
+++ b/tests/laburnumstep/callers/steps/admission_steps.py
@@ -417,6 +417,11 @@
     context.bench.arrive('it', model='unknown')
 
 
+@behave.then('no queue is kept for the unknown model')
+def step_no_queue(context: typing.Any) -> None:
+    assert 'unknown' not in context.bench.admission.models
+
+
 @behave.when('its caller is gone while it waits')
 def step_gone(context: typing.Any) -> None:
     context.bench.act(context.bench.scopes['it'].cancel)
