Plan only for the tokens that a request may produce

The forecast of a waiting request ignored its upper bound, so a request for a few tokens waited where its workspace usually asks for long answers.

--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -246,7 +246,11 @@
             return True
         placement = targets.choose_engine(
             self._view,
-            attrs.evolve(waiter.request.placement, priority=priority),
+            attrs.evolve(
+                waiter.request.placement,
+                priority=priority,
+                max_tokens=waiter.request.max_tokens,
+            ),
             self._lengths,
             self._weights,
             self._rng,
--- a/tests/laburnumstep/callers/admission.feature
+++ b/tests/laburnumstep/callers/admission.feature
@@ -48,6 +48,13 @@
     Then a question that arrives next is admitted at once
     But 40 seconds later a further question waits behind the plan
 
+  Scenario: The upper bound of an answer limits what is planned for it
+    Given an engine with room for 3 requests
+    And answers of workspace plans have 2000 tokens and of questions 10
+    When a running request leaves room for a question only
+    And a plan of at most 10 tokens arrives
+    Then the plan is admitted at once
+
   Scenario: Low priority leaves room for requests that callers watch
     Given an engine with room for 10 requests
     When 20 requests of priority -1 arrive
--- a/tests/laburnumstep/callers/steps/admission_steps.py
+++ b/tests/laburnumstep/callers/steps/admission_steps.py
@@ -53,6 +53,7 @@
         self.order: list[str] = []
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.group: typing.Any = None
+        self.max_tokens = 10_000
 
     async def __aenter__(self) -> _Bench:
         self.group = anyio.create_task_group()
@@ -71,7 +72,7 @@
     ) -> None:
         placement = attrs.evolve(fleets.make_request(name), **changes)
         request = callers.AdmissionRequest(
-            placement, name, self.clock.now() + left, 10_000
+            placement, name, self.clock.now() + left, self.max_tokens
         )
         self.group.start_soon(self._run, name, request)
         await _settle()
@@ -295,6 +296,12 @@
     assert bench.admission.waiting > 0
 
 
+@behave.when('a plan of at most {count:d} tokens arrives')
+def step_bounded(context: typing.Any, count: int) -> None:
+    context.bench.max_tokens = count
+    context.bench.arrive('plan', workspace='plans')
+
+
 @behave.when('a plan arrives')
 def step_plan(context: typing.Any) -> None:
     assert context.bench.admission.waiting > 0
