--- a/tests/laburnumstep/callers/admission.feature
+++ b/tests/laburnumstep/callers/admission.feature
@@ -48,6 +48,13 @@
     Then a question that arrives next is admitted at once
     But 40 seconds later a further question waits behind the plan
 
+  Scenario: The upper bound of an answer limits what is planned for it
+    Given an engine with room for 3 requests
+    And answers of workspace plans have 2000 tokens and of questions 10
+    When a running request leaves room for a question only
+    And a plan of at most 10 tokens arrives
+    Then the plan is admitted at once
+
   Scenario: Low priority leaves room for requests that callers watch
     Given an engine with room for 10 requests
     When 20 requests of priority -1 arrive
@@ -57,6 +64,13 @@
     When 10 seconds pass without news
     Then more of them are admitted, up to what priority 0 may use
 
+  Scenario: A long request may use room that low priority must leave
+    Given an engine with room for 60 requests
+    And answers of workspace plans have 2000 tokens and of questions 10
+    When 80 requests of priority -1 arrive
+    And a plan arrives
+    Then the plan is admitted at once
+
   Scenario Outline: A request without room is shed and never sent
     Given an engine with room for 1 requests
     When a running request fills it
@@ -120,10 +134,22 @@
       | 10 seconds pass without news    |
       | its caller is gone              |
 
+  Scenario: A request that has become the first looks again in time
+    Given an engine with room for 1 requests
+    When a running request fills it
+    And a request arrives with 60 seconds to its deadline
+    And another request arrives with 60 seconds to its deadline
+    And the running request ends
+    And the engine fails for 20 seconds
+    And it ends
+    And the 20 seconds are over
+    Then the other request is admitted
+
   Scenario: A model that no target serves is refused at once
     Given an engine with room for 1 requests
     When a request for an unknown model arrives
     Then it is shed as no_target with a time to resend in the future
+    And no queue is kept for the unknown model
 
   Scenario Outline: A caller that is gone holds no place
     Given an engine with room for 1 requests
