Give orders to engines under a lease

The VMs of a data centre share one lease in the log; its holder compares declared and reported models of the engines there and gives orders with the lease's offset as the fencing number, after the weight store has handed the weights over. The store's rate is a setting.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/demo/_demo.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/demo/_demo.py
@@ -42,6 +42,7 @@
     async def start(self) -> None:
         log = await self._enter('log', 'log')
         vmlist = await self._enter('vmlist', 'vmlist')
+        weights = await self._enter('weights', 'weights')
         for name in _ENGINES:
             self.targets[name] = await self._enter(
                 name, 'engine', '--config', _ENGINE_CONFIG
@@ -58,6 +59,7 @@
                 data_centre=data_centre,
                 log=log.address,
                 vmlist=vmlist.address,
+                weights=weights.address,
                 seeds=seeds,
             )
             child = await self._stack.enter_async_context(
--- a/packages/laburnumstep/src/laburnumstep/core/_settings.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_settings.py
@@ -88,6 +88,17 @@
     return value
 
 
+def read_rate(text: str) -> float:
+    """Return a number above 0 and up to 1,000 a second."""
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise ValueError('must be a number a second') from error
+    if not 0 < value <= 1000:
+        raise ValueError('must be above 0 and at most 1000 a second')
+    return value
+
+
 def read_retention(text: str) -> float:
     """Return the log's retention, in seconds.
 
@@ -171,10 +182,23 @@
 
 
 @attrs.frozen
-class PlatformSettings:
-    """Sections `[vmlist]` and `[weights]`."""
+class VMListSettings:
+    """Section `[vmlist]`."""
+
+    address: str = option('Address of the VM list.', read_address)
+
 
-    address: str = option('Address of the service.', read_address)
+@attrs.frozen
+class WeightsSettings:
+    """Section `[weights]`."""
+
+    address: str = option('Address of the weight store.', read_address)
+    fetches_per_second: float = option(
+        'Fetches a second that the store allows the whole fleet; equal on all'
+        ' VMs.',
+        read_rate,
+        '1',
+    )
 
 
 @attrs.frozen
@@ -223,9 +247,9 @@
     """Sibling VMs."""
     log: LogSettings
     """The platform's append-only log."""
-    vmlist: PlatformSettings
+    vmlist: VMListSettings
     """The platform's VM list."""
-    weights: PlatformSettings
+    weights: WeightsSettings
     """The platform's weight store."""
     logging: LoggingSettings
     """Logs."""
@@ -239,8 +263,8 @@
     'operators': OperatorsSettings,
     'siblings': SiblingsSettings,
     'log': LogSettings,
-    'vmlist': PlatformSettings,
-    'weights': PlatformSettings,
+    'vmlist': VMListSettings,
+    'weights': WeightsSettings,
     'logging': LoggingSettings,
     'statsd': StatsdSettings,
 }
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -21,6 +21,7 @@
 from laburnumstep import targets
 from laburnumstep import transport
 from laburnumstep import vmlist
+from laburnumstep import weights
 
 FLUSH_SECONDS = 5.0
 """Longest wait for the last settlements before the VM ends, in seconds."""
@@ -87,6 +88,8 @@
             clock,
             settings.vm.name,
         )
+        self._leases = log.LeaseKeeper(self._log, settings.vm.name, clock)
+        self._orders = self._build_orders()
         self._decisions = operators.DecisionLog()
         self._operations = operations.VMOperations(
             settings.vm, self._follower, self._membership, self._gate, clock
@@ -139,6 +142,8 @@
                 tasks.start_soon(self._gossip.run)
                 tasks.start_soon(self._abandoned.run)
                 tasks.start_soon(self._shares.run)
+                tasks.start_soon(self._leases.run)
+                tasks.start_soon(self._orders.run)
                 tasks.start_soon(self._callers.run)
                 tasks.start_soon(self._operators.run)
                 self._started.set()
@@ -185,6 +190,9 @@
                 self._state.limits.apply_deployment(current.deployment)
                 self._admission.apply_deployment(current.deployment)
                 self._loads.apply_deployment(tasks)
+                self._orders.apply_engines(
+                    self._list_local_engines(current.deployment)
+                )
                 self._membership.note_configuration()
                 _LOGGER.info(
                     'configuration in force; version=%d digest=%s',
@@ -235,6 +243,41 @@
     ) -> core.DocumentObject:
         return await claim_forwarding.serve_claims(self._claims, request)
 
+    def _build_orders(self) -> targets.OrderKeeper:
+        """Return the keeper of the engines in this VM's data centre."""
+        settings = self._settings
+        resource = f'orders-{settings.vm.data_centre}'
+        self._leases.want(resource)
+        permits = weights.FetchPermits(
+            self._log,
+            settings.vm.name,
+            self._clock,
+            settings.weights.fetches_per_second,
+        )
+        client = weights.WeightClient(settings.weights.address)
+        return targets.OrderKeeper(
+            resource,
+            self._leases,
+            weights.WeightFetcher(client, permits, self._clock),
+            self._find_report,
+            self._clock,
+            self._metrics,
+        )
+
+    def _find_report(self, target: str) -> targets.LoadReport | None:
+        state = self._state.view.find(target)
+        return state.report if state is not None else None
+
+    def _list_local_engines(
+        self, deployment: core.Deployment
+    ) -> list[core.EngineTarget]:
+        return [
+            target
+            for target in deployment.targets.values()
+            if isinstance(target, core.EngineTarget)
+            and target.data_centre == self._settings.vm.data_centre
+        ]
+
     def _note_reclaim(self, target: str, reclaim_at: float) -> None:
         """Give a target no new work and move what it cannot finish."""
         self._gossip.note_reclaim(target, reclaim_at)
