Read the VMs' answers as their operators' interface gives them

Cause: the interface now exists; its status lists every member and target, and its decisions come in a list.

The fake VM of the tests answers in the same form, and 202 to an order.

--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_vm_commands.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_vm_commands.py
@@ -146,7 +146,7 @@
 def _describe_status(answer: vms.VMAnswer) -> str:
     match answer:
         case vms.Answered(address=address, body=body):
-            parts = [f'{name} {_format(body[name])}' for name in body]
+            parts = [f'{name} {_shorten(body[name])}' for name in body]
             return f'{address}: {", ".join(parts)}'
         case vms.NotFound() | vms.Failed():
             return _describe_problem(answer)
@@ -165,7 +165,20 @@
 
 
 def _describe_body(body: core.DocumentObject) -> list[str]:
-    return [f'{name}: {_format(value)}' for name, value in body.items()]
+    decisions = body.get('decisions')
+    if not isinstance(decisions, list):
+        decisions = [body]
+    return [
+        f'{name}: {_format(value)}'
+        for decision in decisions
+        if isinstance(decision, dict)
+        for name, value in decision.items()
+    ]
+
+
+def _shorten(value: typing.Any) -> str:
+    # The members and targets of a whole deployment are for --json.
+    return str(len(value)) if isinstance(value, list) else _format(value)
 
 
 def _format(value: typing.Any) -> str:
--- a/tests/laburnumstep_operator/commands.feature
+++ b/tests/laburnumstep_operator/commands.feature
@@ -87,6 +87,7 @@
     Examples:
       | vms                   | command                                  | status | text                          |
       | at 3, at 3            | status                                   | 0      | version 3, digest d3          |
+      | at 3, at 3            | status                                   | 0      | members 2                     |
       | at 3, at 4            | status                                   | 2      | do not have the same version  |
       | at 3, down            | status                                   | 1      | unreachable                   |
       | at 3, refuses         | status                                   | 1      | unauthorized: wrong key       |
--- a/tests/support/operators_interface.py
+++ b/tests/support/operators_interface.py
@@ -34,20 +34,25 @@
         )
 
     async def _status(self, request: requests.Request) -> responses.Response:
-        body = {'version': self._version, 'digest': f'd{self._version}'}
+        body = {
+            'version': self._version,
+            'digest': f'd{self._version}',
+            'members': [{'name': 'vm-1'}, {'name': 'vm-2'}],
+        }
         return self._answer(request, body)
 
     async def _decision(self, request: requests.Request) -> responses.Response:
         if request.path_params['request'] != '1764800000000-5f2c9a01':
             error = {'code': 'not_found', 'message': 'no such request'}
             return responses.JSONResponse({'error': error}, 404)
-        body = {'target': 'gang-1', 'reason': 'least memory in use'}
-        return self._answer(request, body)
+        decision = {'target': 'gang-1', 'reason': 'least memory in use'}
+        return self._answer(request, {'decisions': [decision]})
 
     async def _drain(self, request: requests.Request) -> responses.Response:
         order = json.loads(await request.body())
-        answer = self._answer(request, {})
+        answer = self._answer(request, order)
         if answer.status_code == 200:
+            answer.status_code = 202
             self.drained.append(order)
         return answer
 
