Keep the sibling server up when a call is cancelled

Cause: a connection that was cut or dropped for missed heartbeats ended the VM's sibling server. gRPC raises a cancellation of its own in place of the scope's, the scope passed it on as foreign, and the task group of all connections took it as its own end. The VM then neither served siblings nor sent to them, without an error. Sends to a connection whose stream had ended could also raise in the task that sent.

Change: a connection takes a cancellation as its own end unless an outer scope is cancelled, and a stream that has ended takes no messages and is replaced.

Failed attempts: the first run of the process tests hung for ten minutes, since reads from a process had no limit; they end after 30 s now.

--- a/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
@@ -74,30 +74,47 @@
             _messages.SiblingMessage
         ](math.inf)
         self._scope = anyio.CancelScope()
+        self._is_open = True
 
     @property
     def address(self) -> str:
         """IP number and port of the sibling."""
         return self._address
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream takes messages.
+
+        A stream that has ended takes none while its channel closes.
+        """
+        return self._is_open
+
     def send(self, message: _messages.SiblingMessage) -> bool:
         """Queue a message.
 
         Returns:
-            False when the sibling is so slow that the message is dropped.
+            False when the message is dropped because the sibling is slow or
+            the stream has ended.
         """
         waiting = self._sender.statistics().current_buffer_used
-        if waiting >= OUTBOX_MESSAGES:
+        if waiting >= OUTBOX_MESSAGES or not self._is_open:
             return False
-        self._sender.send_nowait(message)
-        return True
+        try:
+            self._sender.send_nowait(message)
+        except anyio.BrokenResourceError:
+            # gRPC has stopped to read the queue before the call's end is
+            # known here.
+            self._is_open = False
+        return self._is_open
 
     def close(self) -> None:
         """Send what is queued and end the stream."""
+        self._is_open = False
         self._sender.close()
 
     def abort(self) -> None:
         """End the stream at once; queued messages are lost."""
+        self._is_open = False
         self._scope.cancel()
 
     async def run(self) -> None:
@@ -107,8 +124,7 @@
             stub = pb_grpc.SiblingsStub(channel)
             call = stub.Exchange(self._encode(), metadata=self._metadata)
             with self._scope:
-                async for encoded in call:
-                    self._take(encoded)
+                await self._read(call)
         except grpc.aio.AioRpcError as error:
             _LOG.info(
                 'exchange with %s ended: %s %s',
@@ -117,10 +133,26 @@
                 error.details(),
             )
         finally:
+            self._is_open = False
             self._sender.close()
             with anyio.CancelScope(shield=True):
                 await channel.close(grace=None)
 
+    async def _read(
+        self, call: typing.AsyncIterable[pb.SiblingMessage]
+    ) -> None:
+        try:
+            async for encoded in call:
+                self._take(encoded)
+        except anyio.get_cancelled_exc_class():
+            # gRPC raises a cancellation of its own in place of the scope's,
+            # also where a call ends by itself. The scope would pass it on,
+            # and it would end all connections and the server.
+            aborted = self._scope.cancel_called
+            outer = anyio.current_effective_deadline() == -math.inf
+            if outer and not aborted:
+                raise
+
     def _take(self, encoded: pb.SiblingMessage) -> None:
         message, _ = _codec.decode_message(encoded)
         if message is not None:
--- a/packages/laburnumstep/src/laburnumstep/siblings/_links.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_links.py
@@ -130,7 +130,7 @@
         if self._tasks is None or self._handler is None:
             return
         connection = self._connections.get(address)
-        if connection is None:
+        if connection is None or not connection.is_open:
             connection = _connection.SiblingConnection(
                 address, self._key, self._handler.receive
             )
--- a/tests/laburnumstep/siblings/configurations.feature
+++ b/tests/laburnumstep/siblings/configurations.feature
@@ -61,6 +61,17 @@
     When 4 s pass for the VMs
     Then at most 8 VMs announce a version
 
+  Scenario: A single holder announces whatever its score
+    Given 20 VMs that know each other
+    And all VMs hold version 4
+    When the VM with the lowest score for version 5 learns it
+    And 4 s pass in which the VMs fetch configurations
+    Then the reachable VMs hold version 5
+
+  Scenario: A document goes only to siblings that hold an older version
+    Then vm-1 sends no document to a sibling that holds version 4
+    And vm-1 sends its document to a sibling that holds version 3
+
   Scenario: The exchange waits for the log before it asks a sibling
     Given a configuration exchange whose clock stands still
     When a sibling announces version 5
--- a/tests/laburnumstep/siblings/steps/configurations_steps.py
+++ b/tests/laburnumstep/siblings/steps/configurations_steps.py
@@ -42,6 +42,23 @@
     context.fleet.settle()
 
 
+@behave.when('the VM with the lowest score for version {version:d} learns it')
+def step_learn_lowest(context: typing.Any, version: int) -> None:
+    lowest = min(
+        context.fleet.vms, key=lambda n: core.stable_hash(f'{version}|{n}')
+    )
+    step_learn(context, lowest, version)
+
+
+@behave.then(
+    '{name:S} sends {what} document to a sibling that holds version {known:d}'
+)
+def step_sends(context: typing.Any, name: str, what: str, known: int) -> None:
+    membership = context.fleet.vms[name].membership
+    sent = membership.read_configuration(known)
+    assert (sent is None) == (what == 'no'), sent
+
+
 @behave.given('{name:S} holds version {version:d} that it has not announced')
 def step_hold(context: typing.Any, name: str, version: int) -> None:
     vm = context.fleet.vms[name]
--- a/tests/laburnumstep/siblings/steps/fleet_steps.py
+++ b/tests/laburnumstep/siblings/steps/fleet_steps.py
@@ -380,7 +380,7 @@
     assert not wrong, wrong
 
 
-@behave.then('{name:S} sees "{target}" as "{status}"')
+@behave.then('{name:S} sees target "{target}" as "{status}"')
 def step_sees_target(
     context: typing.Any, name: str, target: str, status: str
 ) -> None:
--- a/tests/laburnumstep/siblings/targets.feature
+++ b/tests/laburnumstep/siblings/targets.feature
@@ -59,8 +59,8 @@
     Given VMs vm-0 and vm-1 in lima-1, vm-2 in lima-2, vm-3 in piura-1
     When <observers> note that "engine-1" failed
     And 1 s pass for the VMs
-    Then vm-1 sees "engine-1" as "<near>"
-    And vm-3 sees "engine-1" as "<far>"
+    Then vm-1 sees target "engine-1" as "<near>"
+    And vm-3 sees target "engine-1" as "<far>"
 
     Examples:
       | observers  | near      | far       |
--- /dev/null
+++ b/tests/support/sibling_vm.py
@@ -0,0 +1,180 @@
+"""A VM with nothing but its membership, in this or another process.
+
+As a process it prints its address, then a line for each change of what it
+sees, and notes a target as leaving for each line that it reads.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+import anyio
+import anyio.to_thread
+
+from laburnumstep import core
+from laburnumstep import siblings
+
+KEY = 'siblings-test-key'
+LIMIT_SECONDS = 30.0
+"""When a wait fails; far above the time that any of them takes."""
+
+
+class ForwardedLinks(siblings.GrpcLinks):
+    """Links whose server is reached through a forwarder."""
+
+    forwarder: typing.Any = None
+
+    @property
+    def address(self) -> str:
+        """Address of the forwarder, or of the server without one."""
+        if self.forwarder is not None:
+            return self.forwarder.address
+        return super().address
+
+
+class SiblingVM:
+    """A membership on the system's clock and network."""
+
+    def __init__(
+        self, name: str, seeds: list[str], forwarder: typing.Any = None
+    ) -> None:
+        self._links = ForwardedLinks('127.0.0.1:0', KEY)
+        self._forwarder = forwarder
+        self.membership = siblings.Membership(
+            siblings.Identity(name, 'lima-1'),
+            self._links,
+            seeds,
+            siblings.MembershipCallbacks(
+                lambda: None, lambda held: False, self._claim
+            ),
+            core.SystemClock(),
+            core.Metrics(None, 'test'),
+            random.Random(name),
+        )
+        self._changed = anyio.Event()
+        for kind in (siblings.EntryKind.VM, siblings.EntryKind.TARGET):
+            self.membership.subscribe(kind, self._note)
+
+    async def _claim(
+        self, request: siblings.ClaimForward
+    ) -> core.DocumentObject:
+        return {}
+
+    def _note(self, entry: siblings.GossipEntry) -> None:
+        self._changed.set()
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> typing.AsyncIterator[SiblingVM]:
+        """Run while the context is open."""
+        async with anyio.create_task_group() as tasks:
+            if self._forwarder is not None:
+                await self._forwarder.open(
+                    tasks, lambda: siblings.GrpcLinks.address.fget(self._links)
+                )
+                self._links.forwarder = self._forwarder
+            await tasks.start(self.membership.run)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def view(self) -> dict[str, typing.Any]:
+        """Return what the VM sees, for comparison."""
+        members = self.membership.members.values()
+        return {
+            'vms': {m.name: [m.state.value, m.address] for m in members},
+            'leaving': [
+                name
+                for name in self.membership.target_statuses()
+                if self.membership.is_leaving(name)
+            ],
+        }
+
+    async def wait_for(
+        self, predicate: typing.Callable[[dict[str, typing.Any]], bool]
+    ) -> None:
+        """Wait until what the VM sees satisfies a predicate."""
+        with anyio.fail_after(LIMIT_SECONDS):
+            while not predicate(self.view()):
+                await self._changed.wait()
+                self._changed = anyio.Event()
+
+    def note_leaving(self, target: str) -> None:
+        """Note a target as leaving."""
+        until = time.time() + 600
+        self.membership.note_target_leaving(target, 'operator', until)
+
+    async def print_changes(self) -> None:
+        """Print the address and then what the VM sees, line by line."""
+        print(json.dumps({'address': self.membership.address}), flush=True)
+        last: dict[str, typing.Any] = {}
+        while True:
+            if (view := self.view()) != last:
+                print(json.dumps(view), flush=True)
+                last = view
+            await self._changed.wait()
+            self._changed = anyio.Event()
+
+
+class SiblingProcess:
+    """A `SiblingVM` in a process of its own."""
+
+    def __init__(self, name: str, seeds: list[str]) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'support.sibling_vm', name, *seeds],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self.process.stdout is not None
+        self.address = json.loads(self.process.stdout.readline())['address']
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def note_leaving(self, target: str) -> None:
+        """Note a target as leaving."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(f'{target}\n')
+        self.process.stdin.flush()
+
+    def wait_for(
+        self, predicate: typing.Callable[[dict[str, typing.Any]], bool]
+    ) -> None:
+        """Read what the VM sees until it satisfies a predicate."""
+        assert self.process.stdout is not None
+        seen = 'nothing'
+        limit = threading.Timer(LIMIT_SECONDS, self.process.kill)
+        limit.start()
+        try:
+            for line in self.process.stdout:
+                seen = line
+                if predicate(json.loads(line)):
+                    return
+        finally:
+            limit.cancel()
+        raise AssertionError(f'the process has ended; it saw {seen}')
+
+    def stop(self) -> None:
+        """End the process."""
+        self.process.kill()
+        self.process.wait()
+
+
+async def main(name: str, seeds: list[str]) -> None:
+    """Run as a process until killed."""
+    vm = SiblingVM(name, seeds)
+    async with vm.run(), anyio.create_task_group() as tasks:
+        tasks.start_soon(vm.print_changes)
+        while line := await anyio.to_thread.run_sync(sys.stdin.readline):
+            vm.note_leaving(line.strip())
+
+
+if __name__ == '__main__':
+    anyio.run(main, sys.argv[1], sys.argv[2:])
