Count a resumed generation once

A resume on another VM began a send on top of the report that counted the generation already, and its tokens, which come at once from the engine's buffer, would have lowered the learned time between tokens. Such sends are adopted instead. The bench of the admission steps moves to the support package.

--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -144,7 +144,7 @@
                 resend=True,
                 resend_at=self._state.clock.now(),
             )
-        send = self._state.view.begin(target, generation, '', '', 0, 0.0)
+        send = self._state.view.adopt(target, generation)
         return EnginePlacement(self._state, send, '', self._report_crash)
 
     def decide_retry(
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -161,6 +161,18 @@
             state.sends[generation_id] = send
         return send
 
+    def adopt(self, target_name: str, generation_id: str) -> _sends.Send:
+        """Count a generation that another VM has sent, as this one's.
+
+        Reports count it already, so it is not added to them. Its tokens may
+        come at once from the engine's buffer and say nothing of its pace.
+        """
+        send = _sends.Send(target_name, generation_id, '', '', 0, 0.0, 0.0)
+        state = self._states.get(target_name)
+        if state is not None:
+            state.sends[generation_id] = send
+        return send
+
     def record_tokens(self, send: _sends.Send, count: int) -> None:
         """Count tokens that a send has produced."""
         send.tokens += count
@@ -230,7 +242,7 @@
         self._index(name, state)
 
     def _learn_pace(self, send: _sends.Send, now: float) -> None:
-        if not send.tokens:
+        if not send.tokens or not send.model:
             return
         pace = (now - send.begun_at) / send.tokens
         if self._token_seconds is None:
--- a/tests/laburnumstep/callers/steps/admission_steps.py
+++ b/tests/laburnumstep/callers/steps/admission_steps.py
@@ -2,119 +2,18 @@
 
 from __future__ import annotations
 
-import random
 import typing
 
-import anyio
-from anyio import lowlevel
-import attrs
 import behave
 
 from laburnumstep import callers
-from laburnumstep import core
-from laburnumstep import targets
+from support import admission_bench
 from support import fleets
 
-_SIZE = 200
-_ROUNDS = 12
-
-
-async def _settle() -> None:
-    """Let each task run until it waits for the clock or an event."""
-    for _ in range(_ROUNDS):
-        await lowlevel.checkpoint()
-
-
-class _CountingClock(core.ManualClock):
-    def __init__(self) -> None:
-        super().__init__()
-        self.waits = 0
-
-    async def sleep_until(self, deadline: float) -> None:
-        self.waits += 1
-        await super().sleep_until(deadline)
-
-
-class _Bench:
-    """Admission over a view, with one task for each request."""
-
-    def __init__(self, context: typing.Any, room: int) -> None:
-        self.portal = context.portal
-        self.clock = _CountingClock()
-        self.view = targets.FleetView(self.clock, 'lima-1')
-        # The policy plans for 95% of the memory, rounded up here.
-        self.deployment = fleets.make_deployment(1, int(room * _SIZE * 1.1))
-        self.view.apply_deployment(self.deployment)
-        self.lengths = fleets.teach_lengths(100)
-        self.admission = callers.Admission(
-            self.clock, self.view, self.lengths, random.Random(1)
-        )
-        self.results: dict[str, typing.Any] = {}
-        self.order: list[str] = []
-        self.scopes: dict[str, anyio.CancelScope] = {}
-        self.group: typing.Any = None
-        self.max_tokens = 10_000
-
-    async def __aenter__(self) -> _Bench:
-        self.group = anyio.create_task_group()
-        await self.group.__aenter__()
-        return self
-
-    async def __aexit__(self, *error: typing.Any) -> None:
-        self.group.cancel_scope.cancel()
-        await self.group.__aexit__(*error)
-
-    def arrive(self, name: str, left: float = 3600.0, **changes: typing.Any):
-        self.portal.call(self._arrive, name, left, changes)
-
-    async def _arrive(
-        self, name: str, left: float, changes: dict[str, typing.Any]
-    ) -> None:
-        placement = attrs.evolve(fleets.make_request(name), **changes)
-        request = callers.AdmissionRequest(
-            placement, name, self.clock.now() + left, self.max_tokens
-        )
-        self.group.start_soon(self._run, name, request)
-        await _settle()
-
-    async def _run(self, name: str, request: callers.AdmissionRequest) -> None:
-        with anyio.CancelScope() as scope:
-            self.scopes[name] = scope
-            result = await self.admission.admit(request)
-            self.results[name] = result
-            if isinstance(result, callers.Admitted):
-                self.order.append(name)
-
-    def end(self, name: str) -> None:
-        self.act(lambda: self.admission.release(self.results[name]))
-
-    def advance(self, seconds: float) -> None:
-        self.act(lambda: self.clock.advance(seconds))
-
-    def act(self, action: typing.Callable[[], typing.Any]) -> None:
-        async def run() -> None:
-            action()
-            await _settle()
-
-        self.portal.call(run)
-
-    @property
-    def admitted(self) -> list[str]:
-        return [
-            name
-            for name, result in self.results.items()
-            if isinstance(result, callers.Admitted)
-        ]
-
-    @property
-    def in_progress(self) -> list[str]:
-        state = self.view.find('engine-0')
-        return list(state.sends) if state is not None else []
-
 
 @behave.given('an engine with room for {count:d} requests')
 def step_engine(context: typing.Any, count: int) -> None:
-    bench = _Bench(context, count)
+    bench = admission_bench.AdmissionBench(context, count)
     manager = context.portal.wrap_async_context_manager(bench)
     context.bench = context.stack.enter_context(manager)
 
--- a/tests/laburnumstep/targets/steps/view_steps.py
+++ b/tests/laburnumstep/targets/steps/view_steps.py
@@ -118,6 +118,25 @@
         context.view.end(send)
 
 
+@behave.when(
+    'a generation of another VM is resumed and yields {count:d} tokens at once'
+)
+def step_adopt(context: typing.Any, count: int) -> None:
+    context.clock.advance(1)
+    context.adopted = context.view.adopt('engine-0', 'g')
+    context.view.record_tokens(context.adopted, count)
+
+
+@behave.when('the resumed generation ends')
+def step_adopted_ends(context: typing.Any) -> None:
+    context.view.end(context.adopted)
+
+
+@behave.then('the view has learned no time between tokens from it')
+def step_no_pace(context: typing.Any) -> None:
+    assert context.view.token_seconds is None, context.view.token_seconds
+
+
 @behave.then('the view counts {count:d} requests')
 def step_requests(context: typing.Any, count: int) -> None:
     state = context.view.find('engine-0')
--- a/tests/laburnumstep/targets/view.feature
+++ b/tests/laburnumstep/targets/view.feature
@@ -32,3 +32,11 @@
     When a send is ended at second 20 and again at second 40
     And a report measured at second 30 of 4 requests arrives at second 50
     Then the view counts 4 requests
+
+  Scenario: A resumed generation is not added to the report that counts it
+    Given an engine with a report measured at second 0 of 3 requests
+    When a generation of another VM is resumed and yields 1000 tokens at once
+    Then the view counts 3 requests
+    When the resumed generation ends
+    Then the view counts 2 requests
+    And the view has learned no time between tokens from it
--- /dev/null
+++ b/tests/support/admission_bench.py
@@ -0,0 +1,115 @@
+"""Admission over a view of one engine, with a task for each request."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio
+from anyio import lowlevel
+import attrs
+
+from laburnumstep import callers
+from laburnumstep import core
+from laburnumstep import targets
+from support import fleets
+
+_SIZE = 200
+_ROUNDS = 12
+
+
+async def settle() -> None:
+    """Let each task run until it waits for the clock or an event."""
+    for _ in range(_ROUNDS):
+        await lowlevel.checkpoint()
+
+
+class CountingClock(core.ManualClock):
+    """A manual clock that counts how often it is asked to wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waits = 0
+
+    async def sleep_until(self, deadline: float) -> None:
+        self.waits += 1
+        await super().sleep_until(deadline)
+
+
+class AdmissionBench:
+    """Admission over a view, with one task for each request."""
+
+    def __init__(self, context: typing.Any, room: int) -> None:
+        self.portal = context.portal
+        self.clock = CountingClock()
+        self.view = targets.FleetView(self.clock, 'lima-1')
+        # The policy plans for 95% of the memory, rounded up here.
+        self.deployment = fleets.make_deployment(1, int(room * _SIZE * 1.1))
+        self.view.apply_deployment(self.deployment)
+        self.lengths = fleets.teach_lengths(100)
+        self.admission = callers.Admission(
+            self.clock, self.view, self.lengths, random.Random(1)
+        )
+        self.results: dict[str, typing.Any] = {}
+        self.order: list[str] = []
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.group: typing.Any = None
+        self.max_tokens = 10_000
+
+    async def __aenter__(self) -> AdmissionBench:
+        self.group = anyio.create_task_group()
+        await self.group.__aenter__()
+        return self
+
+    async def __aexit__(self, *error: typing.Any) -> None:
+        self.group.cancel_scope.cancel()
+        await self.group.__aexit__(*error)
+
+    def arrive(
+        self, name: str, left: float = 3600.0, **changes: typing.Any
+    ) -> None:
+        self.portal.call(self._arrive, name, left, changes)
+
+    async def _arrive(
+        self, name: str, left: float, changes: dict[str, typing.Any]
+    ) -> None:
+        placement = attrs.evolve(fleets.make_request(name), **changes)
+        request = callers.AdmissionRequest(
+            placement, name, self.clock.now() + left, self.max_tokens
+        )
+        self.group.start_soon(self._run, name, request)
+        await settle()
+
+    async def _run(self, name: str, request: callers.AdmissionRequest) -> None:
+        with anyio.CancelScope() as scope:
+            self.scopes[name] = scope
+            result = await self.admission.admit(request)
+            self.results[name] = result
+            if isinstance(result, callers.Admitted):
+                self.order.append(name)
+
+    def end(self, name: str) -> None:
+        self.act(lambda: self.admission.release(self.results[name]))
+
+    def advance(self, seconds: float) -> None:
+        self.act(lambda: self.clock.advance(seconds))
+
+    def act(self, action: typing.Callable[[], typing.Any]) -> None:
+        async def run() -> None:
+            action()
+            await settle()
+
+        self.portal.call(run)
+
+    @property
+    def admitted(self) -> list[str]:
+        return [
+            name
+            for name, result in self.results.items()
+            if isinstance(result, callers.Admitted)
+        ]
+
+    @property
+    def in_progress(self) -> list[str]:
+        state = self.view.find('engine-0')
+        return list(state.sends) if state is not None else []
