Blame one crash once, count received bytes, and ask operators for their key

Cause: each request that ran on a crashed engine counted the crash against itself, so healthy requests collected crashes; the link budget was never spent; status and decisions were served without a key. Change: the first request that notices a crash counts it for all that ran there, and a known suspect explains it; bytes from engines in another region are counted; every operators' route checks the key.

Scenario added: a request that crashes every engine is refused on both VMs after two of three engines, and a healthy one is answered.

--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -67,7 +67,7 @@
         self._state = state
         self._admission = admission
         self._record = record
-        self._report_crash = report_crash
+        self._running = RunningRequests(state, report_crash)
 
     async def place(
         self, request: core.Generation, excluded: frozenset[str]
@@ -97,10 +97,7 @@
             case _admission_queue.Admitted():
                 self._keep_decision(request, result.placed)
                 return EnginePlacement(
-                    self._state,
-                    result.send,
-                    fingerprint,
-                    self._report_crash,
+                    self._state, result.send, fingerprint, self._running
                 )
             case _admission_queue.Shed(code, resend_at):
                 self._state.metrics.count('routing.shed')
@@ -128,7 +125,7 @@
                 resend_at=self._state.clock.now(),
             )
         send = self._state.view.adopt(target, generation)
-        return EnginePlacement(self._state, send, '', self._report_crash)
+        return EnginePlacement(self._state, send, '', self._running)
 
     def decide_retry(
         self, request: core.Generation, failed: targets.FailedRun
@@ -188,6 +185,52 @@
         )
 
 
+class RunningRequests:
+    """Requests in progress by engine, to find out which one crashed it.
+
+    Args:
+        state: What this VM knows.
+        report_crash: Tells sibling VMs of a crash.
+    """
+
+    def __init__(
+        self,
+        state: RoutingState,
+        report_crash: typing.Callable[[targets.Crash], None],
+    ) -> None:
+        self._state = state
+        self._report_crash = report_crash
+        self._by_target: dict[str, dict[str, str]] = {}
+
+    def add(self, target: str, generation: str, fingerprint: str) -> None:
+        """Count a request that an engine runs."""
+        self._by_target.setdefault(target, {})[generation] = fingerprint
+
+    def remove(self, target: str, generation: str) -> None:
+        """Count a request no more."""
+        running = self._by_target.get(target, {})
+        running.pop(generation, None)
+        if not running:
+            self._by_target.pop(target, None)
+
+    def record_crash(self, target: str, generation: str) -> None:
+        """Count the end of an engine's process against what it ran.
+
+        The first request that notices counts for all of them: a known
+        suspect explains the crash, and the others must not be blamed for
+        it one by one afterwards.
+        """
+        running = self._by_target.get(target, {})
+        if generation not in running:
+            return
+        del self._by_target[target]
+        self._state.metrics.count('targets.crashes')
+        for crash in self._state.suspects.record_target_crash(
+            target, list(running.values())
+        ):
+            self._report_crash(crash)
+
+
 class EnginePlacement:
     """One generation's place on an engine, as `targets.GenerationPlace`.
 
@@ -195,7 +238,7 @@
         state: What this VM knows.
         send: The send, already counted by the view.
         fingerprint: Fingerprint of the request; empty when it is not known.
-        report_crash: Tells sibling VMs of a crash.
+        running: Requests in progress by engine.
     """
 
     def __init__(
@@ -203,12 +246,14 @@
         state: RoutingState,
         send: targets.Send,
         fingerprint: str,
-        report_crash: typing.Callable[[targets.Crash], None],
+        running: RunningRequests,
     ) -> None:
         self._state = state
         self._send = send
         self._fingerprint = fingerprint
-        self._report_crash = report_crash
+        self._running = running
+        if fingerprint:
+            running.add(send.target, send.generation_id, fingerprint)
         self._client = state.clients.get(send.target)
 
     @property
@@ -226,9 +271,16 @@
         """Client of the engine."""
         return self._client
 
-    def record_tokens(self, count: int) -> None:
-        """Count tokens that the engine generated."""
-        self._state.view.record_tokens(self._send, count)
+    def record_tokens(self, count: int, size: int) -> None:
+        """Count tokens that the engine sent.
+
+        Args:
+            count: Tokens.
+            size: Their encoded size, in bytes.
+        """
+        view = self._state.view
+        view.record_tokens(self._send, count)
+        view.record_received(self._send, size)
         self._state.limits.record_tokens(self._send.workspace, count)
 
     def record_preemption(self) -> None:
@@ -248,13 +300,8 @@
         """
         until = self._state.clock.now() + FAILED_SECONDS
         self._state.view.set_failed(self.target, until)
-        if crashed and self._fingerprint:
-            self._state.metrics.count('targets.crashes')
-            self._report_crash(
-                self._state.suspects.record_crash(
-                    self._fingerprint, self.target
-                )
-            )
+        if crashed:
+            self._running.record_crash(self.target, self.generation)
 
     def release(self, complete: bool) -> None:
         """Give the engine's room back.
@@ -264,6 +311,7 @@
                 be learned.
         """
         self._state.view.end(self._send)
+        self._running.remove(self.target, self.generation)
         if complete and self._send.model:
             self._state.lengths.observe(
                 self._send.workspace, self._send.model, self._send.tokens
--- a/packages/laburnumstep/src/laburnumstep/operators/_app.py
+++ b/packages/laburnumstep/src/laburnumstep/operators/_app.py
@@ -28,7 +28,7 @@
     """Shows this VM's status and decisions and takes drain orders.
 
     Args:
-        key: Key that operators send with orders.
+        key: Key that operators send with each request.
         status: Knows the status of this VM.
         decisions: Holds the recent routing decisions.
         drains: Carries out drain orders.
@@ -64,12 +64,14 @@
     async def _read_status(
         self, request: requests.Request
     ) -> responses.Response:
+        self._check_key(request)
         status = self._status.read_status()
         return responses.JSONResponse(_codec.encode_status(status))
 
     async def _read_decisions(
         self, request: requests.Request
     ) -> responses.Response:
+        self._check_key(request)
         name = request.path_params['request']
         found = self._decisions.find(name)
         encoded = [_codec.encode_decision(decision) for decision in found]
@@ -96,7 +98,7 @@
             given[0].encode(), expected
         ):
             return
-        _LOG.warning('order refused: the credentials are wrong or missing')
+        _LOG.warning('request refused: the credentials are wrong or missing')
         raise core.CodedError(
             core.ErrorCode.UNAUTHORIZED,
             'the credentials are wrong or missing',
--- a/packages/laburnumstep/src/laburnumstep/targets/_generation_runner.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_generation_runner.py
@@ -111,8 +111,8 @@
         """Client of the engine."""
         ...
 
-    def record_tokens(self, count: int) -> None:
-        """Count tokens that the engine generated."""
+    def record_tokens(self, count: int, size: int) -> None:
+        """Count tokens that the engine sent, and their size in bytes."""
         ...
 
     def record_preemption(self) -> None:
@@ -261,7 +261,8 @@
             case _engine_events.TokenBatch():
                 fresh = self._position.accept(event)
                 if fresh:
-                    self._placement.record_tokens(len(fresh))
+                    size = sum(len(item) for item in fresh)
+                    self._placement.record_tokens(len(fresh), size)
                     await self._deliver(fresh)
             case _engine_events.Preempted():
                 self._placement.record_preemption()
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -173,6 +173,19 @@
             state.sends[generation_id] = send
         return send
 
+    def record_received(self, send: _sends.Send, size: int) -> None:
+        """Count bytes that a target in another region has sent.
+
+        Args:
+            send: The send that they belong to.
+            size: Bytes.
+        """
+        state = self._states.get(send.target)
+        if state is None or state.near or self._region is None:
+            return
+        if state.region is not None:
+            self.links.record_bytes(state.region, self._region, size)
+
     def record_tokens(self, send: _sends.Send, count: int) -> None:
         """Count tokens that a send has produced."""
         send.tokens += count
--- /dev/null
+++ b/tests/laburnumstep/vm/crashes.feature
@@ -0,0 +1,12 @@
+Feature: A request that crashes engines is stopped
+  Guards against one request that takes every engine down, sent again and
+  again through different VMs.
+
+  Scenario: The request is refused after two engines, healthy ones go on
+    Given VMs "vm-1" and "vm-2" and answers of 5 tokens
+    And engines crash on the prompt "poison"
+    When the prompt "poison" is sent through "vm-1" until it is refused
+    Then at most 2 engines have crashed
+    When the prompt "poison" is sent through "vm-2" until it is refused
+    Then at most 2 engines have crashed
+    And the prompt "healthy" is answered through "vm-2"
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -21,11 +21,13 @@
 from laburnumstep_standins import service
 from laburnumstep_standins import settings
 from laburnumstep_standins import vmlist
+from laburnumstep_standins import weights
 from support import link
 
 if typing.TYPE_CHECKING:
     import collections.abc
 
+ENGINES = ('gang-1', 'gang-2', 'gang-3')
 MODEL = 'planner'
 SERVICE = 'booking'
 WORKSPACE = 'callao'
@@ -60,6 +62,7 @@
         self.log = log_stand_in.LogStandIn(self.clock, 100_000.0)
         self.vmlist = vmlist.VMListStandIn(self.clock)
         self.service = service.ServiceStandIn()
+        self.weights = weights.WeightStandIn(self.clock, 10.0)
         self.engines: dict[str, EngineHost] = {}
         self.vms: dict[str, processes.Child] = {}
         self.log_paths: dict[str, link.Link] = {}
@@ -74,8 +77,9 @@
         """
         self._log_address = await self._serve(self.log.app)
         self._vmlist_address = await self._serve(self.vmlist.app)
+        self._weights_address = await self._serve(self.weights.app)
         service_address = await self._serve(self.service.app)
-        for name in ('gang-1', 'gang-2'):
+        for name in ENGINES:
             await self._start_engine(name, tokens)
         self.deployment = self._declare(service_address)
         await self.publish(self.deployment)
@@ -116,6 +120,7 @@
             name=name,
             log=path.address,
             vmlist=self._vmlist_address,
+            weights=self._weights_address,
             seeds=seeds,
         )
         child = await self._hold(processes.run_vm(name, text, self._directory))
@@ -172,7 +177,13 @@
             max_length=tokens,
             length_profiles=(engine.LengthProfile('', 1e6, 0.1),),
         )
-        stand_in = engine.EngineStandIn(self.clock, config)
+
+        def end() -> None:
+            # The end of a process ends its connections and its listener.
+            path.cut()
+            self._tasks.start_soon(path.refuse)
+
+        stand_in = engine.EngineStandIn(self.clock, config, end)
         path = link.Link(await self._serve(stand_in.app))
         await self._hold(path.serve())
         self.engines[name] = EngineHost(stand_in, path)
