--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -7,6 +7,7 @@
 import typing
 
 import anyio
+import attrs
 
 from laburnumstep.callers import _admission_queue
 from laburnumstep import core
@@ -61,6 +62,11 @@
         """Number of generations that wait."""
         return sum(len(queue) for queue in self._queues.values())
 
+    @property
+    def models(self) -> list[str]:
+        """Models for which the VM keeps a queue."""
+        return list(self._queues)
+
     def apply_deployment(self, deployment: core.Deployment) -> None:
         """Use the weights of a new configuration."""
         self._weights = deployment.weights
@@ -101,6 +107,10 @@
         self._dispatch(model)
         if waiter.result is None:
             self._shed_early(waiter, queue)
+        if not len(queue) and not len(self._view.get_pool(model)):
+            # Callers choose the names of models; a queue for each unknown
+            # name would grow without bound.
+            del self._queues[model]
         return waiter
 
     def _make_waiter(
@@ -125,7 +135,7 @@
         due_at = queue.find_due(request, expected, now)
         self._order += 1
         return _admission_queue.Waiter(
-            request, expected, latest_start, due_at, self._order
+            request, expected, latest_start, now, due_at, self._order
         )
 
     def _shed_early(
@@ -184,8 +194,8 @@
 
     def _dispatch(self, model: str) -> None:
         """Give room to waiters in order; small ones may pass large ones."""
-        queue = self._queues[model]
-        if self._dispatching or not len(queue):
+        queue = self._queues.get(model)
+        if queue is None or self._dispatching or not len(queue):
             return
         self._dispatching = True
         try:
@@ -201,24 +211,32 @@
 
     def _place_waiters(self, queue: _admission_queue.WaitQueue) -> None:
         now = self._clock.now()
-        skipped = 0
-        smallest = math.inf
+        failed: list[tuple[int, float]] = []
         for waiter in queue:
-            if waiter.size >= smallest:
+            priority = waiter.find_priority(now)
+            if any(
+                priority <= other and waiter.size >= size
+                for other, size in failed
+            ):
                 continue
-            if self._try_place(waiter, queue):
+            if self._try_place(waiter, priority, queue):
                 continue
-            skipped += 1
-            placement = waiter.request.placement
-            if not placement.suspect and not placement.excluded:
-                smallest = waiter.size
-            overdue = now > waiter.due_at + PATIENCE_SECONDS
-            if overdue or skipped >= MAX_SKIPPED:
+            if len(failed) + 1 >= MAX_SKIPPED:
                 return
+            overdue = now > waiter.due_at + PATIENCE_SECONDS
+            placement = waiter.request.placement
+            if overdue:
+                failed.append((priority, 0.0))
+            elif placement.suspect or placement.excluded:
+                # Others may find room where this one may not go.
+                failed.append((priority, math.inf))
+            else:
+                failed.append((priority, waiter.size))
 
     def _try_place(
         self,
         waiter: _admission_queue.Waiter,
+        priority: int,
         queue: _admission_queue.WaitQueue,
     ) -> bool:
         """Place or refuse a waiter; return False when it has no room."""
@@ -228,7 +246,11 @@
             return True
         placement = targets.choose_engine(
             self._view,
-            waiter.request.placement,
+            attrs.evolve(
+                waiter.request.placement,
+                priority=priority,
+                max_tokens=waiter.request.max_tokens,
+            ),
             self._lengths,
             self._weights,
             self._rng,
@@ -309,6 +331,13 @@
 
     def _remove(self, waiter: _admission_queue.Waiter) -> None:
         model = waiter.request.placement.model
-        queue = self._queues[model]
+        queue = self._queues.get(model)
+        if queue is None:
+            return
+        was_first = queue.first is waiter
         queue.remove(waiter)
         self._view.set_waiting(model, len(queue))
+        if was_first and queue.first is not None and not self._dispatching:
+            # The first waiter is the one that looks again by time.
+            queue.first.retry_at = self._clock.now()
+            queue.first.event.set()
--- a/tests/laburnumstep/callers/steps/admission_steps.py
+++ b/tests/laburnumstep/callers/steps/admission_steps.py
@@ -2,118 +2,18 @@
 
 from __future__ import annotations
 
-import random
 import typing
 
-import anyio
-from anyio import lowlevel
-import attrs
 import behave
 
 from laburnumstep import callers
-from laburnumstep import core
-from laburnumstep import targets
+from support import admission_bench
 from support import fleets
 
-_SIZE = 200
-_ROUNDS = 12
-
-
-async def _settle() -> None:
-    """Let each task run until it waits for the clock or an event."""
-    for _ in range(_ROUNDS):
-        await lowlevel.checkpoint()
-
-
-class _CountingClock(core.ManualClock):
-    def __init__(self) -> None:
-        super().__init__()
-        self.waits = 0
-
-    async def sleep_until(self, deadline: float) -> None:
-        self.waits += 1
-        await super().sleep_until(deadline)
-
-
-class _Bench:
-    """Admission over a view, with one task for each request."""
-
-    def __init__(self, context: typing.Any, room: int) -> None:
-        self.portal = context.portal
-        self.clock = _CountingClock()
-        self.view = targets.FleetView(self.clock, 'lima-1')
-        # The policy plans for 95% of the memory, rounded up here.
-        self.deployment = fleets.make_deployment(1, int(room * _SIZE * 1.1))
-        self.view.apply_deployment(self.deployment)
-        self.lengths = fleets.teach_lengths(100)
-        self.admission = callers.Admission(
-            self.clock, self.view, self.lengths, random.Random(1)
-        )
-        self.results: dict[str, typing.Any] = {}
-        self.order: list[str] = []
-        self.scopes: dict[str, anyio.CancelScope] = {}
-        self.group: typing.Any = None
-
-    async def __aenter__(self) -> _Bench:
-        self.group = anyio.create_task_group()
-        await self.group.__aenter__()
-        return self
-
-    async def __aexit__(self, *error: typing.Any) -> None:
-        self.group.cancel_scope.cancel()
-        await self.group.__aexit__(*error)
-
-    def arrive(self, name: str, left: float = 3600.0, **changes: typing.Any):
-        self.portal.call(self._arrive, name, left, changes)
-
-    async def _arrive(
-        self, name: str, left: float, changes: dict[str, typing.Any]
-    ) -> None:
-        placement = attrs.evolve(fleets.make_request(name), **changes)
-        request = callers.AdmissionRequest(
-            placement, name, self.clock.now() + left, 10_000
-        )
-        self.group.start_soon(self._run, name, request)
-        await _settle()
-
-    async def _run(self, name: str, request: callers.AdmissionRequest) -> None:
-        with anyio.CancelScope() as scope:
-            self.scopes[name] = scope
-            result = await self.admission.admit(request)
-            self.results[name] = result
-            if isinstance(result, callers.Admitted):
-                self.order.append(name)
-
-    def end(self, name: str) -> None:
-        self.act(lambda: self.admission.release(self.results[name]))
-
-    def advance(self, seconds: float) -> None:
-        self.act(lambda: self.clock.advance(seconds))
-
-    def act(self, action: typing.Callable[[], typing.Any]) -> None:
-        async def run() -> None:
-            action()
-            await _settle()
-
-        self.portal.call(run)
-
-    @property
-    def admitted(self) -> list[str]:
-        return [
-            name
-            for name, result in self.results.items()
-            if isinstance(result, callers.Admitted)
-        ]
-
-    @property
-    def in_progress(self) -> list[str]:
-        state = self.view.find('engine-0')
-        return list(state.sends) if state is not None else []
-
 
 @behave.given('an engine with room for {count:d} requests')
 def step_engine(context: typing.Any, count: int) -> None:
-    bench = _Bench(context, count)
+    bench = admission_bench.AdmissionBench(context, count)
     manager = context.portal.wrap_async_context_manager(bench)
     context.bench = context.stack.enter_context(manager)
 
@@ -268,6 +168,50 @@
     assert context.bench.admission.waiting == 2
 
 
+@behave.when('{count:d} requests of priority {priority:d} arrive')
+def step_prioritised(context: typing.Any, count: int, priority: int) -> None:
+    for number in range(count):
+        context.bench.arrive(f'{priority}/{number}', priority=priority)
+
+
+@behave.then('from {low:d} to {high:d} of them find room')
+def step_between(context: typing.Any, low: int, high: int) -> None:
+    context.early = len(context.bench.admitted)
+    assert low <= context.early <= high, context.early
+
+
+@behave.then('it is admitted at once, ahead of those that wait')
+def step_ahead(context: typing.Any) -> None:
+    assert context.bench.order[-1] == '0/0', context.bench.order
+    assert len(context.bench.admitted) == context.early + 1
+
+
+@behave.then('more of them are admitted, up to what priority 0 may use')
+def step_aged(context: typing.Any) -> None:
+    # Waiting requests look again when there is news, such as a report.
+    bench = context.bench
+    bench.act(lambda: bench.view.set_leaving('engine-0', False))
+    assert len(bench.admitted) > context.early + 1, bench.admitted
+    assert bench.admission.waiting > 0
+
+
+@behave.when('a plan of at most {count:d} tokens arrives')
+def step_bounded(context: typing.Any, count: int) -> None:
+    context.bench.max_tokens = count
+    context.bench.arrive('plan', workspace='plans')
+
+
+@behave.when('a plan arrives')
+def step_plan(context: typing.Any) -> None:
+    assert context.bench.admission.waiting > 0
+    context.bench.arrive('plan', workspace='plans')
+
+
+@behave.then('the plan is admitted at once')
+def step_plan_admitted(context: typing.Any) -> None:
+    assert 'plan' in context.bench.admitted
+
+
 @behave.when('a request arrives with {left:d} seconds to its deadline')
 def step_arrives(context: typing.Any, left: int) -> None:
     context.bench.arrive('it', left)
@@ -332,6 +276,34 @@
     bench.act(lambda: bench.view.apply_deployment(more))
 
 
+@behave.when('the engine fails for 20 seconds')
+def step_fails(context: typing.Any) -> None:
+    bench = context.bench
+    context.back_at = bench.clock.now() + 20
+    bench.view.set_failed('engine-0', context.back_at)
+
+
+@behave.when('another request arrives with {left:d} seconds to its deadline')
+def step_another(context: typing.Any, left: int) -> None:
+    context.bench.arrive('other', left)
+
+
+@behave.when('its caller is gone')
+def step_caller_gone(context: typing.Any) -> None:
+    context.bench.act(context.bench.scopes['it'].cancel)
+
+
+@behave.when('the 20 seconds are over')
+def step_over(context: typing.Any) -> None:
+    bench = context.bench
+    bench.advance(context.back_at - bench.clock.now())
+
+
+@behave.then('the other request is admitted')
+def step_other_admitted(context: typing.Any) -> None:
+    assert 'other' in context.bench.admitted, context.bench.results
+
+
 @behave.when('a failed engine recovers')
 def step_recovers(context: typing.Any) -> None:
     bench = context.bench
@@ -351,6 +323,11 @@
     context.bench.arrive('it', model='unknown')
 
 
+@behave.then('no queue is kept for the unknown model')
+def step_no_queue(context: typing.Any) -> None:
+    assert 'unknown' not in context.bench.admission.models
+
+
 @behave.when('its caller is gone while it waits')
 def step_gone(context: typing.Any) -> None:
     context.bench.act(context.bench.scopes['it'].cancel)
--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -5,25 +5,16 @@
 import typing
 
 import anyio
+import anyio.to_thread
 import behave
 
+from laburnumstep import core
 from laburnumstep import log
 from support import clocks
 from support import deployments
 
 LIMIT_SECONDS = 20.0
 RETENTION_SECONDS = 3600.0
-TICK_SECONDS = 10.0
-"""Time between records, so that retention can end between them."""
-
-
-def find_stream(context: typing.Any) -> typing.Any:
-    return context.log.find_stream(log.CONFIGURATION_STREAM)
-
-
-def append(context: typing.Any, record: typing.Any) -> None:
-    context.portal.call(context.clock.advance, TICK_SECONDS)
-    context.portal.call(find_stream(context).append, [record])
 
 
 def encode_current(context: typing.Any, name: str) -> typing.Any:
@@ -34,7 +25,7 @@
 @behave.when('"{name}" appends a snapshot of its configuration')
 @behave.then('"{name}" appends a snapshot of its configuration')
 def step_snapshot(context: typing.Any, name: str) -> None:
-    append(context, encode_current(context, name))
+    deployments.append(context, encode_current(context, name))
 
 
 @behave.given('a snapshot of "{name}" is under way')
@@ -42,16 +33,25 @@
     context.under_way = encode_current(context, name)
 
 
+@behave.given('a snapshot of "{name}" with {kind} digest is under way')
+def step_digest(context: typing.Any, name: str, kind: str) -> None:
+    context.under_way = encode_current(context, name)
+    if kind == 'a wrong':
+        context.under_way['digest'] = 'wrong'
+
+
 @behave.given('the snapshot under way arrives')
 def step_arrives(context: typing.Any) -> None:
-    append(context, context.under_way)
+    deployments.append(context, context.under_way)
 
 
 @behave.given('the log drops the first {count:d} records')
 def step_drop(context: typing.Any, count: int) -> None:
-    stream = find_stream(context)
+    stream = deployments.find_stream(context)
     last = stream.read(stream.first, count)[-1]
-    drop_at = last.appended_at + RETENTION_SECONDS + TICK_SECONDS / 2
+    drop_at = (
+        last.appended_at + RETENTION_SECONDS + deployments.TICK_SECONDS / 2
+    )
     context.portal.call(context.clock.advance, drop_at - context.clock.now())
     assert stream.first == last.offset + 1
 
@@ -60,9 +60,9 @@
 @behave.then('"{name}" reads the log to its end')
 def step_read_to_end(context: typing.Any, name: str) -> None:
     follower = context.followers[name]
-    end = find_stream(context).end
-    context.portal.call(
-        clocks.await_bounded,
+    end = deployments.find_stream(context).end
+    clocks.wait(
+        context,
         follower.wait_for_view,
         lambda view: view.position >= end,
     )
@@ -84,7 +84,7 @@
     publication = log.Publication(
         new.name, old + 1, old, 'nonce', log.diff_deployments(known, new)
     )
-    append(context, log.encode_publication(publication))
+    deployments.append(context, log.encode_publication(publication))
 
 
 @behave.given('the log has an outage that "{name}" has noticed')
@@ -92,10 +92,8 @@
     sleeps = context.clock.sleeps
     context.log.set_faults(outage=True)
     # A record wakes the read that is in progress.
-    append(context, 'outage')
-    context.portal.call(
-        clocks.await_bounded, context.clock.wait_for_sleeps, sleeps + 1
-    )
+    deployments.append(context, 'outage')
+    clocks.wait(context, context.clock.wait_for_sleeps, sleeps + 1)
 
 
 @behave.when('the outage ends')
@@ -151,9 +149,7 @@
 
 @behave.when('an operator publishes in steps of time')
 def step_publish_in_steps(context: typing.Any) -> None:
-    context.results = context.portal.call(
-        clocks.await_bounded, publish_in_steps, context, 0, [1]
-    )
+    context.results = clocks.wait(context, publish_in_steps, context, 0, [1])
 
 
 @behave.then('the publication is in force as version {version:d}')
@@ -163,7 +159,7 @@
 
 @behave.then('the log holds {count:d} records')
 def step_records(context: typing.Any, count: int) -> None:
-    assert find_stream(context).end == count
+    assert deployments.find_stream(context).end == count
 
 
 @behave.given('reads of the log lag behind')
@@ -174,7 +170,7 @@
 
 async def race(context: typing.Any, made_from: int) -> typing.Any:
     """Publish twice, with reads held until both publishers wait."""
-    stream = find_stream(context)
+    stream = deployments.find_stream(context)
     sleeps = context.clock.sleeps
 
     async def release() -> None:
@@ -189,9 +185,7 @@
 
 @behave.when('two operators publish from {made_from:d} at once')
 def step_race(context: typing.Any, made_from: int) -> None:
-    context.results = context.portal.call(
-        clocks.await_bounded, race, context, made_from
-    )
+    context.results = clocks.wait(context, race, context, made_from)
 
 
 @behave.then('one has version {version:d} in force')
@@ -203,15 +197,16 @@
 def step_loser(context: typing.Any, version: int) -> None:
     expected = log.Conflict(version - 1, version)
     assert context.results.count(expected) == 1, context.results
-    assert find_stream(context).end == 3
+    assert deployments.find_stream(context).end == 3
 
 
 @behave.given('the log loses the records from {end:d} on')
 def step_truncate(context: typing.Any, end: int) -> None:
-    context.portal.call(find_stream(context).truncate, end)
+    context.held = context.followers['vm-1'].current
+    context.portal.call(deployments.find_stream(context).truncate, end)
     for follower in context.followers.values():
-        context.portal.call(
-            clocks.await_bounded,
+        clocks.wait(
+            context,
             follower.wait_for_view,
             lambda view: view.position == end and view.in_step,
         )
@@ -221,12 +216,8 @@
 def step_read_again(context: typing.Any, name: str) -> None:
     # Each VM waits before the next read once it reads nothing new.
     begun = context.sleeps + len(context.followers)
-    context.portal.call(
-        clocks.await_bounded, context.clock.wait_for_sleeps, begun
-    )
-    context.portal.call(
-        clocks.await_bounded, context.clock.advance_and_settle, 1.0
-    )
+    clocks.wait(context, context.clock.wait_for_sleeps, begun)
+    clocks.wait(context, context.clock.advance_and_settle, 1.0)
 
 
 @behave.then('version {version:d} is in force at "{name}" through {through:d}')
@@ -260,8 +251,8 @@
 
 @behave.given('the next {count:d} reads are never answered')
 def step_stall(context: typing.Any, count: int) -> None:
-    context.portal.call(
-        clocks.await_bounded,
+    clocks.wait(
+        context,
         context.followers['vm-1'].wait_for_version,
         1,
     )
@@ -270,7 +261,7 @@
 
 @behave.given('the log has an outage after the next append')
 def step_outage_after(context: typing.Any) -> None:
-    stream = find_stream(context)
+    stream = deployments.find_stream(context)
     sleeps = context.clock.sleeps
 
     async def fail_for_a_while() -> None:
@@ -281,3 +272,36 @@
         context.log.set_faults(outage=False)
 
     context.portal.start_task_soon(fail_for_a_while)
+
+
+@behave.then('another configuration is in force at "{name}"')
+def step_changed(context: typing.Any, name: str) -> None:
+    follower = context.followers[name]
+    clocks.wait(context, follower.wait_for_change, context.held)
+
+
+@behave.given('"{name}" adopts version 3 through 2 while it reads version 2')
+def step_adopt_during_read(context: typing.Any, name: str) -> None:
+    follower = context.followers[name]
+    old = follower.current
+    new = deployments.make_deployment(workspaces=800)
+    changes = log.diff_deployments(old.deployment, new)
+    publication = log.Publication(new.name, 2, 1, 'nonce', changes)
+    state = core.VersionedDeployment(3, core.digest_deployment(new), 2, new)
+    read_in_thread = anyio.to_thread.run_sync
+    adopted = anyio.Event()
+
+    async def adopt_meanwhile(*call: typing.Any) -> typing.Any:
+        anyio.to_thread.run_sync = read_in_thread
+        items = await read_in_thread(*call)
+        assert follower.adopt(state)
+        adopted.set()
+        return items
+
+    anyio.to_thread.run_sync = adopt_meanwhile
+    context.stack.callback(
+        setattr, anyio.to_thread, 'run_sync', read_in_thread
+    )
+    deployments.append(context, log.encode_publication(publication))
+    clocks.wait(context, adopted.wait)
+    assert follower.current.version == 3
