Keep claim partitions alive when a forwarded claim is given up

Cause: postings hung after a sibling VM had been stopped for 2 s. A claim forwarded to it was given up after 2 s, gRPC raised a cancellation of its own in place of the scope's, the scope passed it on as foreign, and the task that served the partition ended without an error; each later posting of that partition waited until its deadline.

Ruled out: the log stand-in, the claim index and the pace of appends; a deadline shorter than the scope's, because the race would remain. Change: every unary call to a sibling ends with a checkpoint that raises the scope's own cancellation.

Also: reading operators' routes needs the key, with two more rows.

--- a/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
@@ -7,6 +7,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import grpc
 import grpc.aio
 
@@ -181,14 +182,12 @@
     """
     async with open_channel(address) as channel:
         stub = pb_grpc.SiblingsStub(channel)
-        try:
-            reply = await stub.FetchConfiguration(
-                pb.FetchRequest(known_version=known_version),
-                metadata=_auth.build_metadata(key),
-                timeout=timeout,
-            )
-        except grpc.aio.AioRpcError as error:
-            raise _describe(address, error) from error
+        call = stub.FetchConfiguration(
+            pb.FetchRequest(known_version=known_version),
+            metadata=_auth.build_metadata(key),
+            timeout=timeout,
+        )
+        reply = await _finish_call(call, address)
     return _codec.decode_configuration(reply, address)
 
 
@@ -206,23 +205,44 @@
         CodedError: The sibling refused the records.
     """
     stub = pb_grpc.SiblingsStub(channel)
-    try:
-        reply = await stub.Claim(
-            pb.ClaimRequest(
-                partition=request.partition,
-                body=json.dumps(request.body).encode(),
-                deadline=request.deadline,
-            ),
-            metadata=_auth.build_metadata(key),
-            timeout=timeout,
-        )
-    except grpc.aio.AioRpcError as error:
-        raise _describe(address, error) from error
+    call = stub.Claim(
+        pb.ClaimRequest(
+            partition=request.partition,
+            body=json.dumps(request.body).encode(),
+            deadline=request.deadline,
+        ),
+        metadata=_auth.build_metadata(key),
+        timeout=timeout,
+    )
+    reply = await _finish_call(call, address)
     if reply.WhichOneof('result') == 'body':
         return json.loads(reply.body)
     raise _codec.decode_refusal(reply.refusal)
 
 
+async def _finish_call(
+    call: collections.abc.Awaitable[typing.Any], address: str
+) -> typing.Any:
+    """Wait for the reply to a call.
+
+    gRPC replaces the cancellation of a scope by one of its own, which the
+    scope passes on as foreign: it would end the task and every task group
+    around it, without an error. The checkpoint raises the scope's own
+    cancellation in its place.
+
+    Raises:
+        SiblingUnavailable: The sibling did not answer.
+    """
+    try:
+        return await call
+    except grpc.aio.AioRpcError as error:
+        raise _describe(address, error) from error
+    except anyio.get_cancelled_exc_class() as error:
+        await anyio.lowlevel.checkpoint()
+        message = f'{address}: the call was cancelled'
+        raise SiblingUnavailable(message, may_have_acted=True) from error
+
+
 def open_channel(address: str) -> grpc.aio.Channel:
     """Open a channel to a sibling."""
     return grpc.aio.insecure_channel(address, options=_OPTIONS)
--- a/tests/laburnumstep/operators/operators.feature
+++ b/tests/laburnumstep/operators/operators.feature
@@ -62,3 +62,12 @@
     When a drain is ordered with body '{"vm": "vm-1"}'
     Then the answer is 202
     And 1 drains were carried out
+
+  Scenario Outline: Reading needs the operators' key too
+    When "<path>" is read without the key
+    Then the answer is 401
+
+    Examples:
+      | path              |
+      | /v1/status        |
+      | /v1/decisions/abc |
--- a/tests/laburnumstep/operators/steps/operators_steps.py
+++ b/tests/laburnumstep/operators/steps/operators_steps.py
@@ -98,12 +98,12 @@
 
 @behave.when('an operator reads the status')
 def step_status(context: typing.Any) -> None:
-    send(context, 'GET', '/v1/status', authorization='none')
+    send(context, 'GET', '/v1/status')
 
 
 @behave.when('an operator reads the decisions for "{request}"')
 def step_read(context: typing.Any, request: str) -> None:
-    send(context, 'GET', f'/v1/decisions/{request}', authorization='none')
+    send(context, 'GET', f'/v1/decisions/{request}')
 
 
 @behave.when('a drain is ordered with authorization "{given}"')
@@ -156,3 +156,8 @@
 @behave.then('{count:d} drains were carried out')
 def step_drains(context: typing.Any, count: int) -> None:
     assert len(context.vm.orders) == count, context.vm.orders
+
+
+@behave.when('"{path}" is read without the key')
+def step_read_without_key(context: typing.Any, path: str) -> None:
+    send(context, 'GET', path, authorization='none')
