Stop a VM gracefully when a later process has its name

Cause: membership tells when another process with this VM's name is alive, and nothing acted on it, so both took requests under one name. Change: the older one drains and ends. Scenario added with two processes; status 0.

--- a/packages/laburnumstep/src/laburnumstep/operations.py
+++ b/packages/laburnumstep/src/laburnumstep/operations.py
@@ -88,6 +88,12 @@
             case _:
                 typing.assert_never(order)
 
+    def stop(self) -> None:
+        """Stop this VM because a later process has its name."""
+        if not self._drained.is_set():
+            _LOGGER.warning('stopping; another process has this name')
+            self._drained.set()
+
     async def wait_for_drain(self) -> None:
         """Wait until an operator orders this VM to stop."""
         await self._drained.wait()
--- a/packages/laburnumstep/src/laburnumstep/routing_gossip.py
+++ b/packages/laburnumstep/src/laburnumstep/routing_gossip.py
@@ -41,6 +41,7 @@
         state: What this VM knows for its routing decisions.
         membership: The sibling VMs.
         vm_name: Name of this VM.
+        note_superseded: Called when a later process has this VM's name.
     """
 
     def __init__(
@@ -48,9 +49,11 @@
         state: callers.RoutingState,
         membership: siblings.Membership,
         vm_name: str,
+        note_superseded: typing.Callable[[], None],
     ) -> None:
         self._state = state
         self._vm = vm_name
+        self._note_superseded = note_superseded
         self._membership = membership
         self._leaving: set[str] = set()
         self._rounds = 0
@@ -66,6 +69,8 @@
         while True:
             await clock.sleep_until(clock.now() + REFRESH_SECONDS)
             self.refresh()
+            if self._membership.superseded:
+                self._note_superseded()
             self._rounds += 1
             if self._rounds % LENGTHS_EVERY == 0:
                 self._publish_lengths()
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -58,8 +58,14 @@
             self._state.clients, clock
         )
         self._membership = self._build_membership()
+        self._operations = operations.VMOperations(
+            settings.vm, self._follower, self._membership, self._gate, clock
+        )
         self._gossip = routing_gossip.RoutingGossip(
-            self._state, self._membership, settings.vm.name
+            self._state,
+            self._membership,
+            settings.vm.name,
+            self._operations.stop,
         )
         self._vmlist = vmlist.VMListFollower(
             vmlist.VMListClient(settings.vmlist.address),
@@ -91,9 +97,6 @@
         self._leases = log.LeaseKeeper(self._log, settings.vm.name, clock)
         self._orders = self._build_orders()
         self._decisions = operators.DecisionLog()
-        self._operations = operations.VMOperations(
-            settings.vm, self._follower, self._membership, self._gate, clock
-        )
         self._placer = callers.EnginePlacer(
             self._state,
             self._admission,
--- a/tests/laburnumstep/vm/operations.feature
+++ b/tests/laburnumstep/vm/operations.feature
@@ -26,3 +26,8 @@
     Given VMs "vm-1" and answers of 5 tokens
     When a stranger drains target "gang-1" through "vm-1"
     Then the order is refused with status 401
+
+  Scenario: A VM whose name a later process has stops gracefully
+    Given VMs "vm-1" and "vm-2" and answers of 5 tokens
+    When "vm-2" starts again under the same name
+    Then the first "vm-2" ends with status 0
--- a/tests/laburnumstep/vm/steps/operation_steps.py
+++ b/tests/laburnumstep/vm/steps/operation_steps.py
@@ -148,3 +148,18 @@
     assert answer.error['code'] == code, answer.error
     for stream in context.streams:
         stream.cancel()
+
+
+@behave.when('"{name}" starts again under the same name')
+def step_same_name(context: typing.Any, name: str) -> None:
+    context.first = context.cluster.vms[name]
+    context.portal.call(context.cluster.start_vm, name)
+
+
+@behave.then('the first "{name}" ends with status {status:d}')
+def step_first_ends(context: typing.Any, name: str, status: int) -> None:
+    async def wait() -> int:
+        with anyio.fail_after(cluster.DEADLINE_SECONDS):
+            return await context.first.process.wait()
+
+    assert context.portal.call(wait) == status
