Follow and use a part of a large fleet of engines, within a budget for reports

Cause: an idle VM spent 4.3% of a core with 3 engines and 15.4% with 20, and about 860 B/s for each engine, because it read load and cache events of each engine twice a second. Ruled out: a longer fixed interval, because small deployments gain from fresh reports. Change: the interval grows with the engines in use so that reports cost at most 4,000 B/s; cache events are read with each fifth report; a VM uses at most 64 engines, or 4 of each model, nearest first and spread by rendezvous hashing; clients are made at their first use.

--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -68,6 +68,7 @@
 from laburnumstep.targets._service_client import ServiceClient
 from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
+from laburnumstep.targets._subset import limit_engines
 from laburnumstep.targets._suspects import Crash
 from laburnumstep.targets._suspects import CrashSuspects
 from laburnumstep.targets._suspects import fingerprint_call
@@ -146,6 +147,7 @@
     'encode_lengths',
     'fingerprint_call',
     'fingerprint_generation',
+    'limit_engines',
     'list_unfinished',
     'new_generation_id',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_clients.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_clients.py
@@ -8,7 +8,7 @@
 
 
 class EngineClients:
-    """Keeps one client for each declared engine."""
+    """Keeps one client for each engine that is used."""
 
     def __init__(self) -> None:
         self._pacer = _coalescing.ReadPacer()
@@ -16,9 +16,10 @@
         self._addresses: dict[str, str] = {}
 
     def apply_deployment(self, deployment: core.Deployment) -> None:
-        """Make clients for new engines and drop those of removed ones.
+        """Take the addresses of the declared engines.
 
-        Streams of a dropped client go on until they end.
+        Clients are made at their first use. Streams of a client whose
+        engine is declared no more go on until they end.
         """
         declared = {
             name: target.address
@@ -28,17 +29,17 @@
         for name in list(self._clients):
             if declared.get(name) != self._addresses[name]:
                 del self._clients[name]
-                del self._addresses[name]
-        for name, address in declared.items():
-            if name not in self._clients:
-                self._clients[name] = _engine_client.EngineClient(
-                    address, self._pacer
-                )
-                self._addresses[name] = address
+        self._addresses = declared
 
     def find(self, target: str) -> _engine_client.EngineClient | None:
-        """Return the client of an engine, or None."""
-        return self._clients.get(target)
+        """Return the client of an engine, or None if it is not declared."""
+        client = self._clients.get(target)
+        if client is None and target in self._addresses:
+            client = _engine_client.EngineClient(
+                self._addresses[target], self._pacer
+            )
+            self._clients[target] = client
+        return client
 
     def get(self, target: str) -> _engine_client.EngineClient:
         """Return the client of a declared engine.
@@ -46,8 +47,7 @@
         Raises:
             KeyError: The engine is not declared.
         """
-        return self._clients[target]
-
-    def list_names(self) -> list[str]:
-        """Return the names of all engines."""
-        return list(self._clients)
+        client = self.find(target)
+        if client is None:
+            raise KeyError(target)
+        return client
--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -17,8 +17,15 @@
     from laburnumstep.targets import _reports
     from laburnumstep.targets import _view
 
-POLL_SECONDS = 0.5
-"""Pause between two load reports of an engine, in seconds."""
+MIN_POLL_SECONDS = 0.5
+"""Shortest time between two load reports of an engine, in seconds."""
+POLL_BYTES_PER_SECOND = 4000.0
+"""Bytes a second that a VM spends on load reports, of its 10 KB/s for
+control."""
+REPORT_BYTES = 430.0
+"""Measured size of one load report with its request, in bytes."""
+CACHE_EVERY = 5
+"""Load reports of an engine between two reads of its cache events."""
 REPLY_SECONDS = 2.0
 """Longest wait for a load report, in seconds."""
 FAILED_SECONDS = 2.0
@@ -51,13 +58,26 @@
         self._note_reclaim = note_reclaim
         self._scopes: dict[str, anyio.CancelScope] = {}
 
-    def apply_deployment(self, tasks: anyio.abc.TaskGroup) -> None:
+    @property
+    def poll_seconds(self) -> float:
+        """Time between two load reports of an engine, in seconds."""
+        cost = len(self._scopes) * REPORT_BYTES
+        return max(MIN_POLL_SECONDS, cost / POLL_BYTES_PER_SECOND)
+
+    def apply_deployment(
+        self, deployment: core.Deployment, tasks: anyio.abc.TaskGroup
+    ) -> None:
         """Start a task for each new engine and end those of removed ones.
 
         Args:
+            deployment: The configuration, limited to the engines in use.
             tasks: Group in which the tasks run.
         """
-        names = set(self._clients.list_names())
+        names = {
+            name
+            for name, target in deployment.targets.items()
+            if isinstance(target, core.EngineTarget)
+        }
         for name in [n for n in self._scopes if n not in names]:
             self._scopes.pop(name).cancel()
         for name in names - set(self._scopes):
@@ -67,28 +87,36 @@
 
     async def _follow(self, name: str, scope: anyio.CancelScope) -> None:
         reachable = True
+        rounds = 0
         with scope:
             while True:
                 client = self._clients.find(name)
                 if client is not None:
-                    answered = await self._poll(name, client)
+                    with_cache = rounds % CACHE_EVERY == 0
+                    answered = await self._poll(name, client, with_cache)
                     if answered != reachable:
                         reachable = answered
                         state = 'answers' if answered else 'does not answer'
                         _LOGGER.info('engine %s; target=%s', state, name)
-                await self._clock.sleep_until(self._clock.now() + POLL_SECONDS)
+                rounds += 1
+                pause = self.poll_seconds
+                await self._clock.sleep_until(self._clock.now() + pause)
 
     async def _poll(
-        self, name: str, client: _engine_client.EngineClient
+        self,
+        name: str,
+        client: _engine_client.EngineClient,
+        with_cache: bool,
     ) -> bool:
         deadline = self._clock.now() + REPLY_SECONDS
         try:
             report = await client.read_load(deadline)
             self._take(name, report)
-            page = await client.read_cache_events(
-                self._view.hints.get_next(name), deadline
-            )
-            self._view.hints.apply_events(name, page.events, page.next)
+            if with_cache:
+                page = await client.read_cache_events(
+                    self._view.hints.get_next(name), deadline
+                )
+                self._view.hints.apply_events(name, page.events, page.next)
         except _engine_client.StreamBroken:
             self._view.set_failed(name, self._clock.now() + FAILED_SECONDS)
             return False
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -189,10 +189,15 @@
             while True:
                 current = await self._follower.wait_for_change(current)
                 self._state.clients.apply_deployment(current.deployment)
-                self._state.view.apply_deployment(current.deployment)
+                used = targets.limit_engines(
+                    current.deployment,
+                    self._settings.vm.name,
+                    self._settings.vm.data_centre,
+                )
+                self._state.view.apply_deployment(used)
                 self._state.limits.apply_deployment(current.deployment)
                 self._admission.apply_deployment(current.deployment)
-                self._loads.apply_deployment(tasks)
+                self._loads.apply_deployment(used, tasks)
                 self._orders.apply_engines(
                     self._list_local_engines(current.deployment)
                 )
--- /dev/null
+++ b/tests/laburnumstep/targets/steps/subset_steps.py
@@ -0,0 +1,89 @@
+"""Steps for the part of the engines that a VM uses."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import attrs
+import behave
+
+from laburnumstep import core
+from laburnumstep import targets
+
+
+def _use(context: typing.Any, vm: str, data_centre: str = 'dc-0') -> set[str]:
+    used = targets.limit_engines(context.deployment, vm, data_centre)
+    return set(used.targets)
+
+
+@behave.given(
+    '{count:d} engines of {models:d} models in {centres:d} data centres'
+)
+def step_engines(
+    context: typing.Any, count: int, models: int, centres: int
+) -> None:
+    declared: dict[str, core.Target] = {}
+    for number in range(count):
+        name = f'engine-{number}'
+        data_centre = f'dc-{number % centres}'
+        model = f'model-{number // centres % models}'
+        declared[name] = core.EngineTarget(
+            name, data_centre, '127.0.0.1:1', [model], 1000, True
+        )
+    names = [f'dc-{number}' for number in range(centres)]
+    context.centres = centres
+    context.models = models
+    context.deployment = core.Deployment(
+        'large', {'only': core.Place('only', names)}, declared
+    )
+
+
+@behave.when('an engine of "{vm}" is removed')
+def step_remove(context: typing.Any, vm: str) -> None:
+    context.before = _use(context, vm)
+    removed = sorted(context.before)[0]
+    kept = dict(context.deployment.targets)
+    del kept[removed]
+    context.deployment = attrs.evolve(context.deployment, targets=kept)
+
+
+@behave.then('"{vm}" uses {count:d} engines')
+def step_count(context: typing.Any, vm: str, count: int) -> None:
+    assert len(_use(context, vm)) == count
+
+
+@behave.then(
+    '"{vm}" uses at most {most:d} engines and {least:d} of each model at least'
+)
+def step_bounds(context: typing.Any, vm: str, most: int, least: int) -> None:
+    used = _use(context, vm)
+    assert len(used) <= most, len(used)
+    by_model = collections.Counter(
+        context.deployment.targets[name].models[0] for name in used
+    )
+    assert len(by_model) == context.models
+    assert min(by_model.values()) >= least, by_model
+
+
+@behave.then('{count:d} VMs together use every engine')
+def step_cover(context: typing.Any, count: int) -> None:
+    used: set[str] = set()
+    for number in range(count):
+        centre = f'dc-{number % context.centres}'
+        used |= _use(context, f'vm-{number}', centre)
+    missing = set(context.deployment.targets) - used
+    assert not missing, len(missing)
+
+
+@behave.then('the engines of its own data centre come first')
+def step_near(context: typing.Any) -> None:
+    used = _use(context, 'vm-1')
+    centres = {context.deployment.targets[n].data_centre for n in used}
+    assert centres == {'dc-0'}, centres
+
+
+@behave.then('"{vm}" uses at most {count:d} other engine than before')
+def step_change(context: typing.Any, vm: str, count: int) -> None:
+    added = _use(context, vm) - context.before
+    assert len(added) <= count, added
--- /dev/null
+++ b/tests/laburnumstep/targets/subset.feature
@@ -0,0 +1,18 @@
+Feature: A VM uses a part of a large fleet of engines
+  Guards against control traffic that grows with the fleet, and against
+  engines that no VM uses.
+
+  Scenario: A small deployment is used whole
+    Given 12 engines of 2 models in 3 data centres
+    Then "vm-1" uses 12 engines
+
+  Scenario: A large deployment is shared out among the VMs
+    Given 4300 engines of 27 models in 19 data centres
+    Then "vm-1" uses at most 108 engines and 4 of each model at least
+    And 370 VMs together use every engine
+    And the engines of its own data centre come first
+
+  Scenario: An engine that leaves changes little
+    Given 4300 engines of 27 models in 19 data centres
+    When an engine of "vm-1" is removed
+    Then "vm-1" uses at most 1 other engine than before
