--- a/packages/laburnumstep/src/laburnumstep/cli.py
+++ b/packages/laburnumstep/src/laburnumstep/cli.py
@@ -7,6 +7,7 @@
 import typing
 
 import anyio
+import attrs
 import typer
 
 from laburnumstep import core
@@ -20,25 +21,46 @@
 SettingsFile = typing.Annotated[str, typer.Argument(help='INI settings file.')]
 
 
-def _load(path: str) -> core.Settings:
+def _load(path: str, as_json: bool = False) -> core.Settings:
     try:
         return core.load_settings(path)
     except core.FindingsError as error:
-        for finding in error.findings:
-            print(finding, file=sys.stderr)
+        if as_json:
+            findings = [attrs.asdict(item) for item in error.findings]
+            print(json.dumps({'findings': findings}))
+        else:
+            for finding in error.findings:
+                print(finding, file=sys.stderr)
         raise typer.Exit(_EXIT_FINDINGS) from error
 
 
 @app.command()
-def check(settings: SettingsFile) -> None:
+def check(
+    settings: SettingsFile,
+    as_json: typing.Annotated[
+        bool, typer.Option('--json', help='Print findings as JSON.')
+    ] = False,
+) -> None:
     """Check a settings file and print every finding.
 
     Exits 0 when the file can be used, 2 when it has findings.
 
     Example: laburnumstep check /etc/laburnumstep.ini
     """
-    _load(settings)
-    print(f'{settings}: no findings')
+    _load(settings, as_json)
+    if as_json:
+        print(json.dumps({'findings': []}))
+    else:
+        print(f'{settings}: no findings')
+
+
+@app.command('settings')
+def show_settings() -> None:
+    """Print the documentation of every settings key, as Markdown.
+
+    Example: laburnumstep settings > settings.md
+    """
+    print(core.describe_settings(), end='')
 
 
 @app.command()
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -41,6 +41,7 @@
 from laburnumstep.core._requests import Delivery
 from laburnumstep.core._requests import Generation
 from laburnumstep.core._requests import ServiceCall
+from laburnumstep.core._settings import describe_settings
 from laburnumstep.core._settings import load_settings
 from laburnumstep.core._settings import parse_settings
 from laburnumstep.core._settings import Settings
@@ -83,6 +84,7 @@
     'choose_by_rendezvous',
     'configure_logging',
     'decode_document',
+    'describe_settings',
     'digest_deployment',
     'digest_secret',
     'encode_document',
--- a/packages/laburnumstep/src/laburnumstep/core/_settings.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_settings.py
@@ -380,3 +380,31 @@
         elif match := _KEY.match(line):
             lines.setdefault((section, match[1].strip().lower()), number)
     return lines
+
+
+def describe_settings() -> str:
+    """Return the documentation of all keys, as Markdown."""
+    lines = [
+        '# Settings',
+        '',
+        'An INI file with the sections below; printed by `laburnumstep'
+        ' settings`.',
+    ]
+    for name, cls in SECTIONS.items():
+        lines += [
+            '',
+            f'## [{name}]',
+            '',
+            '| key | default | meaning | value |',
+        ]
+        lines.append('| --- | --- | --- | --- |')
+        for field in attrs.fields(cls):
+            default = field.metadata['default']
+            shown = 'required' if default is None else f'`{default}`'
+            meaning = field.metadata['help']
+            rule = (field.metadata['reader'].__doc__ or '').split('\n')[0]
+            lines.append(
+                f'| `{field.name}` | {shown if shown != "``" else "empty"} |'
+                f' {meaning} | {rule.removeprefix("Return ")} |'
+            )
+    return '\n'.join(lines) + '\n'
--- a/tests/laburnumstep/core/settings.feature
+++ b/tests/laburnumstep/core/settings.feature
@@ -31,3 +31,16 @@
     And key "level" in section "logging" is "loud"
     When the settings are parsed
     Then there are 3 findings
+
+  Scenario: The page of settings is what the program prints
+    Then docs/settings.md is the printed documentation
+
+  Scenario Outline: The command line reports findings
+    Given key "level" in section "logging" is "<level>"
+    When "laburnumstep check" runs on the file
+    Then it exits with <status> and prints "<text>"
+
+    Examples:
+      | level | status | text        |
+      | info  | 0      | no findings |
+      | loud  | 2      | bad_value   |
--- a/tests/laburnumstep/core/steps/settings_steps.py
+++ b/tests/laburnumstep/core/steps/settings_steps.py
@@ -4,6 +4,10 @@
 
 import configparser
 import io
+import pathlib
+import subprocess
+import sys
+import tempfile
 import typing
 
 import behave
@@ -64,3 +68,29 @@
         and finding.position.line is not None
     ]
     assert found, context.findings
+
+
+@behave.then('docs/settings.md is the printed documentation')
+def step_page(context: typing.Any) -> None:
+    page = pathlib.Path('docs/settings.md').read_text()
+    assert page == core.describe_settings()
+
+
+@behave.when('"laburnumstep check" runs on the file')
+def step_run_check(context: typing.Any) -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / 'vm.ini'
+        with path.open('w') as file:
+            context.parser.write(file)
+        context.run = subprocess.run(
+            [sys.executable, '-m', 'laburnumstep', 'check', str(path)],
+            capture_output=True,
+            text=True,
+        )
+
+
+@behave.then('it exits with {status:d} and prints "{text}"')
+def step_exit(context: typing.Any, status: int, text: str) -> None:
+    run = context.run
+    assert run.returncode == status, run
+    assert text in run.stdout + run.stderr, run
