--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -17,11 +17,11 @@
 from laburnumstep.targets._engine_events import StreamPosition
 from laburnumstep.targets._engine_events import TokenBatch
 from laburnumstep.targets._engine_events import WrongGeneration
-from laburnumstep.targets._generation_runner import FailedRun
-from laburnumstep.targets._generation_runner import GenerationPlace
+from laburnumstep.targets._generation_ports import FailedRun
+from laburnumstep.targets._generation_ports import GenerationPlace
+from laburnumstep.targets._generation_ports import GenerationSink
+from laburnumstep.targets._generation_ports import PlacedGeneration
 from laburnumstep.targets._generation_runner import GenerationRunner
-from laburnumstep.targets._generation_runner import GenerationSink
-from laburnumstep.targets._generation_runner import PlacedGeneration
 from laburnumstep.targets._hints import CacheEvent
 from laburnumstep.targets._hints import CacheEventKind
 from laburnumstep.targets._hints import PrefixHints
@@ -68,6 +68,7 @@
 from laburnumstep.targets._service_client import ServiceClient
 from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
+from laburnumstep.targets._subset import limit_engines
 from laburnumstep.targets._suspects import Crash
 from laburnumstep.targets._suspects import CrashSuspects
 from laburnumstep.targets._suspects import fingerprint_call
@@ -146,6 +147,7 @@
     'encode_lengths',
     'fingerprint_call',
     'fingerprint_generation',
+    'limit_engines',
     'list_unfinished',
     'new_generation_id',
 ]
