Use one piece of code where several did the same

Found in a read of the whole change; behaviour stays as it is.

- EngineClient: one _request in place of three copies of the same error mapping.
- transport: one EXCHANGE_ERRORS and one encode_error; callers, operators, the engine client and the stand-in of a caller had copies.
The unused property JsonClient.pool is gone.
- callers: bodies and handles are read in one place each.
- The load tool waits for a VM with the function of the demo, which now closes its connections.
- A drain order was logged twice under the same prefix; the second line is gone.
- Baselines declare pick as an abstract method.
- Steps with VM processes wait through one function with a limit; two of them had none.

Left as they are: the two clients of orders and weights, which are alike in shape and differ in each answer; fields of the load report in the engine's stand-in and in the VM, which are two sides of one contract.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/faults.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/faults.py
@@ -14,6 +14,7 @@
 from laburnumstep_standins.bench import fleet
 from laburnumstep_standins.bench import workload
 from laburnumstep_standins import caller
+from laburnumstep_standins import processes
 
 STREAMS_PER_SECOND = 12.0
 """Generations that callers ask for."""
@@ -171,7 +172,7 @@
     await vms.kill(killed)
     await vms.control('service-1', lost_replies=5)
     replacement = await vms.add_vm()
-    await fleet.wait_until_ready(replacement)
+    await processes.wait_until_ready(replacement.addresses['callers'])
     await anyio.sleep(part)
     await vms.control(_STALLED, stall=True)
     stopped.send_signal(signal.SIGSTOP)
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/fleet.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/fleet.py
@@ -8,7 +8,6 @@
 import time
 import typing
 
-import anyio
 
 from laburnumstep import core
 from laburnumstep import log
@@ -38,7 +37,6 @@
 """Engine of the fleets."""
 _DATA_CENTRE = 'lima-1'
 _PATIENCE_SECONDS = 20.0
-_TRY_SECONDS = 1.0
 _ENGINES = 6
 _SERVICES = 2
 
@@ -89,7 +87,7 @@
         for _ in range(vms):
             await self.add_vm()
         for vm in self.vms:
-            await wait_until_ready(vm)
+            await processes.wait_until_ready(vm.addresses['callers'])
 
     async def add_vm(self) -> processes.Child:
         """Start another VM."""
@@ -207,23 +205,3 @@
             yield fleet
         finally:
             await fleet.stop()
-
-
-async def wait_until_ready(vm: processes.Child) -> None:
-    """Wait until a VM has a configuration.
-
-    Raises:
-        TimeoutError: It is not ready in time.
-    """
-    client = transport.JsonClient(vm.addresses['callers'])
-    with anyio.fail_after(_PATIENCE_SECONDS):
-        while True:
-            with contextlib.suppress(
-                transport.ConnectFailed, transport.ExchangeFailed
-            ):
-                deadline = time.time() + _TRY_SECONDS
-                reply = await client.request('GET', '/readyz', deadline)
-                if reply.status == 200:
-                    break
-            await anyio.sleep(0.05)
-    await client.close()
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/bench/policies.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/bench/policies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import hashlib
 import itertools
 import typing
@@ -106,7 +107,7 @@
         """Take note of a new report, or of a failed contact."""
 
 
-class Baseline:
+class Baseline(abc.ABC):
     """A policy that keeps nothing of its attempts and never waits."""
 
     async def choose(self, attempt: Attempt, view: View) -> Choice:
@@ -116,11 +117,11 @@
         candidates = reachable or usable or list(view.values())
         return Send(self.pick(attempt, candidates).name)
 
+    @abc.abstractmethod
     def pick(
         self, attempt: Attempt, candidates: list[TargetView]
     ) -> TargetView:
         """Return the target for an attempt."""
-        raise NotImplementedError
 
     def record_tokens(self, attempt: Attempt, count: int) -> None:
         """Do nothing."""
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/caller/_caller.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/caller/_caller.py
@@ -146,11 +146,7 @@
                     answer.error = json.loads(content)['error']
                     return
                 await self._read(response, answer)
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except transport.EXCHANGE_ERRORS:
             await anyio.lowlevel.checkpoint()
 
     async def _read(
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/processes.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/processes.py
@@ -124,16 +124,17 @@
     """
     client = transport.JsonClient(address)
     with anyio.fail_after(START_SECONDS):
-        while True:
-            with contextlib.suppress(
-                transport.ConnectFailed, transport.ExchangeFailed
-            ):
-                reply = await client.request(
-                    'GET', '/readyz', time.time() + 1.0
-                )
-                if reply.status == 200:
-                    return
-            await anyio.sleep(0.1)
+        while not await _is_ready(client):
+            await anyio.sleep(0.05)
+    await client.close()
+
+
+async def _is_ready(client: transport.JsonClient) -> bool:
+    try:
+        reply = await client.request('GET', '/readyz', time.time() + 1.0)
+    except (transport.ConnectFailed, transport.ExchangeFailed):
+        return False
+    return reply.status == 200
 
 
 def make_directory() -> contextlib.AbstractContextManager[str]:
--- a/packages/laburnumstep/src/laburnumstep/callers/_app.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_app.py
@@ -29,6 +29,7 @@
 CANCEL_SECONDS = 5.0
 """Longest wait for an engine to cancel, in seconds."""
 
+_Body = typing.TypeVar('_Body')
 _LOGGER = core.get_logger('callers')
 
 
@@ -173,9 +174,7 @@
         self, request: requests.Request, workspace: core.Workspace
     ) -> responses.Response:
         key = _find_key(request)
-        body = _codec.decode_body(
-            await transport.read_body(request), _codec.GenerationBody
-        )
+        body = await _read(request, _codec.GenerationBody)
         now = self._clock.now()
         priority = body.priority
         generation = core.Generation(
@@ -204,12 +203,8 @@
     async def _resume(
         self, request: requests.Request, workspace: core.Workspace
     ) -> responses.Response:
-        body = _codec.decode_body(
-            await transport.read_body(request), _codec.ResumeBody
-        )
-        handle = self._signer.verify(
-            body.handle, workspace.name, self._clock.now()
-        )
+        body = await _read(request, _codec.ResumeBody)
+        handle = self._verify(body.handle, workspace)
         deadline = self._clock.now() + RESUME_SECONDS
         self._metrics.count('callers.resumes')
 
@@ -221,12 +216,8 @@
     async def _cancel(
         self, request: requests.Request, workspace: core.Workspace
     ) -> responses.Response:
-        body = _codec.decode_body(
-            await transport.read_body(request), _codec.CancelBody
-        )
-        handle = self._signer.verify(
-            body.handle, workspace.name, self._clock.now()
-        )
+        body = await _read(request, _codec.CancelBody)
+        handle = self._verify(body.handle, workspace)
         deadline = self._clock.now() + CANCEL_SECONDS
         await self._services.cancel(handle, deadline)
         return responses.JSONResponse({'generation': handle.generation})
@@ -235,9 +226,7 @@
         self, request: requests.Request, workspace: core.Workspace
     ) -> responses.Response:
         key = _find_key(request)
-        body = _codec.decode_body(
-            await transport.read_body(request), _codec.CallBody
-        )
+        body = await _read(request, _codec.CallBody)
         now = self._clock.now()
         call = core.ServiceCall(
             key=key,
@@ -299,6 +288,11 @@
             )
         )
 
+    def _verify(
+        self, text: str, workspace: core.Workspace
+    ) -> _handles.ResumeHandle:
+        return self._signer.verify(text, workspace.name, self._clock.now())
+
     def _check_deadline(self, deadline: float) -> None:
         if self._clock.now() >= deadline:
             raise core.CodedError(
@@ -338,3 +332,7 @@
             'the Idempotency-Key header is given twice',
         )
     return _codec.decode_key(headers[0] if headers else None)
+
+
+async def _read(request: requests.Request, cls: type[_Body]) -> _Body:
+    return _codec.decode_body(await transport.read_body(request), cls)
--- a/packages/laburnumstep/src/laburnumstep/callers/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_codec.py
@@ -125,19 +125,6 @@
     return core.RequestKey.parse(header)
 
 
-def encode_error(error: core.CodedError) -> dict[str, typing.Any]:
-    """Return the error object that a caller gets."""
-    return {
-        'error': {
-            'code': error.code.value,
-            'message': error.message,
-            'outcome': error.outcome.value,
-            'resend': error.resend,
-            'resend_at': error.resend_at,
-        }
-    }
-
-
 def encode_event(name: str, data: dict[str, typing.Any]) -> bytes:
     """Return one event of a stream."""
     return f'event: {name}\ndata: {json.dumps(data)}\n\n'.encode()
--- a/packages/laburnumstep/src/laburnumstep/callers/_stream.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_stream.py
@@ -10,6 +10,7 @@
 
 from laburnumstep.callers import _codec
 from laburnumstep import core
+from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
     from starlette import types
@@ -65,7 +66,7 @@
 
     async def fail(self, error: core.CodedError) -> None:
         """Write an error inside the stream, where one has begun."""
-        data = _codec.encode_error(error)
+        data = transport.encode_error(error)
         await self._write(_codec.encode_event('error', data))
 
     async def close(self) -> None:
@@ -179,5 +180,5 @@
         seconds = max(1, math.ceil(error.resend_at - now))
         headers['Retry-After'] = str(seconds)
     return responses.JSONResponse(
-        _codec.encode_error(error), _codec.find_status(error), headers
+        transport.encode_error(error), _codec.find_status(error), headers
     )
--- a/packages/laburnumstep/src/laburnumstep/operations.py
+++ b/packages/laburnumstep/src/laburnumstep/operations.py
@@ -67,7 +67,6 @@
         Raises:
             CodedError: `no_target` for a name that this VM cannot drain.
         """
-        _LOGGER.info('drain ordered; order=%s', order)
         match order:
             case operators.DrainTarget(target):
                 current = self._follower.current
--- a/packages/laburnumstep/src/laburnumstep/operators/_app.py
+++ b/packages/laburnumstep/src/laburnumstep/operators/_app.py
@@ -111,4 +111,4 @@
     if not isinstance(error, core.CodedError):
         raise error
     status = _STATUS_CODES.get(error.code, 503)
-    return responses.JSONResponse(_codec.encode_error(error), status)
+    return responses.JSONResponse(transport.encode_error(error), status)
--- a/packages/laburnumstep/src/laburnumstep/operators/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/operators/_codec.py
@@ -100,18 +100,5 @@
             typing.assert_never(order)
 
 
-def encode_error(error: core.CodedError) -> core.DocumentObject:
-    """Return an error as a JSON object."""
-    return {
-        'error': {
-            'code': error.code.value,
-            'message': error.message,
-            'outcome': error.outcome.value,
-            'resend': error.resend,
-            'resend_at': error.resend_at,
-        }
-    }
-
-
 def _refuse(message: str) -> core.CodedError:
     return core.CodedError(core.ErrorCode.BAD_REQUEST, message)
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -125,7 +125,8 @@
         Raises:
             StreamBroken: The engine may not have seen the request.
         """
-        await self._delete(f'/v1/generations/{generation}', deadline)
+        path = f'/v1/generations/{generation}'
+        await self._request('DELETE', path, deadline)
 
     async def cancel_unread(self, generation: str, deadline: float) -> None:
         """Cancel a generation unless somebody reads its stream.
@@ -134,13 +135,7 @@
             StreamBroken: The engine may not have seen the request.
         """
         path = f'/v1/generations/{generation}?unless=read'
-        await self._delete(path, deadline)
-
-    async def _delete(self, path: str, deadline: float) -> None:
-        try:
-            await self._http.request('DELETE', path, deadline)
-        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
-            raise StreamBroken(str(error)) from error
+        await self._request('DELETE', path, deadline)
 
     async def read_load(self, deadline: float) -> _reports.LoadReport:
         """Return the engine's load report, which lags.
@@ -149,10 +144,7 @@
             StreamBroken: The engine does not answer.
             MalformedStream: The report does not follow the protocol.
         """
-        try:
-            reply = await self._http.request('GET', '/v1/load', deadline)
-        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
-            raise StreamBroken(str(error)) from error
+        reply = await self._request('GET', '/v1/load', deadline)
         if reply.status != 200:
             raise StreamBroken(f'the engine answered {reply.status}')
         return _engine_codec.decode_load_report(reply.body)
@@ -171,10 +163,7 @@
             MalformedStream: The answer does not follow the protocol.
         """
         path = f'/v1/cache/events?from={start}'
-        try:
-            reply = await self._http.request('GET', path, deadline)
-        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
-            raise StreamBroken(str(error)) from error
+        reply = await self._request('GET', path, deadline)
         if reply.status != 200:
             raise StreamBroken(f'the engine answered {reply.status}')
         return _engine_codec.decode_cache_page(reply.body)
@@ -184,6 +173,14 @@
         await self._http.close()
         await self._streams.aclose()
 
+    async def _request(
+        self, method: str, path: str, deadline: float
+    ) -> transport.JsonResponse:
+        try:
+            return await self._http.request(method, path, deadline)
+        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
+            raise StreamBroken(str(error)) from error
+
     async def _relay(
         self,
         method: str,
@@ -208,11 +205,7 @@
             raise NotStarted(f'refused: {error}') from error
         except (httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise NotReached(f'{type(error).__name__}: {error}') from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except transport.EXCHANGE_ERRORS as error:
             name = type(error).__name__
             raise StreamBroken(f'{name}: {error}') from error
         finally:
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -20,6 +20,13 @@
 """Connections to one peer; enough for each request to have its own."""
 _CONNECT_SECONDS = 2.0
 """Longest wait for a connection, in seconds."""
+EXCHANGE_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+"""What httpcore raises when an exchange breaks; errors of the connection
+itself are among them and have to be caught before."""
 
 
 class ConnectFailed(Exception):
@@ -64,11 +71,6 @@
         """IP number and port of the peer."""
         return self._address
 
-    @property
-    def pool(self) -> httpcore.AsyncConnectionPool:
-        """The connections, for requests whose answer is a stream."""
-        return self._pool
-
     async def request(
         self,
         method: str,
@@ -108,11 +110,7 @@
             httpcore.PoolTimeout,
         ) as error:
             raise ConnectFailed(f'{self._address}: {error}') from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except EXCHANGE_ERRORS as error:
             name = type(error).__name__
             message = f'{self._address}: {name}: {error}'
             raise ExchangeFailed(message) from error
--- a/tests/laburnumstep/vm/steps/crash_steps.py
+++ b/tests/laburnumstep/vm/steps/crash_steps.py
@@ -5,13 +5,11 @@
 import time
 import typing
 
-import anyio
 import behave
 
 from laburnumstep_standins import caller
 from support import cluster
-
-_POLL_SECONDS = 0.2
+from support import polling
 
 
 async def _send(context: typing.Any, prompt: str, name: str) -> caller.Answer:
@@ -37,17 +35,13 @@
     'the prompt "{prompt}" is sent through "{name}" until it is refused'
 )
 def step_send(context: typing.Any, prompt: str, name: str) -> None:
-    async def send() -> None:
-        with anyio.fail_after(cluster.DEADLINE_SECONDS):
-            while True:
-                answer = await _send(context, prompt, name)
-                assert not answer.whole
-                code = answer.error['code'] if answer.error else ''
-                if code == 'request_crashes_targets':
-                    return
-                await anyio.sleep(_POLL_SECONDS)
+    async def is_refused() -> bool:
+        answer = await _send(context, prompt, name)
+        assert not answer.whole
+        code = answer.error['code'] if answer.error else ''
+        return code == 'request_crashes_targets'
 
-    context.portal.call(send)
+    context.portal.call(polling.wait_until, is_refused)
 
 
 @behave.then('at most {count:d} engines have crashed')
@@ -58,9 +52,7 @@
 
 @behave.then('the prompt "{prompt}" is answered through "{name}"')
 def step_answered(context: typing.Any, prompt: str, name: str) -> None:
-    async def ask() -> None:
-        with anyio.fail_after(cluster.DEADLINE_SECONDS):
-            while not (await _send(context, prompt, name)).whole:
-                await anyio.sleep(_POLL_SECONDS)
+    async def is_answered() -> bool:
+        return (await _send(context, prompt, name)).whole
 
-    context.portal.call(ask)
+    context.portal.call(polling.wait_until, is_answered)
--- a/tests/laburnumstep/vm/steps/operation_steps.py
+++ b/tests/laburnumstep/vm/steps/operation_steps.py
@@ -13,8 +13,7 @@
 from laburnumstep_standins import caller
 from laburnumstep_standins import settings
 from support import cluster
-
-_POLL_SECONDS = 0.05
+from support import polling
 
 
 async def _ask(
@@ -51,11 +50,8 @@
 
 @behave.when('an operator drains VM "{name}" after token {count:d}')
 def step_drain_vm(context: typing.Any, name: str, count: int) -> None:
-    async def wait() -> None:
-        while context.answer.position < count:
-            await anyio.sleep(_POLL_SECONDS)
-
-    context.portal.call(wait)
+    answer = context.answer
+    context.portal.call(polling.wait_until, lambda: answer.position >= count)
     _drain(context, name, {'vm': name}, settings.OPERATORS_KEY)
     assert context.reply.status == 202, context.reply
 
@@ -90,12 +86,10 @@
     context.portal.call(context.cluster.publish, changed)
     mark = f'configuration in force; version={context.cluster.version}'
 
-    async def wait() -> None:
-        for vm in context.cluster.vms.values():
-            while mark not in vm.read_log():
-                await anyio.sleep(_POLL_SECONDS)
-
-    context.portal.call(wait)
+    for vm in context.cluster.vms.values():
+        context.portal.call(
+            polling.wait_until, lambda vm=vm: mark in vm.read_log()
+        )
 
 
 @behave.when('"{name}" has {count:d} streams that wait')
@@ -112,13 +106,14 @@
 
     async def ask(number: int) -> None:
         body = {'model': cluster.MODEL, 'prompt': f'Plan {number}.'}
-        while True:
+
+        async def is_admitted() -> bool:
             answer = caller.Answer()
             await client.generate(body, deadline, answer)
             code = answer.error['code'] if answer.error else ''
-            if code != 'limit_exceeded':
-                return
-            await anyio.sleep(_POLL_SECONDS)
+            return code != 'limit_exceeded'
+
+        await polling.wait_until(is_admitted)
 
     context.streams = [
         context.portal.start_task_soon(ask, number) for number in range(count)
@@ -129,12 +124,10 @@
 def step_all_begun(context: typing.Any, count: int, name: str) -> None:
     hosts = context.cluster.engines.values()
 
-    async def wait() -> None:
-        with anyio.fail_after(cluster.DEADLINE_SECONDS):
-            while sum(h.stand_in.started for h in hosts) < count:
-                await anyio.sleep(_POLL_SECONDS)
-
-    context.portal.call(wait)
+    context.portal.call(
+        polling.wait_until,
+        lambda: sum(host.stand_in.started for host in hosts) >= count,
+    )
 
 
 @behave.then('a further generation through "{name}" is refused with "{code}"')
--- a/tests/laburnumstep/vm/steps/order_steps.py
+++ b/tests/laburnumstep/vm/steps/order_steps.py
@@ -5,15 +5,13 @@
 import time
 import typing
 
-import anyio
 import attrs
 import behave
 
 from laburnumstep import core
 from laburnumstep import transport
 from support import cluster
-
-_POLL_SECONDS = 0.05
+from support import polling
 
 
 @behave.when('every engine is declared with version "{version}"')
@@ -31,24 +29,17 @@
 
 @behave.then('every engine reports version "{version}"')
 def step_reports(context: typing.Any, version: str) -> None:
-    async def wait() -> None:
-        for host in context.cluster.engines.values():
-            client = transport.JsonClient(host.path.address)
-            with anyio.fail_after(cluster.DEADLINE_SECONDS):
-                while True:
-                    reply = await client.request(
-                        'GET', '/v1/load', time.time() + 5
-                    )
-                    models = {
-                        model['name']: model['version']
-                        for model in reply.body['models']
-                    }
-                    if models[cluster.MODEL] == version:
-                        break
-                    await anyio.sleep(_POLL_SECONDS)
-            await client.close()
-
-    context.portal.call(wait)
+    for host in context.cluster.engines.values():
+        client = transport.JsonClient(host.path.address)
+
+        async def is_loaded(client: transport.JsonClient = client) -> bool:
+            reply = await client.request('GET', '/v1/load', time.time() + 5)
+            models = reply.body['models']
+            versions = {item['name']: item['version'] for item in models}
+            return versions[cluster.MODEL] == version
+
+        context.portal.call(polling.wait_until, is_loaded)
+        context.portal.call(client.close)
 
 
 @behave.then(
--- a/tests/laburnumstep/vm/steps/vm_steps.py
+++ b/tests/laburnumstep/vm/steps/vm_steps.py
@@ -14,8 +14,7 @@
 from laburnumstep_standins import caller
 from support import cluster
 from support import hooks
-
-_POLL_SECONDS = 0.01
+from support import polling
 
 
 def _names(text: str) -> list[str]:
@@ -23,12 +22,6 @@
     return [name for name in plain.split(',') if name]
 
 
-async def _wait_for(condition: typing.Callable[[], bool]) -> None:
-    with anyio.fail_after(cluster.DEADLINE_SECONDS):
-        while not condition():
-            await anyio.sleep(_POLL_SECONDS)
-
-
 async def _read(
     context: typing.Any, client: caller.Caller, answer: caller.Answer
 ) -> None:
@@ -80,7 +73,7 @@
     context: typing.Any, name: str, number: str, count: int
 ) -> None:
     answer = context.answer
-    context.portal.call(_wait_for, lambda: answer.position >= count)
+    context.portal.call(polling.wait_until, lambda: answer.position >= count)
     step_signal(context, name, number)
 
 
@@ -153,22 +146,17 @@
 
 @behave.then('"{name}" is not ready')
 def step_not_ready(context: typing.Any, name: str) -> None:
-    async def wait() -> None:
-        with anyio.fail_after(cluster.DEADLINE_SECONDS):
-            while await context.cluster.is_ready(name):
-                await anyio.sleep(_POLL_SECONDS)
+    async def is_unready() -> bool:
+        return not await context.cluster.is_ready(name)
 
-    context.portal.call(wait)
+    context.portal.call(polling.wait_until, is_unready)
 
 
 @behave.then('"{name}" becomes ready')
 def step_ready(context: typing.Any, name: str) -> None:
-    async def wait() -> None:
-        with anyio.fail_after(cluster.DEADLINE_SECONDS):
-            while not await context.cluster.is_ready(name):
-                await anyio.sleep(_POLL_SECONDS)
-
-    context.portal.call(wait)
+    context.portal.call(
+        polling.wait_until, lambda: context.cluster.is_ready(name)
+    )
 
 
 @behave.then('"{name}" ends with status {status:d}')
@@ -324,17 +312,12 @@
         'payload': {},
     }
 
-    async def ask() -> None:
+    async def is_served() -> bool:
         deadline = context.cluster.clock.now() + cluster.DEADLINE_SECONDS
-        with anyio.fail_after(cluster.DEADLINE_SECONDS):
-            while True:
-                key = client.issue_key()
-                reply = await client.call(body, key, deadline)
-                if reply.outcome == 'ran':
-                    return
-                await anyio.sleep(_POLL_SECONDS)
+        reply = await client.call(body, client.issue_key(), deadline)
+        return reply.outcome == 'ran'
 
-    context.portal.call(ask)
+    context.portal.call(polling.wait_until, is_served)
 
 
 @behave.then('one publication is accepted and the other is told so')
@@ -364,7 +347,9 @@
     mark = f'target is leaving; target={target}'
     for name in _names(names):
         vm = context.cluster.vms[name]
-        context.portal.call(_wait_for, lambda vm=vm: mark in vm.read_log())
+        context.portal.call(
+            polling.wait_until, lambda vm=vm: mark in vm.read_log()
+        )
 
 
 @behave.when('{count:d} generations are requested through {names}')
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -23,6 +23,7 @@
 from laburnumstep_standins import vmlist
 from laburnumstep_standins import weights
 from support import link
+from support import polling
 
 if typing.TYPE_CHECKING:
     import collections.abc
@@ -32,7 +33,7 @@
 SERVICE = 'booking'
 WORKSPACE = 'callao'
 SECRET = 'callao-key'
-DEADLINE_SECONDS = 30.0
+DEADLINE_SECONDS = polling.LIMIT_SECONDS
 """Longest wait for anything that a test waits for, in seconds."""
 
 
