Serve callers on the platform through the adapter

Cause: the product spoke only its own interfaces. The platform forwards opaque requests by host and path, announces servers and configurations in a keyed log, and lets a run go on from a copy of its memory.

Change: routes, the relay of requests to targets, the registry of targets and the follower of keyed topics are new concepts of the product; the adapter decodes the platform's names into them. Streams go on at another engine when theirs leaves or fails.

--- a/packages/laburnumstep/src/laburnumstep/callers/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/__init__.py
@@ -15,6 +15,8 @@
 from laburnumstep.callers._limits import LimitResult
 from laburnumstep.callers._limits import Refused
 from laburnumstep.callers._limits import WorkspaceLimits
+from laburnumstep.callers._relay_placer import RelayPlacer
+from laburnumstep.callers._route_book import RouteBook
 from laburnumstep.callers._shares import Demand
 from laburnumstep.callers._shares import Share
 from laburnumstep.callers._shares import ShareAllocator
@@ -31,8 +33,10 @@
     'HandleSigner',
     'LimitResult',
     'Refused',
+    'RelayPlacer',
     'RequestGate',
     'ResumeHandle',
+    'RouteBook',
     'RoutingState',
     'Share',
     'ShareAllocator',
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -0,0 +1,282 @@
+"""Finds targets for requests that are relayed as they came."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from laburnumstep.callers import _admission_queue
+from laburnumstep import core
+from laburnumstep import targets
+from laburnumstep.targets import relay
+
+if typing.TYPE_CHECKING:
+    from laburnumstep.callers import _admission
+    from laburnumstep.callers import _engine_placer
+
+FAILED_SECONDS = 2.0
+"""How long a target that failed gets no new work, in seconds."""
+NO_TARGET_SECONDS = 0.5
+"""When a caller may come back while no target is usable, in seconds."""
+
+_LOGGER = core.get_logger('callers')
+
+MakeBudget = typing.Callable[[], targets.RetryBudget]
+
+
+class RelayPlacer:
+    """Places relayed requests, as `relay.RelayPlacer`.
+
+    Args:
+        state: What this VM knows.
+        admission: Queues generations until an engine has room.
+        make_budget: Returns the retry budget of one service.
+    """
+
+    def __init__(
+        self,
+        state: _engine_placer.RoutingState,
+        admission: _admission.Admission,
+        make_budget: MakeBudget,
+    ) -> None:
+        self._state = state
+        self._admission = admission
+        self._make_budget = make_budget
+        self._budgets: dict[str, targets.RetryBudget] = {}
+        self._rng = random.Random()
+
+    async def place(
+        self, request: relay.RelayRequest, excluded: frozenset[str]
+    ) -> RelayPlace:
+        """Wait for room and return a target.
+
+        Raises:
+            CodedError: The request is shed, or no target serves it.
+        """
+        if not excluded:
+            self._find_budget(request).record_request(self._state.clock.now())
+        if request.prompt is None:
+            return self._place_call(request, excluded)
+        return await self._place_generation(request, request.prompt, excluded)
+
+    def place_on(
+        self, request: relay.RelayRequest, target: str
+    ) -> RelayPlace | None:
+        """Return a place on a named target, or None if it is not known."""
+        if self._state.view.find(target) is None:
+            return None
+        return self._begin(request, target)
+
+    def choose_backup(
+        self, request: relay.RelayRequest, excluded: frozenset[str]
+    ) -> core.EngineTarget | None:
+        """Return an engine that may keep a copy of a run, if any."""
+        if request.prompt is None:
+            return None
+        placement = targets.choose_engine(
+            self._state.view,
+            _describe(request, request.prompt, excluded),
+            self._state.lengths,
+            core.PolicyWeights(),
+            self._rng,
+        )
+        if not isinstance(placement, targets.Placed):
+            return None
+        state = self._state.view.find(placement.target)
+        if state is None or not isinstance(state.declared, core.EngineTarget):
+            return None
+        return state.declared
+
+    def is_usable(self, target: str) -> bool:
+        """Tell whether a target may get new work."""
+        state = self._state.view.find(target)
+        return state is not None and state.is_usable(self._state.clock.now())
+
+    def decide_retry(
+        self, request: relay.RelayRequest, failed: relay.FailedSend
+    ) -> targets.RetryDecision:
+        """Decide whether a request is sent to another target."""
+        attempt = targets.FailedAttempt(
+            target=failed.target,
+            excluded=failed.excluded,
+            deadline=request.deadline,
+            outcome=failed.outcome,
+            repeatable=relay.is_repeatable(request.route.kind),
+            delivered=0,
+            refused=False,
+        )
+        now = self._state.clock.now()
+        budget = self._find_budget(request)
+        decision = targets.decide_retry(attempt, budget, now)
+        name = type(decision).__name__.lower()
+        self._state.metrics.count(f'routing.{name}')
+        return decision
+
+    def record_resend(self, request: relay.RelayRequest) -> None:
+        """Count a send that carries a run on at another engine."""
+        self._find_budget(request).record_retry(self._state.clock.now())
+
+    def _find_budget(self, request: relay.RelayRequest) -> targets.RetryBudget:
+        budget = self._budgets.get(request.service)
+        if budget is None:
+            budget = self._budgets[request.service] = self._make_budget()
+        return budget
+
+    def _place_call(
+        self, request: relay.RelayRequest, excluded: frozenset[str]
+    ) -> RelayPlace:
+        placement = targets.choose_service(
+            self._state.view, request.service, excluded, self._rng
+        )
+        match placement:
+            case targets.Placed():
+                _LOGGER.info(
+                    'placed request=%s service=%s target=%s reason="%s"'
+                    ' runners_up=%s',
+                    request.key,
+                    request.service,
+                    placement.target,
+                    placement.reason,
+                    ','.join(placement.runners_up) or '-',
+                )
+                return self._begin(request, placement.target)
+            case targets.NoRoom(retry_at=retry_at):
+                raise _refuse(request, 'every target failed', retry_at)
+            case targets.NoTarget(reason=reason):
+                retry_at = self._state.clock.now() + NO_TARGET_SECONDS
+                raise _refuse(request, reason, retry_at)
+            case _:
+                typing.assert_never(placement)
+
+    async def _place_generation(
+        self,
+        request: relay.RelayRequest,
+        prompt: relay.PromptShape,
+        excluded: frozenset[str],
+    ) -> RelayPlace:
+        result = await self._admission.admit(
+            _admission_queue.AdmissionRequest(
+                placement=_describe(request, prompt, excluded),
+                generation_id=targets.new_generation_id(),
+                deadline=request.deadline,
+                max_tokens=prompt.max_tokens,
+            )
+        )
+        match result:
+            case _admission_queue.Admitted(send=send):
+                return self._make_place(send)
+            case _admission_queue.Shed(resend_at=resend_at):
+                raise _refuse(request, 'no engine has room', resend_at)
+            case _:
+                typing.assert_never(result)
+
+    def _begin(self, request: relay.RelayRequest, target: str) -> RelayPlace:
+        prompt = request.prompt
+        send = self._state.view.begin(
+            target,
+            targets.new_generation_id(),
+            request.workspace,
+            prompt.model if prompt is not None else '',
+            prompt.prompt_tokens if prompt is not None else 0,
+            0.0,
+            prompt.max_tokens if prompt is not None else None,
+        )
+        return self._make_place(send)
+
+    def _make_place(self, send: targets.Send) -> RelayPlace:
+        state = self._state.view.find(send.target)
+        if state is None:
+            raise RuntimeError(f'the view dropped {send.target} at once')
+        return RelayPlace(self._state, send, state.declared)
+
+
+class RelayPlace:
+    """One request's place on a target, as `relay.RelayPlace`.
+
+    Args:
+        state: What this VM knows.
+        send: The send, already counted by the view.
+        target: The target.
+    """
+
+    def __init__(
+        self,
+        state: _engine_placer.RoutingState,
+        send: targets.Send,
+        target: core.Target,
+    ) -> None:
+        self._state = state
+        self._send = send
+        self._target = target
+
+    @property
+    def target(self) -> core.Target:
+        """The target."""
+        return self._target
+
+    def record_tokens(self, count: int, size: int) -> None:
+        """Count tokens that the target sent.
+
+        Args:
+            count: Tokens.
+            size: Their encoded size, in bytes.
+        """
+        self._state.view.record_tokens(self._send, count)
+        self._state.view.record_received(self._send, size)
+
+    def record_loss(self, crashed: bool) -> None:
+        """Give a failed target no new work for a while.
+
+        Args:
+            crashed: Whether it cut a request that it had begun.
+        """
+        name = 'crashes' if crashed else 'unreached'
+        self._state.metrics.count(f'targets.{name}')
+        until = self._state.clock.now() + FAILED_SECONDS
+        self._state.view.set_failed(self._target.name, until)
+
+    def release(self, complete: bool) -> None:
+        """Give the target's room back.
+
+        Args:
+            complete: Whether the answer is whole, so that its length may
+                be learned.
+        """
+        if self._send.ended_at is not None:
+            return
+        self._state.view.end(self._send)
+        if complete and self._send.model:
+            self._state.lengths.observe(
+                self._send.workspace, self._send.model, self._send.tokens
+            )
+
+
+def _describe(
+    request: relay.RelayRequest,
+    prompt: relay.PromptShape,
+    excluded: frozenset[str],
+) -> targets.PlacementRequest:
+    return targets.PlacementRequest(
+        request=request.key,
+        workspace=request.workspace,
+        model=prompt.model,
+        prompt_tokens=prompt.prompt_tokens,
+        prefixes=prompt.prefixes,
+        priority=request.priority,
+        excluded=excluded,
+        max_tokens=prompt.max_tokens,
+    )
+
+
+def _refuse(
+    request: relay.RelayRequest, reason: str, resend_at: float
+) -> core.CodedError:
+    _LOGGER.info(
+        'refused request=%s service=%s reason="%s"',
+        request.key,
+        request.service,
+        reason,
+    )
+    return core.CodedError(
+        core.ErrorCode.OVERLOADED, reason, resend=True, resend_at=resend_at
+    )
--- a/packages/laburnumstep/src/laburnumstep/cli.py
+++ b/packages/laburnumstep/src/laburnumstep/cli.py
@@ -11,6 +11,7 @@
 import typer
 
 from laburnumstep import core
+from laburnumstep import platform
 from laburnumstep import vm
 
 _EXIT_FINDINGS = 2
@@ -29,11 +30,15 @@
             findings = [attrs.asdict(item) for item in error.findings]
             print(json.dumps({'findings': findings}))
         else:
-            for finding in error.findings:
-                print(finding, file=sys.stderr)
+            _print_findings(error)
         raise typer.Exit(_EXIT_FINDINGS) from error
 
 
+def _print_findings(error: core.FindingsError) -> None:
+    for finding in error.findings:
+        print(finding, file=sys.stderr)
+
+
 @app.command()
 def check(
     settings: SettingsFile,
@@ -77,6 +82,21 @@
     anyio.run(_run, checked)
 
 
+@app.command('run-platform')
+def run_platform() -> None:
+    """Run the entry VM on the platform until SIGTERM.
+
+    The environment variable LABURNUMSTEP_SETTINGS names the settings file.
+
+    Example: laburnumstep run-platform
+    """
+    try:
+        platform.run_vm()
+    except core.FindingsError as error:
+        _print_findings(error)
+        raise typer.Exit(_EXIT_FINDINGS) from error
+
+
 async def _run(settings: core.Settings) -> None:
     entry = vm.EntryVM(settings, core.SystemClock())
     async with anyio.create_task_group() as tasks:
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumstep.core._clock import Clock
 from laburnumstep.core._clock import ManualClock
+from laburnumstep.core._clock import SteadyClock
 from laburnumstep.core._clock import SystemClock
 from laburnumstep.core._deployment import Deployment
 from laburnumstep.core._deployment import digest_secret
@@ -41,6 +42,13 @@
 from laburnumstep.core._requests import Delivery
 from laburnumstep.core._requests import Generation
 from laburnumstep.core._requests import ServiceCall
+from laburnumstep.core._routes import CallKind
+from laburnumstep.core._routes import KeyHolder
+from laburnumstep.core._routes import Route
+from laburnumstep.core._routes import RouteKind
+from laburnumstep.core._routes import RouteTable
+from laburnumstep.core._routes import StreamKind
+from laburnumstep.core._routes import WeightedService
 from laburnumstep.core._settings import describe_settings
 from laburnumstep.core._settings import load_settings
 from laburnumstep.core._settings import parse_settings
@@ -48,6 +56,7 @@
 from laburnumstep.core._settings import VMSettings
 
 __all__ = [
+    'CallKind',
     'CallResult',
     'Clock',
     'CodedError',
@@ -62,6 +71,7 @@
     'ItemName',
     'KEY_SKEW_SECONDS',
     'KEY_VALID_SECONDS',
+    'KeyHolder',
     'LinkBudget',
     'ManualClock',
     'Metrics',
@@ -71,15 +81,21 @@
     'PolicyWeights',
     'PrefixAdapter',
     'RequestKey',
+    'Route',
+    'RouteKind',
+    'RouteTable',
     'Service',
     'ServiceCall',
     'ServiceTarget',
     'Settings',
     'SourcePosition',
+    'SteadyClock',
+    'StreamKind',
     'SystemClock',
     'Target',
     'VMSettings',
     'VersionedDeployment',
+    'WeightedService',
     'Workspace',
     'choose_by_rendezvous',
     'configure_logging',
--- a/packages/laburnumstep/src/laburnumstep/core/_clock.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_clock.py
@@ -35,6 +35,25 @@
         await anyio.sleep(max(0.0, deadline - time.time()))
 
 
+class SteadyClock:
+    """The time since the process started, on top of the time of day then.
+
+    Steps of the time of day do not move it, and it counts the time for
+    which the machine was suspended.
+    """
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def now(self) -> float:
+        """Return the time in epoch seconds."""
+        return self._offset + time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    async def sleep_until(self, deadline: float) -> None:
+        """Wait until a time in epoch seconds."""
+        await anyio.sleep(max(0.0, deadline - self.now()))
+
+
 class ManualClock:
     """A clock that only moves when it is told to, for tests.
 
--- a/packages/laburnumstep/src/laburnumstep/core/_errors.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_errors.py
@@ -23,6 +23,8 @@
     """The request does not follow the interface."""
     UNAUTHORIZED = 'unauthorized'
     """The credentials are missing, wrong or expired."""
+    UNKNOWN_ROUTE = 'unknown_route'
+    """No route serves the host and path."""
     NO_CONFIGURATION = 'no_configuration'
     """The VM does not know the configuration in force yet."""
     OVERLOADED = 'overloaded'
--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -45,6 +45,13 @@
 from laburnumstep.log._configuration_codec import encode_snapshot
 from laburnumstep.log._follower import CONFIGURATION_STREAM
 from laburnumstep.log._follower import ConfigurationFollower
+from laburnumstep.log._keyed_follower import HistoryLost
+from laburnumstep.log._keyed_follower import KeyedFollower
+from laburnumstep.log._keyed_follower import KeyedPage
+from laburnumstep.log._keyed_follower import KeyedReader
+from laburnumstep.log._keyed_follower import KeyedRecord
+from laburnumstep.log._keyed_follower import KeyedTopic
+from laburnumstep.log._keyed_follower import TopicUnavailable
 from laburnumstep.log._lease_keeper import LeaseKeeper
 from laburnumstep.log._lease_keeper import LEASES_STREAM
 from laburnumstep.log._lease_table import AcquireRecord
@@ -95,7 +102,13 @@
     'ForwardedRecords',
     'Granted',
     'Held',
+    'HistoryLost',
     'KeyOutcome',
+    'KeyedFollower',
+    'KeyedPage',
+    'KeyedReader',
+    'KeyedRecord',
+    'KeyedTopic',
     'LEASES_STREAM',
     'LEASE_SECONDS',
     'Lease',
@@ -132,6 +145,7 @@
     'SnapshotHeader',
     'SnapshotRepublisher',
     'Taken',
+    'TopicUnavailable',
     'Unclaimed',
     'WrongDeployment',
     'apply_changes',
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -0,0 +1,214 @@
+"""The entry VM's process on the platform: its parts and their tasks."""
+
+from __future__ import annotations
+
+import os
+import signal
+import typing
+
+import anyio
+
+from laburnumstep import callers
+from laburnumstep import core
+from laburnumstep import log
+from laburnumstep.platform import _configuration
+from laburnumstep.platform import _directory
+from laburnumstep.platform import _front
+from laburnumstep.platform import _servers
+from laburnumstep.platform import _settings
+from laburnumstep.platform import _store
+from laburnumstep import targets
+from laburnumstep.targets import relay
+from laburnumstep import transport
+
+if typing.TYPE_CHECKING:
+    from starlette import types
+
+SERVERS_PAUSE_SECONDS = 0.35
+"""Shortest time between reads of the servers' entries. Each server renews
+its entry about once a second, and every read is priced."""
+CONFIGURATION_PAUSE_SECONDS = 0.1
+"""Shortest time between reads of the configuration."""
+BALANCER_SECONDS = 3.0
+"""How long the platform's balancer may send new callers to a VM that is
+not ready: two questions, a second apart, and their timeouts."""
+STOP_MARGIN_SECONDS = 0.6
+"""How long before SIGKILL the process ends."""
+KEEP_ALIVE_SECONDS = 120
+"""How long an idle caller's connection is kept. It is above any limit of
+the configuration, so that callers close connections and not the VM."""
+EXPECTED_VMS = 12
+"""VMs among which the budget for repeated sends is divided."""
+
+_LOGGER = core.get_logger('platform')
+
+
+class PlatformVM:
+    """One entry VM on the platform.
+
+    Args:
+        settings: Checked settings.
+        clock: The time.
+    """
+
+    def __init__(
+        self, settings: _settings.NodeSettings, clock: core.Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = core.Metrics(None, '')
+        self._view = targets.FleetView(clock, settings.data_centre)
+        lengths = targets.LengthEstimator()
+        self._admission = callers.Admission(
+            clock, self._view, lengths, metrics=self._metrics
+        )
+        self._state = callers.RoutingState(
+            clock,
+            self._view,
+            lengths,
+            targets.RetryBudget(),
+            targets.CrashSuspects(clock=clock),
+            callers.WorkspaceLimits(clock),
+            targets.EngineClients(),
+            self._metrics,
+        )
+        self._book = callers.RouteBook()
+        self._gate = callers.RequestGate(clock)
+        self._running = relay.RunningStreams()
+        self._port = _servers.ServerPort(clock, self._find_tokens)
+        self._services: _configuration.Services = {}
+        self._registry = targets.TargetRegistry(
+            clock, settings.places, self._apply_targets, self._note_leaving
+        )
+        self._directory = _directory.Directory(self._registry)
+        self._front = self._build_front()
+        self._callers = transport.HttpServer(
+            self._front,
+            settings.callers_address,
+            keep_alive_seconds=KEEP_ALIVE_SECONDS,
+        )
+        self._ready = transport.HttpServer(
+            self._serve_ready, settings.ready_address
+        )
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """IP number and port of each server."""
+        return {
+            'callers': self._callers.address,
+            'ready': self._ready.address,
+        }
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the VM takes new callers."""
+        known = self._book.table is not None and self._registry.known
+        return known and not self._front.leaving
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then shut down gracefully."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async with anyio.create_task_group() as tasks:
+                for follower in self._build_followers():
+                    tasks.start_soon(follower.run)
+                tasks.start_soon(self._registry.run)
+                tasks.start_soon(self._callers.run)
+                tasks.start_soon(self._ready.run)
+                _LOGGER.info(
+                    'started; name=%s callers=%s',
+                    self._settings.name,
+                    self._callers.address,
+                )
+                async for received in signals:
+                    _LOGGER.info('signal received; signal=%s', received.name)
+                    if received is not signal.SIGHUP:
+                        break
+                await self._stop()
+                tasks.cancel_scope.cancel()
+
+    async def _stop(self) -> None:
+        """Let callers go elsewhere, and end when the last one has."""
+        now = self._clock.now()
+        deadline = now + self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        self._front.leaving = True
+        await self._clock.sleep_until(min(now + BALANCER_SECONDS, deadline))
+        await self._gate.drain(deadline)
+        self._callers.abort()
+        self._ready.abort()
+        _LOGGER.info('stopped; unfinished=%d', self._gate.in_progress)
+
+    def _build_front(self) -> _front.Front:
+        retries = self._settings.retries
+
+        def make_budget() -> targets.RetryBudget:
+            return targets.RetryBudget(
+                retries.share, retries.extra / EXPECTED_VMS, retries.window
+            )
+
+        placer = callers.RelayPlacer(self._state, self._admission, make_budget)
+        return _front.Front(
+            self._book,
+            relay.CallRelay(placer, self._port, self._clock),
+            relay.StreamRelay(
+                placer, self._port, self._running, self._clock
+            ),
+            self._gate,
+            self._clock,
+        )
+
+    def _build_followers(self) -> list[log.KeyedFollower]:
+        address, clock = self._settings.store_address, self._clock
+        reader = _configuration.ConfigurationReader(
+            self._book, self._apply_services
+        )
+        return [
+            log.KeyedFollower(
+                'configuration',
+                _store.KeyedTopicClient(address, 'op', clock),
+                reader,
+                clock,
+                CONFIGURATION_PAUSE_SECONDS,
+            ),
+            log.KeyedFollower(
+                'servers',
+                _store.KeyedTopicClient(address, 'servers', clock),
+                self._directory,
+                clock,
+                SERVERS_PAUSE_SECONDS,
+            ),
+        ]
+
+    def _apply_services(self, services: _configuration.Services) -> None:
+        self._services = services
+        self._front.apply_services(services)
+        self._directory.apply_services(services)
+
+    def _apply_targets(self, deployment: core.Deployment) -> None:
+        self._view.apply_deployment(deployment)
+        self._port.forget(deployment.targets)
+
+    def _note_leaving(self, target: str) -> None:
+        self._running.move_away(target)
+
+    def _find_tokens(self, service: str) -> int:
+        engine = self._services.get(service)
+        return engine.tokens_per_event if engine is not None else 1
+
+    async def _serve_ready(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        await _front.ask_ready(lambda: self.is_ready, send)
+
+
+def run_vm() -> None:
+    """Run an entry VM with the settings that the environment names.
+
+    Raises:
+        FindingsError: The settings cannot be used.
+    """
+    path = os.environ.get(_settings.SETTINGS_VARIABLE, '')
+    settings = _settings.load_settings(path)
+    core.configure_logging('info', 'json')
+    anyio.run(PlatformVM(settings, core.SteadyClock()).run)
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -45,6 +45,7 @@
 from laburnumstep.targets._policy import MemoryPolicy
 from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
+from laburnumstep.targets._registry import TargetRegistry
 from laburnumstep.targets._reports import LoadReport
 from laburnumstep.targets._results import NoRoom
 from laburnumstep.targets._results import NoTarget
@@ -134,6 +135,7 @@
     'StreamBroken',
     'StreamGap',
     'StreamPosition',
+    'TargetRegistry',
     'TargetState',
     'TokenBatch',
     'WeightSource',
--- a/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
@@ -8,6 +8,7 @@
 
 from laburnumstep import core
 from laburnumstep import log
+from laburnumstep.targets import _bounds
 from laburnumstep.targets import _service_client
 from laburnumstep.targets import _suspects
 
@@ -209,7 +210,8 @@
             if index > 0 and not self._budget.try_spend(now):
                 break
             later = len(targets) - index - 1
-            until = _bound_attempt(now, call, later if repeatable else 0)
+            later = later if repeatable else 0
+            until = _bounds.bound_attempt(now, call.deadline, later)
             client = self._clients.find(target.address)
             answer = await client.call(call, until)
             _log_answer(call, target, answer, targets[index + 1 :])
@@ -247,19 +249,6 @@
         raise core.CodedError(code, answer.reason, outcome, resend=not expired)
 
 
-def _bound_attempt(
-    now: float, call: core.ServiceCall, targets_left: int
-) -> float:
-    """Return when to give up on one target.
-
-    With targets left, half of the remaining time is kept for them, so that
-    a target that hangs does not use up the deadline.
-    """
-    if not targets_left:
-        return call.deadline
-    return now + (call.deadline - now) / 2
-
-
 def _repeat_answer(settled: log.Settled) -> core.CallResult:
     if settled.result is not None:
         return settled.result
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
@@ -0,0 +1,63 @@
+"""Relays callers' requests to targets as they came."""
+
+from laburnumstep.targets.relay._calls import CallRelay
+from laburnumstep.targets.relay._calls import is_repeatable
+from laburnumstep.targets.relay._places import FailedSend
+from laburnumstep.targets.relay._places import RelayPlace
+from laburnumstep.targets.relay._places import RelayPlacer
+from laburnumstep.targets.relay._ports import Answered
+from laburnumstep.targets.relay._ports import AnswerSink
+from laburnumstep.targets.relay._ports import Attempt
+from laburnumstep.targets.relay._ports import Continued
+from laburnumstep.targets.relay._ports import Copied
+from laburnumstep.targets.relay._ports import CopyFailed
+from laburnumstep.targets.relay._ports import CopyResult
+from laburnumstep.targets.relay._ports import EventSource
+from laburnumstep.targets.relay._ports import Fresh
+from laburnumstep.targets.relay._ports import Headers
+from laburnumstep.targets.relay._ports import Lost
+from laburnumstep.targets.relay._ports import NotReached
+from laburnumstep.targets.relay._ports import NotRun
+from laburnumstep.targets.relay._ports import PromptShape
+from laburnumstep.targets.relay._ports import RelayRequest
+from laburnumstep.targets.relay._ports import Reply
+from laburnumstep.targets.relay._ports import Resumed
+from laburnumstep.targets.relay._ports import Start
+from laburnumstep.targets.relay._ports import StreamBroken
+from laburnumstep.targets.relay._ports import StreamEvent
+from laburnumstep.targets.relay._ports import Streaming
+from laburnumstep.targets.relay._ports import TargetPort
+from laburnumstep.targets.relay._streams import RunningStreams
+from laburnumstep.targets.relay._streams import StreamRelay
+
+__all__ = [
+    'AnswerSink',
+    'Answered',
+    'Attempt',
+    'CallRelay',
+    'Continued',
+    'Copied',
+    'CopyFailed',
+    'CopyResult',
+    'EventSource',
+    'FailedSend',
+    'Fresh',
+    'Headers',
+    'Lost',
+    'NotReached',
+    'NotRun',
+    'PromptShape',
+    'RelayPlace',
+    'RelayPlacer',
+    'RelayRequest',
+    'Reply',
+    'Resumed',
+    'RunningStreams',
+    'Start',
+    'StreamBroken',
+    'StreamEvent',
+    'StreamRelay',
+    'Streaming',
+    'TargetPort',
+    'is_repeatable',
+]
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -9,17 +9,27 @@
 from laburnumstep.transport._client import JsonResponse
 from laburnumstep.transport._client import timeouts_until
 from laburnumstep.transport._errors import encode_error
+from laburnumstep.transport._exchange import Headers
+from laburnumstep.transport._exchange import HttpConnection
+from laburnumstep.transport._exchange import RequestHead
+from laburnumstep.transport._exchange import ResponseHead
+from laburnumstep.transport._pool import ConnectionPool
 from laburnumstep.transport._server import HttpServer
 from laburnumstep.transport._server import serve_app
 
 __all__ = [
     'ConnectFailed',
+    'ConnectionPool',
     'EXCHANGE_ERRORS',
     'ExchangeFailed',
+    'Headers',
+    'HttpConnection',
     'HttpServer',
     'JsonClient',
     'JsonResponse',
     'MAX_BODY_BYTES',
+    'RequestHead',
+    'ResponseHead',
     'encode_error',
     'read_body',
     'serve_app',
--- a/packages/laburnumstep/src/laburnumstep/transport/_server.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_server.py
@@ -16,7 +16,7 @@
 
 _BACKLOG = 2048
 """Connections that may wait to be accepted."""
-_KEEP_ALIVE_SECONDS = 30
+KEEP_ALIVE_SECONDS = 30
 """How long an idle connection is kept, in seconds."""
 
 
@@ -36,6 +36,7 @@
         address: IP number and port; port 0 lets the system choose.
         certificate: TLS certificate file, or None for plain HTTP.
         private_key: TLS private key file, or None for plain HTTP.
+        keep_alive_seconds: How long an idle connection is kept, in seconds.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         address: str,
         certificate: str | None = None,
         private_key: str | None = None,
+        keep_alive_seconds: int = KEEP_ALIVE_SECONDS,
     ) -> None:
         host, _, port = address.rpartition(':')
         host = host.strip('[]')
@@ -59,12 +61,13 @@
         config = uvicorn.Config(
             typing.cast(typing.Any, app),
             http='h11',
+            interface='asgi3',
             ws='none',
             lifespan='off',
             loop='none',
             log_config=None,
             access_log=False,
-            timeout_keep_alive=_KEEP_ALIVE_SECONDS,
+            timeout_keep_alive=keep_alive_seconds,
             ssl_certfile=certificate,
             ssl_keyfile=private_key,
         )
