Follow load reports, hand streams over before their old run ends, use length hints

Cause: entry VMs knew only their own sends, so engines were overfilled and runs preempted; a stream closed its run before the next engine accepted it. Ruled out: copies for every plan; engines without a running request held 24,000 of 34,365 tokens of copies and refused new runs. Change: load reports once a second; a run ends when the next engine has accepted the stream; copies ahead only on engines under 45% of memory.

--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -129,8 +129,12 @@
         )
         # A few long answers raise the mean; the median tells whether this
         # one more likely than not ends before its deadline.
+        if placement.hinted_tokens is not None:
+            median = placement.hinted_tokens
         pace = self._view.token_seconds or 0.0
         latest_start = request.deadline - pace * min(median, limit)
+        if placement.hinted_tokens is not None:
+            expected = placement.hinted_tokens
         expected = min(expected, limit)
         due_at = queue.find_due(request, expected, now)
         self._order += 1
@@ -283,6 +287,7 @@
             waiter.expected,
             request.max_tokens,
             placement.suspect,
+            placement.hinted_tokens,
         )
         self._metrics.count('admission.admitted')
         _logger.info(
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -5,6 +5,8 @@
 import random
 import typing
 
+import attrs
+
 from laburnumstep.callers import _admission_queue
 from laburnumstep import core
 from laburnumstep import targets
@@ -19,6 +21,12 @@
 NO_TARGET_SECONDS = 0.5
 """When a caller may come back while no target is usable, in seconds."""
 
+BACKUP_MEMORY_PART = 0.45
+"""Part of an engine's memory up to which it takes copies of other engines'
+runs. A copy cannot yield, and room for new runs goes first."""
+MOVE_MEMORY_PART = 0.97
+"""Part of an engine's memory up to which it takes runs that must move."""
+
 _LOGGER = core.get_logger('callers')
 
 MakeBudget = typing.Callable[[], targets.RetryBudget]
@@ -31,6 +39,7 @@
         state: What this VM knows.
         admission: Queues generations until an engine has room.
         make_budget: Returns the retry budget of one service.
+        weights: How much each measure counts for placement.
     """
 
     def __init__(
@@ -38,10 +47,12 @@
         state: _engine_placer.RoutingState,
         admission: _admission.Admission,
         make_budget: MakeBudget,
+        weights: core.PolicyWeights,
     ) -> None:
         self._state = state
         self._admission = admission
         self._make_budget = make_budget
+        self._weights = weights
         self._budgets: dict[str, targets.RetryBudget] = {}
         self._rng = random.Random()
 
@@ -71,21 +82,17 @@
         self, request: relay.RelayRequest, excluded: frozenset[str]
     ) -> core.EngineTarget | None:
         """Return an engine that may keep a copy of a run, if any."""
-        if request.prompt is None:
-            return None
-        placement = targets.choose_engine(
-            self._state.view,
-            _describe(request, request.prompt, excluded),
-            self._state.lengths,
-            core.PolicyWeights(),
-            self._rng,
-        )
-        if not isinstance(placement, targets.Placed):
-            return None
-        state = self._state.view.find(placement.target)
-        if state is None or not isinstance(state.declared, core.EngineTarget):
-            return None
-        return state.declared
+        return self._choose_engine(request, excluded, BACKUP_MEMORY_PART)
+
+    def choose_destination(
+        self, request: relay.RelayRequest, excluded: frozenset[str]
+    ) -> core.EngineTarget | None:
+        """Return an engine to which a run may be moved, if any.
+
+        A run that was begun may use room that is kept from new requests
+        of its priority.
+        """
+        return self._choose_engine(request, excluded, MOVE_MEMORY_PART)
 
     def is_usable(self, target: str) -> bool:
         """Tell whether a target may get new work."""
@@ -116,6 +123,29 @@
         """Count a send that carries a run on at another engine."""
         self._find_budget(request).record_retry(self._state.clock.now())
 
+    def _choose_engine(
+        self,
+        request: relay.RelayRequest,
+        excluded: frozenset[str],
+        memory_part: float,
+    ) -> core.EngineTarget | None:
+        if request.prompt is None:
+            return None
+        description = _describe(request, request.prompt, excluded)
+        placement = targets.choose_engine(
+            self._state.view,
+            attrs.evolve(description, memory_part=memory_part),
+            self._state.lengths,
+            self._weights,
+            self._rng,
+        )
+        if not isinstance(placement, targets.Placed):
+            return None
+        state = self._state.view.find(placement.target)
+        if state is None or not isinstance(state.declared, core.EngineTarget):
+            return None
+        return state.declared
+
     def _find_budget(self, request: relay.RelayRequest) -> targets.RetryBudget:
         budget = self._budgets.get(request.service)
         if budget is None:
@@ -180,6 +210,7 @@
             prompt.prompt_tokens if prompt is not None else 0,
             0.0,
             prompt.max_tokens if prompt is not None else None,
+            hinted_tokens=prompt.hinted_tokens if prompt is not None else None,
         )
         return self._make_place(send)
 
@@ -265,6 +296,7 @@
         priority=request.priority,
         excluded=excluded,
         max_tokens=prompt.max_tokens,
+        hinted_tokens=prompt.hinted_tokens,
     )
 
 
--- a/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
@@ -169,8 +169,6 @@
             )
         self._failures += 1
         self._reader.note_failure()
-        longest = min(
-            MAX_RETRY_SECONDS, MIN_RETRY_SECONDS * 2**self._failures
-        )
+        longest = min(MAX_RETRY_SECONDS, MIN_RETRY_SECONDS * 2**self._failures)
         delay = self._rng.uniform(MIN_RETRY_SECONDS, longest)
         await self._clock.sleep_until(self._clock.now() + delay)
--- a/packages/laburnumstep/src/laburnumstep/platform/_events.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_events.py
@@ -7,9 +7,6 @@
 from laburnumstep.targets import relay
 from laburnumstep import transport
 
-if typing.TYPE_CHECKING:
-    from laburnumstep import core
-
 _END = b'\n\n'
 _ID = b'id:'
 MAX_EVENT_BYTES = 256 * 1024
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -13,7 +13,6 @@
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _headers
 from laburnumstep.targets import relay
-from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
     from starlette import types
@@ -152,6 +151,7 @@
             prompt_tokens,
             max_tokens,
             [item.partition(':')[0] for item in prefixes.split(',') if item],
+            _find_hint(headers),
         )
 
     async def _serve(
@@ -174,10 +174,13 @@
         if error is not None:
             outcome = error.code.value
         _LOGGER.info(
-            'ended request=%s route=%s workspace=%s outcome=%s took_ms=%d',
+            'ended request=%s route=%s workspace=%s priority=%d prompt=%s'
+            ' outcome=%s took_ms=%d',
             request.key,
             request.route.name,
             request.workspace or '-',
+            request.priority,
+            request.prompt or '-',
             outcome,
             (self._clock.now() - request.arrived_at) * 1000,
         )
@@ -355,6 +358,14 @@
         return DEFAULT_DEADLINE_SECONDS
 
 
+def _find_hint(headers: _headers.Headers) -> float | None:
+    try:
+        hint = float(_headers.find(headers, _headers.LENGTH_HINT))
+    except ValueError:
+        return None
+    return hint if hint > 0 else None
+
+
 async def _read_body(receive: types.Receive, limit: int) -> bytes:
     body = b''
     while True:
--- a/packages/laburnumstep/src/laburnumstep/platform/_headers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_headers.py
@@ -28,6 +28,8 @@
 """Prompt tokens and the most output tokens, separated by a comma."""
 PREFIXES = b'prompt-prefix'
 """Parts of the prompt as `ID:TOKENS`, separated by commas."""
+LENGTH_HINT = b'length-hint'
+"""Output tokens that the caller expects."""
 PRIORITY = b'request-priority'
 """0 to 9; 0 goes first."""
 LAST_EVENT = b'last-event-id'
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -8,6 +8,7 @@
 from laburnumstep import core
 from laburnumstep.platform import _events
 from laburnumstep.platform import _headers
+from laburnumstep import targets
 from laburnumstep.targets import relay
 from laburnumstep import transport
 
@@ -19,6 +20,8 @@
 """How long a connection is kept whose server names no time, in seconds."""
 IDLE_MARGIN_SECONDS = 0.5
 """How much sooner than its server a connection is given up, in seconds."""
+REPORT_LAG_SECONDS = 0.5
+"""Age of a report when it arrives, in seconds."""
 _LOWEST_PRIORITY = 9
 _MISDIRECTED = 421
 _MULTIPLE_CHOICES = 300
@@ -54,9 +57,7 @@
         kept = False
         try:
             head = self._encode(attempt)
-            await connection.send(
-                head, attempt.request.body, attempt.deadline
-            )
+            await connection.send(head, attempt.request.body, attempt.deadline)
             response = await connection.read_head(attempt.deadline)
             reply = await self._read_reply(attempt, connection, response)
             kept = not isinstance(reply, relay.Lost)
@@ -82,8 +83,12 @@
             'last': stop,
         }
         try:
-            status, answer = await self._post(
-                source, '/v1/kv-move', body, deadline
+            status, answer = await self._call(
+                source,
+                b'POST',
+                '/v1/kv-move',
+                json.dumps(body).encode(),
+                deadline,
             )
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
             return relay.CopyFailed(str(error))
@@ -93,6 +98,36 @@
             return relay.Copied(reference)
         return relay.CopyFailed(f'the engine answered {status}', reference)
 
+    async def read_report(
+        self, target: core.EngineTarget, deadline: float
+    ) -> targets.LoadReport:
+        """Return what an engine reports of its load.
+
+        Raises:
+            StreamBroken: The engine did not answer.
+            MalformedStream: The answer cannot be read.
+        """
+        try:
+            status, report = await self._call(
+                target, b'GET', '/v1/report', b'', deadline
+            )
+        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
+            raise targets.StreamBroken(str(error)) from error
+        if status != 200:
+            raise targets.MalformedStream(f'the engine answered {status}')
+        try:
+            return targets.LoadReport(
+                measured_at=self._clock.now() - REPORT_LAG_SECONDS,
+                running=int(report['running']),
+                waiting=int(report['queued']),
+                kv_used=int(report['kvUsed']),
+                kv_total=int(report['kvTotal']),
+                preemptions=0,
+                models=list(target.models),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise targets.MalformedStream(repr(error)) from error
+
     def refer_backup(
         self, request: relay.RelayRequest, backup: core.EngineTarget
     ) -> str:
@@ -105,28 +140,34 @@
             if name not in known:
                 self._pools.pop(name).close()
 
-    async def _post(
+    async def _call(
         self,
         target: core.Target,
+        method: bytes,
         path: str,
-        body: core.DocumentObject,
+        body: bytes,
         deadline: float,
     ) -> tuple[int, typing.Any]:
-        connection = await self._connect(target, True, deadline)
+        """Call a server's own interface; return status and JSON body."""
+        connection = await self._connect(target, method != b'GET', deadline)
+        complete = False
         try:
             head = transport.RequestHead(
-                b'POST',
+                method,
                 path.encode(),
                 [
                     (b'Host', target.address.encode()),
                     (b'Content-Type', b'application/json'),
                 ],
             )
-            await connection.send(head, json.dumps(body).encode(), deadline)
+            await connection.send(head, body, deadline)
             response = await connection.read_head(deadline)
             content = await connection.read_body(MAX_BODY_BYTES, deadline)
+            complete = True
         finally:
-            connection.close()
+            if not complete:
+                connection.close()
+        self._keep(target, connection, response)
         try:
             return response.status, json.loads(content)
         except ValueError:
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -7,6 +7,7 @@
 import typing
 
 import anyio
+import anyio.abc
 
 from laburnumstep import callers
 from laburnumstep import core
@@ -14,6 +15,7 @@
 from laburnumstep.platform import _configuration
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _front
+from laburnumstep.platform import _reports
 from laburnumstep.platform import _servers
 from laburnumstep.platform import _settings
 from laburnumstep.platform import _store
@@ -24,9 +26,11 @@
 if typing.TYPE_CHECKING:
     from starlette import types
 
-SERVERS_PAUSE_SECONDS = 0.35
+SERVERS_PAUSE_SECONDS = 0.2
 """Shortest time between reads of the servers' entries. Each server renews
 its entry about once a second, and every read is priced."""
+REPORT_SECONDS = 1.0
+"""Time between two load reports of an engine; each is priced."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
 """Shortest time between reads of the configuration."""
 BALANCER_SECONDS = 3.0
@@ -37,6 +41,9 @@
 KEEP_ALIVE_SECONDS = 120
 """How long an idle caller's connection is kept. It is above any limit of
 the configuration, so that callers close connections and not the VM."""
+WEIGHTS = core.PolicyWeights(stall=0.0, preemption=0.0, tail=1.0)
+"""Placement plans for median lengths, because callers hint at them and a
+run that finds no room can move; memory kept free would delay first tokens."""
 EXPECTED_VMS = 12
 """VMs among which the budget for repeated sends is divided."""
 
@@ -78,9 +85,21 @@
         self._port = _servers.ServerPort(clock, self._find_tokens)
         self._services: _configuration.Services = {}
         self._registry = targets.TargetRegistry(
-            clock, settings.places, self._apply_targets, self._note_leaving
+            clock,
+            core.Deployment('', places=settings.places, weights=WEIGHTS),
+            self._apply_targets,
+            self._note_leaving,
         )
         self._directory = _directory.Directory(self._registry)
+        self._loads = targets.LoadFollower(
+            _reports.ReportClients(self._port, self._registry),
+            self._view,
+            clock,
+            lambda target, reclaim_at: self._note_leaving(target),
+            min_poll_seconds=REPORT_SECONDS,
+            cache_every=0,
+        )
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._front = self._build_front()
         self._callers = transport.HttpServer(
             self._front,
@@ -111,6 +130,7 @@
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
                 for follower in self._build_followers():
                     tasks.start_soon(follower.run)
                 tasks.start_soon(self._registry.run)
@@ -147,13 +167,13 @@
                 retries.share, retries.extra / EXPECTED_VMS, retries.window
             )
 
-        placer = callers.RelayPlacer(self._state, self._admission, make_budget)
+        placer = callers.RelayPlacer(
+            self._state, self._admission, make_budget, WEIGHTS
+        )
         return _front.Front(
             self._book,
             relay.CallRelay(placer, self._port, self._clock),
-            relay.StreamRelay(
-                placer, self._port, self._running, self._clock
-            ),
+            relay.StreamRelay(placer, self._port, self._running, self._clock),
             self._gate,
             self._clock,
         )
@@ -187,6 +207,9 @@
 
     def _apply_targets(self, deployment: core.Deployment) -> None:
         self._view.apply_deployment(deployment)
+        self._admission.apply_deployment(deployment)
+        if self._tasks is not None:
+            self._loads.apply_deployment(deployment, self._tasks)
         self._port.forget(deployment.targets)
 
     def _note_leaving(self, target: str) -> None:
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -28,6 +28,8 @@
 from laburnumstep.targets._lengths import LengthEstimator
 from laburnumstep.targets._lengths import LengthSketch
 from laburnumstep.targets._links import LinkMeter
+from laburnumstep.targets._load_follower import LoadClient
+from laburnumstep.targets._load_follower import LoadClients
 from laburnumstep.targets._load_follower import LoadFollower
 from laburnumstep.targets._orders import compare_models
 from laburnumstep.targets._orders import LeaseView
@@ -103,6 +105,8 @@
     'LengthEstimator',
     'LengthSketch',
     'LinkMeter',
+    'LoadClient',
+    'LoadClients',
     'LoadFollower',
     'LoadReport',
     'MalformedStream',
--- a/packages/laburnumstep/src/laburnumstep/targets/_forecast.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_forecast.py
@@ -23,9 +23,12 @@
     """
     if send.tokens >= send.forecast_until or send.quantile != quantile:
         bucket = _lengths.find_bucket(send.tokens)
-        total = lengths.find_total(
-            send.workspace, send.model, bucket, quantile
-        )
+        total = send.hinted_tokens or 0.0
+        if total <= send.tokens:
+            # Without a hint, or beyond it, only experience tells.
+            total = lengths.find_total(
+                send.workspace, send.model, bucket, quantile
+            )
         if send.max_tokens is not None:
             total = min(total, float(send.max_tokens))
         send.forecast = total
--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -13,7 +13,7 @@
 if typing.TYPE_CHECKING:
     import anyio.abc
 
-    from laburnumstep.targets import _engine_clients
+    from laburnumstep.targets import _hints
     from laburnumstep.targets import _reports
     from laburnumstep.targets import _view
 
@@ -34,6 +34,52 @@
 _LOGGER = core.get_logger('targets')
 
 
+class CachePage(typing.Protocol):
+    """Changes of an engine's prefix cache."""
+
+    @property
+    def events(self) -> list[_hints.CacheEvent]:
+        """Changes in the order of their numbers."""
+        ...
+
+    @property
+    def next(self) -> int:
+        """Number that follows the last change."""
+        ...
+
+
+class LoadClient(typing.Protocol):
+    """Reads what one engine reports of itself."""
+
+    async def read_load(self, deadline: float) -> _reports.LoadReport:
+        """Return the engine's load.
+
+        Raises:
+            StreamBroken: The engine did not answer.
+            MalformedStream: The answer cannot be read.
+        """
+        ...
+
+    async def read_cache_events(
+        self, start: int, deadline: float
+    ) -> CachePage:
+        """Return changes of the engine's cache from a number on.
+
+        Raises:
+            StreamBroken: The engine did not answer.
+            MalformedStream: The answer cannot be read.
+        """
+        ...
+
+
+class LoadClients(typing.Protocol):
+    """Clients of the engines."""
+
+    def find(self, target: str) -> LoadClient | None:
+        """Return the client of an engine, or None if it is not declared."""
+        ...
+
+
 class LoadFollower:
     """Keeps the view's load reports and cache hints fresh.
 
@@ -43,26 +89,34 @@
         clock: Spaces out the requests.
         note_reclaim: Called when an engine will be reclaimed, with its
             name and the time in epoch seconds.
+        min_poll_seconds: Shortest time between two load reports of an
+            engine, in seconds.
+        cache_every: Load reports between two reads of an engine's cache
+            events; 0 reads none.
     """
 
     def __init__(
         self,
-        clients: _engine_clients.EngineClients,
+        clients: LoadClients,
         view: _view.FleetView,
         clock: core.Clock,
         note_reclaim: typing.Callable[[str, float], None],
+        min_poll_seconds: float = MIN_POLL_SECONDS,
+        cache_every: int = CACHE_EVERY,
     ) -> None:
         self._clients = clients
         self._view = view
         self._clock = clock
         self._note_reclaim = note_reclaim
+        self._min_poll_seconds = min_poll_seconds
+        self._cache_every = cache_every
         self._scopes: dict[str, anyio.CancelScope] = {}
 
     @property
     def poll_seconds(self) -> float:
         """Time between two load reports of an engine, in seconds."""
         cost = len(self._scopes) * REPORT_BYTES
-        return max(MIN_POLL_SECONDS, cost / POLL_BYTES_PER_SECOND)
+        return max(self._min_poll_seconds, cost / POLL_BYTES_PER_SECOND)
 
     def apply_deployment(
         self, deployment: core.Deployment, tasks: anyio.abc.TaskGroup
@@ -92,7 +146,8 @@
             while True:
                 client = self._clients.find(name)
                 if client is not None:
-                    with_cache = rounds % CACHE_EVERY == 0
+                    every = self._cache_every
+                    with_cache = every > 0 and rounds % every == 0
                     answered = await self._poll(name, client, with_cache)
                     if answered != reachable:
                         reachable = answered
@@ -105,7 +160,7 @@
     async def _poll(
         self,
         name: str,
-        client: _engine_client.EngineClient,
+        client: LoadClient,
         with_cache: bool,
     ) -> bool:
         deadline = self._clock.now() + REPLY_SECONDS
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -87,8 +87,10 @@
         if far_cost is None:
             return None
         load = state.estimate_load(self.now)
-        limit = self.policy.find_limit(self.request.priority)
-        limit *= state.memory
+        part = self.request.memory_part
+        if part is None:
+            part = self.policy.find_limit(self.request.priority)
+        limit = part * state.memory
         prompt = self.request.prompt_tokens
         # A request whose expected length exceeds an engine's memory runs
         # on an idle engine rather than nowhere.
@@ -176,9 +178,11 @@
     if len(view.get_pool(request.model)) == 0:
         return _explain_missing(view, request.model, request.excluded)
     policy = _policy.MemoryPolicy.weigh(weights)
-    expected = lengths.find_total(
-        request.workspace, request.model, 0, policy.quantile
-    )
+    expected = request.hinted_tokens
+    if expected is None:
+        expected = lengths.find_total(
+            request.workspace, request.model, 0, policy.quantile
+        )
     if request.max_tokens is not None:
         expected = min(expected, float(request.max_tokens))
     now = view.clock.now()
@@ -232,6 +236,9 @@
     far = pool.sample(False, FAR_SAMPLES if near else SAMPLES + extra, rng)
     hinted = view.hints.list_holders(request.prefixes, HINTED_SAMPLES)
     names = near + far + [name for name in hinted if name in pool]
+    # Small pools come whole and in one order; VMs that know of no load
+    # would all begin with the same target.
+    rng.shuffle(names)
     return [
         name for name in dict.fromkeys(names) if name not in request.excluded
     ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_registry.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_registry.py
@@ -33,7 +33,7 @@
 
     Args:
         clock: Ends the time for which lapsed entries are kept.
-        places: Regions with their data centres.
+        template: Deployment to which the targets are added.
         apply: Called with the deployment whenever targets changed.
         note_leaving: Called with the name of each target that leaves.
     """
@@ -41,12 +41,12 @@
     def __init__(
         self,
         clock: core.Clock,
-        places: dict[str, core.Place],
+        template: core.Deployment,
         apply: Apply,
         note_leaving: NoteLeaving,
     ) -> None:
         self._clock = clock
-        self._places = places
+        self._template = template
         self._apply = apply
         self._note_leaving = note_leaving
         self._entries: dict[str, _Entry] = {}
@@ -63,6 +63,11 @@
         """Registered targets by name."""
         return {name: item.target for name, item in self._entries.items()}
 
+    def find(self, name: str) -> core.Target | None:
+        """Return a registered target, or None."""
+        entry = self._entries.get(name)
+        return entry.target if entry is not None else None
+
     def note_failure(self) -> None:
         """Take note that the registry could not be read."""
         self._settled_at = self._clock.now() + UNSETTLED_SECONDS
@@ -144,7 +149,7 @@
                 changed = True
         if not changed:
             return
-        self._apply(core.Deployment('', self._places, self.targets))
+        self._apply(attrs.evolve(self._template, targets=self.targets))
         for name, entry in self._entries.items():
             if entry.target.leaving:
                 self._note_leaving(name)
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -25,6 +25,11 @@
     """Targets on which it has failed."""
     max_tokens: int | None = None
     """Upper bound of the answer, in tokens, if known."""
+    hinted_tokens: float | None = None
+    """Length of the answer that the caller expects, in tokens, if any."""
+    memory_part: float | None = None
+    """Part of an engine's memory that may be in use with it; None leaves
+    the bound to the policy."""
     suspect: bool = False
     """Whether it has crashed a target before; suspects are kept apart, so
     that the next crash shows which of them causes it."""
--- a/packages/laburnumstep/src/laburnumstep/targets/_sends.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_sends.py
@@ -27,6 +27,8 @@
     """Upper bound of the answer, in tokens, if known."""
     suspect: bool = False
     """Whether it has crashed a target before."""
+    hinted_tokens: float | None = None
+    """Length of the answer that the caller expects, in tokens, if any."""
     tokens: int = 0
     """Tokens received so far."""
     ended_at: float | None = None
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -142,6 +142,7 @@
         expected_tokens: float,
         max_tokens: int | None = None,
         suspect: bool = False,
+        hinted_tokens: float | None = None,
     ) -> _sends.Send:
         """Count a send at once, before the engine reports it."""
         now = self._clock.now()
@@ -155,6 +156,7 @@
             now,
             max_tokens,
             suspect,
+            hinted_tokens,
         )
         state = self._states.get(target_name)
         if state is not None:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
@@ -6,9 +6,9 @@
 
 from laburnumstep import core
 from laburnumstep.targets import _bounds
+from laburnumstep.targets import _retry_decisions
 from laburnumstep.targets.relay import _places
 from laburnumstep.targets.relay import _ports
-from laburnumstep.targets import _retry_decisions
 
 MAX_SENDS = 3
 """Sends of one request, those included that no target ran."""
@@ -77,7 +77,9 @@
                     if isinstance(reply, _ports.Answered):
                         await sink.answer(reply)
                         return
-                    raise make_error(reply, decision, self._clock.now())
+                    raise make_error(
+                        reply, decision, request.deadline, self._clock.now()
+                    )
                 case _:
                     typing.assert_never(decision)
 
@@ -89,9 +91,7 @@
     ) -> _ports.Reply:
         now = self._clock.now()
         until = _bounds.bound_attempt(now, request.deadline, int(more))
-        attempt = _ports.Attempt(
-            request, place.target, _ports.Fresh(), until
-        )
+        attempt = _ports.Attempt(request, place.target, _ports.Fresh(), until)
         complete = False
         try:
             reply = await self._port.send(attempt)
@@ -142,6 +142,7 @@
 def make_error(
     reply: _ports.Reply,
     decision: _retry_decisions.GiveUp,
+    deadline: float,
     now: float,
 ) -> core.CodedError:
     """Return what a caller is told of a request that no target answered."""
@@ -153,9 +154,10 @@
             resend=True,
             resend_at=now + RESEND_SECONDS,
         )
-    return core.CodedError(
-        decision.code, reason, decision.outcome, decision.resend
-    )
+    code = decision.code
+    if now >= deadline:
+        code = core.ErrorCode.DEADLINE_EXCEEDED
+    return core.CodedError(code, reason, decision.outcome, decision.resend)
 
 
 def log_reply(
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_places.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_places.py
@@ -9,8 +9,8 @@
 from laburnumstep import core
 
 if typing.TYPE_CHECKING:
-    from laburnumstep.targets.relay import _ports
     from laburnumstep.targets import _retry_decisions
+    from laburnumstep.targets.relay import _ports
 
 
 @attrs.frozen
@@ -71,6 +71,12 @@
         """Return an engine that may keep a copy of a run, if any."""
         ...
 
+    def choose_destination(
+        self, request: _ports.RelayRequest, excluded: frozenset[str]
+    ) -> core.EngineTarget | None:
+        """Return an engine to which a run may be moved, if any."""
+        ...
+
     def is_usable(self, target: str) -> bool:
         """Tell whether a target may get new work."""
         ...
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -24,6 +24,8 @@
     """Upper bound of the answer, in tokens."""
     prefixes: list[str]
     """Prefixes that it shares with other prompts, shortest first."""
+    hinted_tokens: float | None = None
+    """Length of the answer that the caller expects, in tokens, if any."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
@@ -8,10 +8,10 @@
 
 from laburnumstep import core
 from laburnumstep.targets import _bounds
+from laburnumstep.targets import _retry_decisions
 from laburnumstep.targets.relay import _calls
 from laburnumstep.targets.relay import _places
 from laburnumstep.targets.relay import _ports
-from laburnumstep.targets import _retry_decisions
 
 STALL_SECONDS = 1.0
 """Silence in a stream after which its engine counts as lost. Engines make
@@ -118,13 +118,20 @@
         self._backup: core.EngineTarget | None = None
         self._reading: anyio.CancelScope | None = None
         self._leaving = False
+        self._copying = False
+        self._prepared: core.EngineTarget | None = None
         self._begun = False
         self._runs = 0
         self._excluded: frozenset[str] = frozenset()
 
     def move_away(self) -> None:
         """Leave the engine as soon as the stream can go on elsewhere."""
+        if is_short(self._request):
+            return
         self._leaving = True
+        self._wake()
+
+    def _wake(self) -> None:
         if self._begun and self._reading is not None:
             self._reading.cancel()
 
@@ -139,9 +146,23 @@
             self._place = None
 
     async def run(self) -> None:
-        """Relay the stream."""
-        if not await self._start():
-            return
+        """Relay the stream.
+
+        Raises:
+            CodedError: The stream is not whole.
+        """
+        error: core.CodedError | None = None
+        async with anyio.create_task_group() as self._tasks:
+            try:
+                if await self._start():
+                    await self._relay()
+            except core.CodedError as raised:
+                error = raised
+            self._tasks.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    async def _relay(self) -> None:
         while True:
             try:
                 events = await self._read()
@@ -157,6 +178,9 @@
             if self._leaving and self._begun:
                 self._leaving = False
                 await self._move()
+            if self._prepared is not None:
+                destination, self._prepared = self._prepared, None
+                await self._finish_copy(destination)
 
     async def _start(self) -> bool:
         """Open the stream; return False when its answer was no stream."""
@@ -169,9 +193,7 @@
                 case _ports.Streaming():
                     return True
                 case _ports.Answered():
-                    repeatable = _calls.is_repeatable(
-                        self._request.route.kind
-                    )
+                    repeatable = _calls.is_repeatable(self._request.route.kind)
                     last = sends >= self._request.route.attempts
                     if reply.status < 500 or last or not repeatable:
                         await self._sink.answer(reply)
@@ -193,9 +215,7 @@
         until = request.deadline
         if _calls.is_repeatable(request.route.kind):
             until = _bounds.bound_attempt(now, request.deadline, 1)
-        attempt = _ports.Attempt(
-            request, place.target, start, until, backup
-        )
+        attempt = _ports.Attempt(request, place.target, start, until, backup)
         self._runs += 1
         reply: _ports.Reply = _ports.Lost('cancelled')
         try:
@@ -206,6 +226,9 @@
         now = self._clock.now()
         _calls.log_reply(request, place, reply, self._runs, now)
         if isinstance(reply, _ports.Streaming):
+            # The run before ends only now, so that it goes on where it is
+            # when the next engine refuses.
+            self.close()
             self._place = place
             self._source = reply.source
             self._backup = backup
@@ -216,11 +239,8 @@
             place.record_loss(crashed=False)
         return reply
 
-    def _choose_backup(
-        self, target: core.Target
-    ) -> core.EngineTarget | None:
-        prompt = self._request.prompt
-        if prompt is None or prompt.max_tokens <= SHORT_ANSWER_TOKENS:
+    def _choose_backup(self, target: core.Target) -> core.EngineTarget | None:
+        if is_short(self._request):
             return None
         return self._placer.choose_backup(
             self._request, frozenset([target.name])
@@ -260,42 +280,76 @@
             return
         if backup is not None and self._placer.is_usable(backup.name):
             reference = self._port.refer_backup(self._request, backup)
-            self.close()
             if await self._continue(backup.name, reference, 'leaving'):
                 return
-            await self._resume('the backup holds no copy')
-            return
-        await self._copy(place)
+            # The engine still runs the request, so a copy can be made.
+            self._backup = None
+        if not self._copying:
+            self._copying = True
+            self._tasks.start_soon(self._begin_copy, place)
+
+    async def _begin_copy(self, place: _places.RelayPlace) -> None:
+        """Copy the run to another engine while it goes on.
 
-    async def _copy(self, place: _places.RelayPlace) -> None:
-        """Copy the run to another engine and let it go on there."""
+        The copy takes tenths of a second. What the run adds meanwhile is
+        little, so that the second copy interrupts the stream only briefly.
+        """
         leaving = frozenset([place.target.name])
-        destination = self._placer.choose_backup(self._request, leaving)
-        if destination is None:
-            return
+        try:
+            destination = self._placer.choose_destination(
+                self._request, leaving
+            )
+            if destination is None:
+                self._log_copy_failure(place, 'no engine has room')
+                return
+            result = await self._copy(place, destination, stop=False)
+            if isinstance(result, _ports.CopyFailed):
+                self._log_copy_failure(place, result.reason)
+            elif self._place is place:
+                self._prepared = destination
+                self._wake()
+        finally:
+            self._copying = False
+
+    async def _copy(
+        self,
+        place: _places.RelayPlace,
+        destination: core.EngineTarget,
+        stop: bool,
+    ) -> _ports.CopyResult:
         deadline = self._clock.now() + COPY_SECONDS
-        result = await self._port.copy_run(
-            self._request, place.target, destination, True, deadline
+        return await self._port.copy_run(
+            self._request, place.target, destination, stop, deadline
+        )
+
+    def _log_copy_failure(
+        self, place: _places.RelayPlace, reason: str
+    ) -> None:
+        _LOGGER.info(
+            'copy failed; request=%s target=%s reason=%s',
+            self._request.key,
+            place.target.name,
+            reason,
         )
+
+    async def _finish_copy(self, destination: core.EngineTarget) -> None:
+        """Stop the run, copy the rest and let it go on at the copy."""
+        place = self._place
+        if place is None:
+            return
+        result = await self._copy(place, destination, stop=True)
         match result:
             case _ports.Copied(copy=reference):
-                self.close()
-                if await self._continue(
-                    destination.name, reference, 'copied'
-                ):
+                if await self._continue(destination.name, reference, 'copied'):
                     return
+                self.close()
                 await self._resume('the copy was not accepted')
             case _ports.CopyFailed(copy=None):
-                _LOGGER.info(
-                    'copy failed; request=%s target=%s reason=%s',
-                    self._request.key,
-                    place.target.name,
-                    result.reason,
-                )
+                self._log_copy_failure(place, result.reason)
             case _ports.CopyFailed(copy=reference):
-                self.close()
                 name = place.target.name
                 if not await self._continue(name, reference or '', 'stopped'):
+                    self.close()
                     await self._resume('the stopped run did not go on')
             case _:
                 typing.assert_never(result)
@@ -386,7 +440,17 @@
             case _retry_decisions.Retry():
                 self._excluded = decision.excluded
             case _retry_decisions.GiveUp():
-                now = self._clock.now()
-                raise _calls.make_error(reply, decision, now)
+                raise _calls.make_error(
+                    reply,
+                    decision,
+                    self._request.deadline,
+                    self._clock.now(),
+                )
             case _:
                 typing.assert_never(decision)
+
+
+def is_short(request: _ports.RelayRequest) -> bool:
+    """Tell whether a stream ends before a copy of its run would help."""
+    prompt = request.prompt
+    return prompt is None or prompt.max_tokens <= SHORT_ANSWER_TOKENS
