--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -85,14 +85,23 @@
         return self._choose_engine(request, excluded, BACKUP_MEMORY_PART)
 
     def choose_destination(
-        self, request: relay.RelayRequest, excluded: frozenset[str]
+        self,
+        request: relay.RelayRequest,
+        source: core.Target,
+        refused: frozenset[str],
     ) -> core.EngineTarget | None:
         """Return an engine to which a run may be moved, if any.
 
-        A run that was begun may use room that is kept from new requests
-        of its priority.
+        A copy within a data centre takes half as long as one between two,
+        and a leaving engine has little time for all of its runs.
         """
-        return self._choose_engine(request, excluded, MOVE_MEMORY_PART)
+        refused |= {source.name}
+        far = self._list_outside(source.data_centre)
+        for excluded in (refused | far, refused):
+            found = self._choose_engine(request, excluded, MOVE_MEMORY_PART)
+            if found is not None:
+                return found
+        return None
 
     def is_usable(self, target: str) -> bool:
         """Tell whether a target may get new work."""
@@ -123,6 +132,13 @@
         """Count a send that carries a run on at another engine."""
         self._find_budget(request).record_retry(self._state.clock.now())
 
+    def _list_outside(self, data_centre: str) -> frozenset[str]:
+        return frozenset(
+            name
+            for name, target in self._state.view.list_targets()
+            if target.data_centre != data_centre
+        )
+
     def _choose_engine(
         self,
         request: relay.RelayRequest,
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -211,6 +211,10 @@
         """Return what is known of a target."""
         return self._states.get(target_name)
 
+    def list_targets(self) -> list[tuple[str, core.Target]]:
+        """Return the targets with their names."""
+        return [(name, s.declared) for name, s in self._states.items()]
+
     def get_pool(self, subject: str) -> _pools.TargetPool:
         """Return the usable targets of a model or a plain service."""
         self._restore_recovered()
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_places.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_places.py
@@ -72,9 +72,18 @@
         ...
 
     def choose_destination(
-        self, request: _ports.RelayRequest, excluded: frozenset[str]
+        self,
+        request: _ports.RelayRequest,
+        source: core.Target,
+        refused: frozenset[str],
     ) -> core.EngineTarget | None:
-        """Return an engine to which a run may be moved, if any."""
+        """Return an engine to which a run may be moved, if any.
+
+        Args:
+            request: The request that runs.
+            source: Engine that runs it.
+            refused: Engines that had no room for it.
+        """
         ...
 
     def is_usable(self, target: str) -> bool:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
@@ -18,7 +18,9 @@
 an event every few tens of milliseconds; a preempted run is quiet longer."""
 FIRST_EVENT_SECONDS = 6.0
 """Longest wait for the first event where another engine may take over."""
-COPY_SECONDS = 1.5
+COPY_RETRY_SECONDS = 0.1
+"""Pause before engines are asked again that had no room for a copy."""
+COPY_SECONDS = 2.5
 """Longest wait for the copy of a run, in seconds."""
 SHORT_ANSWER_TOKENS = 96
 """Answers up to this length end before a leaving engine is gone and are
@@ -119,7 +121,7 @@
         self._reading: anyio.CancelScope | None = None
         self._leaving = False
         self._copying = False
-        self._prepared: core.EngineTarget | None = None
+        self._prepared: _places.RelayPlace | None = None
         self._begun = False
         self._runs = 0
         self._excluded: frozenset[str] = frozenset()
@@ -179,8 +181,8 @@
                 self._leaving = False
                 await self._move()
             if self._prepared is not None:
-                destination, self._prepared = self._prepared, None
-                await self._finish_copy(destination)
+                reserved, self._prepared = self._prepared, None
+                await self._finish_copy(reserved)
 
     async def _start(self) -> bool:
         """Open the stream; return False when its answer was no stream."""
@@ -275,18 +277,19 @@
 
     async def _move(self) -> None:
         """Carry the stream on elsewhere while its engine still runs."""
-        place, backup = self._place, self._backup
-        if place is None or self._position is None:
+        leaving, backup = self._place, self._backup
+        if leaving is None or self._position is None:
             return
         if backup is not None and self._placer.is_usable(backup.name):
             reference = self._port.refer_backup(self._request, backup)
-            if await self._continue(backup.name, reference, 'leaving'):
+            place = self._placer.place_on(self._request, backup.name)
+            if await self._continue(place, reference, 'leaving'):
                 return
             # The engine still runs the request, so a copy can be made.
             self._backup = None
         if not self._copying:
             self._copying = True
-            self._tasks.start_soon(self._begin_copy, place)
+            self._tasks.start_soon(self._begin_copy, leaving)
 
     async def _begin_copy(self, place: _places.RelayPlace) -> None:
         """Copy the run to another engine while it goes on.
@@ -294,27 +297,52 @@
         The copy takes tenths of a second. What the run adds meanwhile is
         little, so that the second copy interrupts the stream only briefly.
         """
-        leaving = frozenset([place.target.name])
+        refused: frozenset[str] = frozenset()
         try:
-            destination = self._placer.choose_destination(
-                self._request, leaving
-            )
-            if destination is None:
-                self._log_copy_failure(place, 'no engine has room')
-                return
-            result = await self._copy(place, destination, stop=False)
-            if isinstance(result, _ports.CopyFailed):
-                self._log_copy_failure(place, result.reason)
-            elif self._place is place:
-                self._prepared = destination
-                self._wake()
+            while self._place is place:
+                destination = self._placer.choose_destination(
+                    self._request, place.target, refused
+                )
+                if destination is None:
+                    # Room comes free and reports are renewed meanwhile.
+                    refused = frozenset()
+                    await self._clock.sleep_until(
+                        self._clock.now() + COPY_RETRY_SECONDS
+                    )
+                elif await self._copy_to(place, destination):
+                    return
+                else:
+                    refused |= {destination.name}
         finally:
             self._copying = False
 
+    async def _copy_to(
+        self, place: _places.RelayPlace, destination: core.EngineTarget
+    ) -> bool:
+        """Copy the run to one engine; return whether that was done."""
+        reserved = self._placer.place_on(self._request, destination.name)
+        if reserved is None:
+            return False
+        result: _ports.CopyResult = _ports.CopyFailed('cancelled')
+        try:
+            result = await self._copy(place, reserved.target, stop=False)
+        finally:
+            if isinstance(result, _ports.CopyFailed):
+                reserved.release(complete=False)
+                self._log_copy_failure(place, destination, result.reason)
+        if isinstance(result, _ports.CopyFailed):
+            return False
+        if self._place is place:
+            self._prepared = reserved
+            self._wake()
+        else:
+            reserved.release(complete=False)
+        return True
+
     async def _copy(
         self,
         place: _places.RelayPlace,
-        destination: core.EngineTarget,
+        destination: core.Target,
         stop: bool,
     ) -> _ports.CopyResult:
         deadline = self._clock.now() + COPY_SECONDS
@@ -323,32 +351,35 @@
         )
 
     def _log_copy_failure(
-        self, place: _places.RelayPlace, reason: str
+        self, place: _places.RelayPlace, destination: core.Target, reason: str
     ) -> None:
         _LOGGER.info(
-            'copy failed; request=%s target=%s reason=%s',
+            'copy failed; request=%s target=%s destination=%s reason=%s',
             self._request.key,
             place.target.name,
+            destination.name,
             reason,
         )
 
-    async def _finish_copy(self, destination: core.EngineTarget) -> None:
+    async def _finish_copy(self, reserved: _places.RelayPlace) -> None:
         """Stop the run, copy the rest and let it go on at the copy."""
         place = self._place
         if place is None:
+            reserved.release(complete=False)
             return
-        result = await self._copy(place, destination, stop=True)
+        result = await self._copy(place, reserved.target, stop=True)
         match result:
             case _ports.Copied(copy=reference):
-                if await self._continue(destination.name, reference, 'copied'):
-                    return
-                self.close()
-                await self._resume('the copy was not accepted')
+                if not await self._continue(reserved, reference, 'copied'):
+                    self.close()
+                    await self._resume('the copy was not accepted')
             case _ports.CopyFailed(copy=None):
-                self._log_copy_failure(place, result.reason)
+                reserved.release(complete=False)
+                self._log_copy_failure(place, reserved.target, result.reason)
             case _ports.CopyFailed(copy=reference):
-                name = place.target.name
-                if not await self._continue(name, reference or '', 'stopped'):
+                reserved.release(complete=False)
+                again = self._placer.place_on(self._request, place.target.name)
+                if not await self._continue(again, reference or '', 'stopped'):
                     self.close()
                     await self._resume('the stopped run did not go on')
             case _:
@@ -379,22 +410,25 @@
             )
         if backup is not None and self._position is not None:
             reference = self._port.refer_backup(self._request, backup)
-            if await self._continue(backup.name, reference, reason):
+            place = self._placer.place_on(self._request, backup.name)
+            if await self._continue(place, reference, reason):
                 return
         await self._resume(reason)
 
-    async def _continue(self, target: str, copy: str, reason: str) -> bool:
+    async def _continue(
+        self, place: _places.RelayPlace | None, copy: str, reason: str
+    ) -> bool:
         """Let the run go on from a copy; return False when it does not."""
-        if self._runs >= MAX_RUNS or self._position is None:
-            return False
-        place = self._placer.place_on(self._request, target)
         if place is None:
             return False
+        if self._runs >= MAX_RUNS or self._position is None:
+            place.release(complete=False)
+            return False
         self._placer.record_resend(self._request)
         _LOGGER.info(
             'continue; request=%s target=%s position=%s reason=%s',
             self._request.key,
-            target,
+            place.target.name,
             self._position.decode('latin-1'),
             reason,
         )
