Copy the runs of a leaving engine in one order, within its region

Cause: copies share the link of the leaving engine, so six at once all ended after it was gone; copies between regions never ended and blocked the others; copies ahead for every run left no room for moves. Change: every VM reads the engine's own list of runs and takes its turn by it; destinations lie in the region; long streams avoid engines without a peer in their region; one near candidate is drawn, so that VMs with the same reports do not all choose the same engine.

--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -21,12 +21,14 @@
 NO_TARGET_SECONDS = 0.5
 """When a caller may come back while no target is usable, in seconds."""
 
-BACKUP_MEMORY_PART = 0.45
+BACKUP_MEMORY_PART = 0.3
 """Part of an engine's memory up to which it takes copies of other engines'
 runs. A copy cannot yield, and room for new runs goes first."""
 MOVE_MEMORY_PART = 0.97
 """Part of an engine's memory up to which it takes runs that must move."""
 
+ZONE_COPY_FACTOR = 2.0
+"""How much longer a copy takes to another data centre."""
 _LOGGER = core.get_logger('callers')
 
 MakeBudget = typing.Callable[[], targets.RetryBudget]
@@ -79,10 +81,15 @@
         return self._begin(request, target)
 
     def choose_backup(
-        self, request: relay.RelayRequest, excluded: frozenset[str]
+        self, request: relay.RelayRequest, target: core.Target
     ) -> core.EngineTarget | None:
         """Return an engine that may keep a copy of a run, if any."""
-        return self._choose_engine(request, excluded, BACKUP_MEMORY_PART)
+        state = self._state.view.find(target.name)
+        if state is None or request.prompt is None:
+            return None
+        return self._choose_near(
+            request, target, frozenset(), BACKUP_MEMORY_PART
+        )
 
     def choose_destination(
         self,
@@ -95,13 +102,17 @@
         A copy within a data centre takes half as long as one between two,
         and a leaving engine has little time for all of its runs.
         """
-        refused |= {source.name}
-        far = self._list_outside(source.data_centre)
-        for excluded in (refused | far, refused):
-            found = self._choose_engine(request, excluded, MOVE_MEMORY_PART)
-            if found is not None:
-                return found
-        return None
+        return self._choose_near(request, source, refused, MOVE_MEMORY_PART)
+
+    def estimate_copy(self, source: core.Target, tokens: int) -> float:
+        """Return how long the copy of a run takes, in seconds."""
+        if not isinstance(source, core.EngineTarget):
+            return 0.0
+        seconds = tokens * source.copy_seconds
+        peers = self._list_peers(source)
+        if any(peer.data_centre == source.data_centre for peer in peers):
+            return seconds
+        return ZONE_COPY_FACTOR * seconds
 
     def is_usable(self, target: str) -> bool:
         """Tell whether a target may get new work."""
@@ -132,13 +143,69 @@
         """Count a send that carries a run on at another engine."""
         self._find_budget(request).record_retry(self._state.clock.now())
 
-    def _list_outside(self, data_centre: str) -> frozenset[str]:
-        return frozenset(
-            name
+    def _list_peers(self, source: core.Target) -> list[core.EngineTarget]:
+        """Return the other engines that may get new work."""
+        return [
+            target
             for name, target in self._state.view.list_targets()
-            if target.data_centre != data_centre
+            if isinstance(target, core.EngineTarget)
+            and name != source.name
+            and self.is_usable(name)
+        ]
+
+    def _share_region(self, one: core.Target, other: core.Target) -> bool:
+        view = self._state.view
+        first, second = view.find(one.name), view.find(other.name)
+        if first is None or second is None:
+            return False
+        return first.region == second.region
+
+    def _list_lone(self) -> frozenset[str]:
+        """Return the engines without another one in their region.
+
+        The links between regions are far too narrow for the memory of a
+        run, so runs on these engines are lost when they leave.
+        """
+        engines = [
+            target
+            for _, target in self._state.view.list_targets()
+            if isinstance(target, core.EngineTarget)
+        ]
+        return frozenset(
+            engine.name
+            for engine in engines
+            if not any(
+                self._share_region(peer, engine)
+                for peer in self._list_peers(engine)
+            )
         )
 
+    def _choose_near(
+        self,
+        request: relay.RelayRequest,
+        source: core.Target,
+        refused: frozenset[str],
+        memory_part: float,
+    ) -> core.EngineTarget | None:
+        """Return an engine for a copy, as near to its source as possible."""
+        peers = self._list_peers(source)
+        refused |= {source.name}
+        zone = frozenset(
+            peer.name
+            for peer in peers
+            if peer.data_centre != source.data_centre
+        )
+        region = frozenset(
+            peer.name for peer in peers if not self._share_region(peer, source)
+        )
+        for outside in (zone, region):
+            found = self._choose_engine(
+                request, refused | outside, memory_part
+            )
+            if found is not None:
+                return found
+        return None
+
     def _choose_engine(
         self,
         request: relay.RelayRequest,
@@ -200,9 +267,12 @@
         prompt: relay.PromptShape,
         excluded: frozenset[str],
     ) -> RelayPlace:
+        placement = _describe(request, prompt, excluded)
+        if not relay.is_short(request):
+            placement = attrs.evolve(placement, avoided=self._list_lone())
         result = await self._admission.admit(
             _admission_queue.AdmissionRequest(
-                placement=_describe(request, prompt, excluded),
+                placement=placement,
                 generation_id=targets.new_generation_id(),
                 deadline=request.deadline,
                 max_tokens=prompt.max_tokens,
--- a/packages/laburnumstep/src/laburnumstep/core/_deployment.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_deployment.py
@@ -39,6 +39,9 @@
     """Declared version of its models."""
     leaving: bool = False
     """Whether operators are draining it."""
+    copy_seconds: float = 0.0
+    """How long one token of a run takes to another engine of the same
+    data centre, in seconds; twice as long to other data centres."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -26,8 +26,8 @@
     """Memory of each engine, in tokens."""
     tokens_per_event: int
     """Tokens that one event of a stream carries."""
-    keeps_copies: bool
-    """Whether its engines keep copies of one another's runs."""
+    copy_seconds: float
+    """How long one token of a run takes to another engine, in seconds."""
 
 
 Services = dict[str, EngineService | None]
@@ -146,6 +146,12 @@
             services[item['name']] = EngineService(
                 int(engine['kvCapacityTokens']),
                 int(engine.get('stride', 1)),
-                bool(engine.get('backups', False)),
+                _find_copy_seconds(engine),
             )
     return services
+
+
+def _find_copy_seconds(engine: dict[str, typing.Any]) -> float:
+    bits = 8.0 * float(engine.get('kvTokenBytes', 0))
+    rate = 1e6 * float(engine.get('linkMbps', 0))
+    return bits / rate if rate > 0 else 0.0
--- a/packages/laburnumstep/src/laburnumstep/platform/_directory.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_directory.py
@@ -114,6 +114,7 @@
             checks_fence=False,
             version=entry.version,
             leaving=entry.leaving,
+            copy_seconds=engine.copy_seconds,
         )
 
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -27,6 +27,8 @@
 _MULTIPLE_CHOICES = 300
 _EVENT_STREAM = b'text/event-stream'
 
+_LOGGER = core.get_logger('platform')
+
 
 class ServerPort:
     """Sends requests to servers, as `relay.TargetPort`.
@@ -128,6 +130,30 @@
         except (KeyError, TypeError, ValueError) as error:
             raise targets.MalformedStream(repr(error)) from error
 
+    async def list_runs(
+        self, target: core.Target, deadline: float
+    ) -> list[relay.EngineRun]:
+        """Return the runs of an engine; none when it does not answer."""
+        try:
+            _status, report = await self._call(
+                target, b'GET', '/v1/report', b'', deadline
+            )
+            return [
+                relay.EngineRun(str(run[0]), int(run[1]))
+                for run in report['runs']
+            ]
+        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
+            _LOGGER.info(
+                'no list of runs; target=%s reason=%s', target.name, error
+            )
+        except (IndexError, KeyError, TypeError, ValueError) as error:
+            _LOGGER.warning(
+                'malformed list of runs; target=%s reason=%r',
+                target.name,
+                error,
+            )
+        return []
+
     def refer_backup(
         self, request: relay.RelayRequest, backup: core.EngineTarget
     ) -> str:
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -19,7 +19,7 @@
     from laburnumstep.targets import _lengths
     from laburnumstep.targets import _states
 
-SAMPLES = 3
+SAMPLES = 1
 """Candidates compared first; more than one finds room sooner, and fewer
 than all keep VMs with the same reports from choosing the same target."""
 FAR_SAMPLES = 1
@@ -43,6 +43,8 @@
 """Further cost of a link whose budget is used up, as a part of memory."""
 PREFIX_GAIN = 0.3
 """Gain of a prompt that is fully cached, as a part of memory."""
+AVOIDED_COST = 2.0
+"""Cost of a target that the request avoids; above all other costs."""
 WAITING_COST = 0.05
 """Cost of each request that waits on the engine."""
 
@@ -114,6 +116,8 @@
         fill = peak / max(1, state.memory)
         waiting = state.report.waiting if state.report is not None else 0
         cost = fill - PREFIX_GAIN * held + WAITING_COST * waiting + far_cost
+        if name in self.request.avoided:
+            cost += AVOIDED_COST
         return _Candidate(name, cost, fill, held, state.near)
 
     def _may_take(
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -27,6 +27,8 @@
     """Upper bound of the answer, in tokens, if known."""
     hinted_tokens: float | None = None
     """Length of the answer that the caller expects, in tokens, if any."""
+    avoided: frozenset[str] = frozenset()
+    """Targets that are chosen only where no other one has room."""
     memory_part: float | None = None
     """Part of an engine's memory that may be in use with it; None leaves
     the bound to the policy."""
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
@@ -12,6 +12,7 @@
 from laburnumstep.targets.relay._ports import Copied
 from laburnumstep.targets.relay._ports import CopyFailed
 from laburnumstep.targets.relay._ports import CopyResult
+from laburnumstep.targets.relay._ports import EngineRun
 from laburnumstep.targets.relay._ports import EventSource
 from laburnumstep.targets.relay._ports import Fresh
 from laburnumstep.targets.relay._ports import Headers
@@ -27,6 +28,7 @@
 from laburnumstep.targets.relay._ports import StreamEvent
 from laburnumstep.targets.relay._ports import Streaming
 from laburnumstep.targets.relay._ports import TargetPort
+from laburnumstep.targets.relay._streams import is_short
 from laburnumstep.targets.relay._streams import RunningStreams
 from laburnumstep.targets.relay._streams import StreamRelay
 
@@ -39,6 +41,7 @@
     'Copied',
     'CopyFailed',
     'CopyResult',
+    'EngineRun',
     'EventSource',
     'FailedSend',
     'Fresh',
@@ -60,4 +63,5 @@
     'Streaming',
     'TargetPort',
     'is_repeatable',
+    'is_short',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_places.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_places.py
@@ -66,9 +66,9 @@
         ...
 
     def choose_backup(
-        self, request: _ports.RelayRequest, excluded: frozenset[str]
+        self, request: _ports.RelayRequest, target: core.Target
     ) -> core.EngineTarget | None:
-        """Return an engine that may keep a copy of a run, if any."""
+        """Return an engine that may keep a copy of a run on a target."""
         ...
 
     def choose_destination(
@@ -86,6 +86,10 @@
         """
         ...
 
+    def estimate_copy(self, source: core.Target, tokens: int) -> float:
+        """Return how long the copy of a run takes, in seconds."""
+        ...
+
     def is_usable(self, target: str) -> bool:
         """Tell whether a target may get new work."""
         ...
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -209,6 +209,16 @@
 CopyResult = Copied | CopyFailed
 
 
+@attrs.frozen
+class EngineRun:
+    """One run in an engine's own list."""
+
+    key: str
+    """Identifier of the request."""
+    tokens: int
+    """Memory that it holds, in tokens."""
+
+
 class TargetPort(typing.Protocol):
     """Sends requests to targets."""
 
@@ -235,6 +245,12 @@
         """
         ...
 
+    async def list_runs(
+        self, target: core.Target, deadline: float
+    ) -> list[EngineRun]:
+        """Return the runs of an engine; none when it does not answer."""
+        ...
+
     def refer_backup(
         self, request: RelayRequest, backup: core.EngineTarget
     ) -> str:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
@@ -10,6 +10,8 @@
 from laburnumstep.targets import _bounds
 from laburnumstep.targets import _retry_decisions
 from laburnumstep.targets.relay import _calls
+from laburnumstep.targets.relay import _copies
+from laburnumstep.targets.relay import _evacuation
 from laburnumstep.targets.relay import _places
 from laburnumstep.targets.relay import _ports
 
@@ -18,10 +20,6 @@
 an event every few tens of milliseconds; a preempted run is quiet longer."""
 FIRST_EVENT_SECONDS = 6.0
 """Longest wait for the first event where another engine may take over."""
-COPY_RETRY_SECONDS = 0.1
-"""Pause before engines are asked again that had no room for a copy."""
-COPY_SECONDS = 2.5
-"""Longest wait for the copy of a run, in seconds."""
 SHORT_ANSWER_TOKENS = 96
 """Answers up to this length end before a leaving engine is gone and are
 not worth a copy."""
@@ -75,6 +73,7 @@
         self._port = port
         self._running = running
         self._clock = clock
+        self._evacuations = _evacuation.Evacuations(port, placer, clock)
 
     async def run(
         self,
@@ -86,8 +85,17 @@
         Raises:
             CodedError: The stream is not whole.
         """
+        copier = _copies.RunCopier(
+            request, self._placer, self._port, self._evacuations, self._clock
+        )
         run = _StreamRun(
-            request, sink, self._placer, self._port, self._running, self._clock
+            request,
+            sink,
+            self._placer,
+            self._port,
+            copier,
+            self._running,
+            self._clock,
         )
         try:
             await run.run()
@@ -104,6 +112,7 @@
         sink: _ports.AnswerSink,
         placer: _places.RelayPlacer,
         port: _ports.TargetPort,
+        copier: _copies.RunCopier,
         running: RunningStreams,
         clock: core.Clock,
     ) -> None:
@@ -111,6 +120,7 @@
         self._sink = sink
         self._placer = placer
         self._port = port
+        self._copier = copier
         self._running = running
         self._clock = clock
         self._position = request.position
@@ -124,6 +134,9 @@
         self._prepared: _places.RelayPlace | None = None
         self._begun = False
         self._runs = 0
+        self._delivered_at = request.arrived_at
+        self._first_seconds = 0.0
+        self._longest_pause = 0.0
         self._excluded: frozenset[str] = frozenset()
 
     def move_away(self) -> None:
@@ -161,6 +174,15 @@
             except core.CodedError as raised:
                 error = raised
             self._tasks.cancel_scope.cancel()
+        _LOGGER.info(
+            'stream ended; request=%s runs=%d position=%s first_ms=%d'
+            ' longest_pause_ms=%d',
+            self._request.key,
+            self._runs,
+            (self._position or b'-').decode('latin-1'),
+            self._first_seconds * 1000,
+            self._longest_pause * 1000,
+        )
         if error is not None:
             raise error
 
@@ -244,9 +266,7 @@
     def _choose_backup(self, target: core.Target) -> core.EngineTarget | None:
         if is_short(self._request):
             return None
-        return self._placer.choose_backup(
-            self._request, frozenset([target.name])
-        )
+        return self._placer.choose_backup(self._request, target)
 
     async def _read(self) -> list[_ports.StreamEvent] | None:
         assert self._source is not None
@@ -261,6 +281,7 @@
     async def _deliver(self, events: list[_ports.StreamEvent]) -> None:
         if not events:
             return
+        self._measure_pause()
         await self._begin()
         data = b''.join(event.data for event in events)
         await self._sink.send(data)
@@ -270,6 +291,15 @@
             tokens = sum(event.tokens for event in events)
             self._place.record_tokens(tokens, len(data))
 
+    def _measure_pause(self) -> None:
+        now = self._clock.now()
+        pause = now - self._delivered_at
+        self._delivered_at = now
+        if self._begun:
+            self._longest_pause = max(self._longest_pause, pause)
+        else:
+            self._first_seconds = pause
+
     async def _begin(self) -> None:
         if not self._begun and self._head is not None:
             self._begun = True
@@ -289,77 +319,22 @@
             self._backup = None
         if not self._copying:
             self._copying = True
-            self._tasks.start_soon(self._begin_copy, leaving)
+            self._tasks.start_soon(self._prepare_copy, leaving)
 
-    async def _begin_copy(self, place: _places.RelayPlace) -> None:
-        """Copy the run to another engine while it goes on.
-
-        The copy takes tenths of a second. What the run adds meanwhile is
-        little, so that the second copy interrupts the stream only briefly.
-        """
-        refused: frozenset[str] = frozenset()
+    async def _prepare_copy(self, place: _places.RelayPlace) -> None:
         try:
-            while self._place is place:
-                destination = self._placer.choose_destination(
-                    self._request, place.target, refused
-                )
-                if destination is None:
-                    # Room comes free and reports are renewed meanwhile.
-                    refused = frozenset()
-                    await self._clock.sleep_until(
-                        self._clock.now() + COPY_RETRY_SECONDS
-                    )
-                elif await self._copy_to(place, destination):
-                    return
-                else:
-                    refused |= {destination.name}
+            reserved = await self._copier.prepare(
+                place, lambda: self._place is place
+            )
         finally:
             self._copying = False
-
-    async def _copy_to(
-        self, place: _places.RelayPlace, destination: core.EngineTarget
-    ) -> bool:
-        """Copy the run to one engine; return whether that was done."""
-        reserved = self._placer.place_on(self._request, destination.name)
         if reserved is None:
-            return False
-        result: _ports.CopyResult = _ports.CopyFailed('cancelled')
-        try:
-            result = await self._copy(place, reserved.target, stop=False)
-        finally:
-            if isinstance(result, _ports.CopyFailed):
-                reserved.release(complete=False)
-                self._log_copy_failure(place, destination, result.reason)
-        if isinstance(result, _ports.CopyFailed):
-            return False
+            return
         if self._place is place:
             self._prepared = reserved
             self._wake()
         else:
             reserved.release(complete=False)
-        return True
-
-    async def _copy(
-        self,
-        place: _places.RelayPlace,
-        destination: core.Target,
-        stop: bool,
-    ) -> _ports.CopyResult:
-        deadline = self._clock.now() + COPY_SECONDS
-        return await self._port.copy_run(
-            self._request, place.target, destination, stop, deadline
-        )
-
-    def _log_copy_failure(
-        self, place: _places.RelayPlace, destination: core.Target, reason: str
-    ) -> None:
-        _LOGGER.info(
-            'copy failed; request=%s target=%s destination=%s reason=%s',
-            self._request.key,
-            place.target.name,
-            destination.name,
-            reason,
-        )
 
     async def _finish_copy(self, reserved: _places.RelayPlace) -> None:
         """Stop the run, copy the rest and let it go on at the copy."""
@@ -367,17 +342,15 @@
         if place is None:
             reserved.release(complete=False)
             return
-        result = await self._copy(place, reserved.target, stop=True)
+        result = await self._copier.stop(place, reserved)
         match result:
             case _ports.Copied(copy=reference):
                 if not await self._continue(reserved, reference, 'copied'):
                     self.close()
                     await self._resume('the copy was not accepted')
             case _ports.CopyFailed(copy=None):
-                reserved.release(complete=False)
-                self._log_copy_failure(place, reserved.target, result.reason)
+                pass
             case _ports.CopyFailed(copy=reference):
-                reserved.release(complete=False)
                 again = self._placer.place_on(self._request, place.target.name)
                 if not await self._continue(again, reference or '', 'stopped'):
                     self.close()
