Keep copies ahead for fresh runs only

Cause: a run that had just moved got a new copy at once, which delayed the moves of other runs over the same link.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
@@ -234,7 +234,7 @@
     ) -> _ports.Reply:
         """Send the request to a target and take its stream if it runs."""
         request = self._request
-        backup = self._choose_backup(place.target)
+        backup = self._choose_backup(place.target, start)
         now = self._clock.now()
         until = request.deadline
         if _calls.is_repeatable(request.route.kind):
@@ -263,8 +263,12 @@
             place.record_loss(crashed=False)
         return reply
 
-    def _choose_backup(self, target: core.Target) -> core.EngineTarget | None:
-        if is_short(self._request):
+    def _choose_backup(
+        self, target: core.Target, start: _ports.Start
+    ) -> core.EngineTarget | None:
+        if is_short(self._request) or isinstance(start, _ports.Continued):
+            # A new copy of a run that has just moved would delay the moves
+            # of others to the same engine.
             return None
         return self._placer.choose_backup(self._request, target)
 
