Leave time for the second copy of a run before the next one begins

Cause: the link of an engine sends copies in the order in which they were asked for, so the second, short copy of a run waited for the first copy of the next one, and the stream paused for 200 to 800 ms.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
@@ -14,9 +14,11 @@
 
 LIST_SECONDS = 0.3
 """Longest wait for the list of an engine's runs, in seconds."""
-OVERLAP = 1.1
-"""Part of an expected copy after which the next one begins. Copies that
-share an engine's link all end late, so few may overlap."""
+MARGIN = 1.1
+"""How much longer a copy may take than expected before the next begins."""
+TURN_SECONDS = 0.05
+"""Time between the copies of two runs. A run is copied twice, and its
+second copy must enter the queue of the link before the next run's first."""
 LISTED_SECONDS = 10.0
 """How long a list is used; an engine that leaves is gone by then."""
 
@@ -81,7 +83,7 @@
         for run in order_runs(runs):
             starts[run.key] = start
             seconds = self._placer.estimate_copy(source, run.tokens)
-            start += OVERLAP * seconds
+            start += MARGIN * seconds + TURN_SECONDS
         return _Schedule(starts, start, began + LISTED_SECONDS)
 
     def _drop_old(self, now: float) -> None:
