Use engines alone in their region when the others are much fuller

Cause: long streams of a region with one engine all went to the few of the other region, where first events waited up to 3.7 s.

--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -43,8 +43,8 @@
 """Further cost of a link whose budget is used up, as a part of memory."""
 PREFIX_GAIN = 0.3
 """Gain of a prompt that is fully cached, as a part of memory."""
-AVOIDED_COST = 2.0
-"""Cost of a target that the request avoids; above all other costs."""
+AVOIDED_COST = 0.4
+"""Cost of a target that the request avoids, as a part of memory."""
 WAITING_COST = 0.05
 """Cost of each request that waits on the engine."""
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -28,7 +28,7 @@
     hinted_tokens: float | None = None
     """Length of the answer that the caller expects, in tokens, if any."""
     avoided: frozenset[str] = frozenset()
-    """Targets that are chosen only where no other one has room."""
+    """Targets that are chosen only where others have much less room."""
     memory_part: float | None = None
     """Part of an engine's memory that may be in use with it; None leaves
     the bound to the policy."""
