--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -126,28 +126,37 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
+        stopping = anyio.Event()
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async with anyio.create_task_group() as tasks:
-                self._tasks = tasks
-                for follower in self._build_followers():
-                    tasks.start_soon(follower.run)
-                tasks.start_soon(self._registry.run)
-                tasks.start_soon(self._callers.run)
-                tasks.start_soon(self._ready.run)
-                _LOGGER.info(
-                    'started; name=%s callers=%s',
-                    self._settings.name,
-                    self._callers.address,
-                )
-                async for received in signals:
-                    _LOGGER.info('signal received; signal=%s', received.name)
-                    if received is not signal.SIGHUP:
-                        break
-                await self._stop()
+                tasks.start_soon(_wait_for_stop, signals, stopping)
+                await self.serve(stopping)
                 tasks.cancel_scope.cancel()
 
+    async def serve(self, stopping: anyio.Event) -> None:
+        """Serve until an event is set, then shut down gracefully.
+
+        Args:
+            stopping: Set when the process has to end.
+        """
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            for follower in self._build_followers():
+                tasks.start_soon(follower.run)
+            tasks.start_soon(self._registry.run)
+            tasks.start_soon(self._callers.run)
+            tasks.start_soon(self._ready.run)
+            _LOGGER.info(
+                'started; name=%s callers=%s',
+                self._settings.name,
+                self._callers.address,
+            )
+            await stopping.wait()
+            await self._stop()
+            tasks.cancel_scope.cancel()
+
     async def _stop(self) -> None:
         """Let callers go elsewhere, and end when the last one has."""
         now = self._clock.now()
@@ -225,6 +234,16 @@
         await _front.ask_ready(lambda: self.is_ready, send)
 
 
+async def _wait_for_stop(
+    signals: typing.AsyncIterator[signal.Signals], stopping: anyio.Event
+) -> None:
+    async for received in signals:
+        _LOGGER.info('signal received; signal=%s', received.name)
+        # The settings of a running process do not change what it serves.
+        if received is not signal.SIGHUP:
+            stopping.set()
+
+
 def run_vm() -> None:
     """Run an entry VM with the settings that the environment names.
 
--- /dev/null
+++ b/tests/laburnumstep/callers/routes.feature
@@ -0,0 +1,42 @@
+Feature: Routes and keys decide which service answers
+  Guards against requests that reach a service to which no route leads, and
+  against a configuration that goes back.
+
+  Scenario Outline: Host, path and key select a route or an error
+    Given a route book with version 5
+    When a request for "<host>" "<path>" comes with key "<key>"
+    Then it gets <result>
+
+    Examples:
+      | host  | path       | key     | result                     |
+      | one   | /a/x       | k-port  | route a of workspace port  |
+      | one   | /a/b/x     | k-port  | route ab of workspace port |
+      | one   | /a/        | k-other | route a of workspace other |
+      | one   | /a         | k-port  | error unknown_route        |
+      | one   | /c/x       | k-port  | error unknown_route        |
+      | two   | /a/x       | k-port  | error unknown_route        |
+      | one   | /a/x       | wrong   | error unauthorized         |
+      | one   | /a/x       |         | error unauthorized         |
+      | one   | /open/x    |         | route open of workspace -  |
+      | one   | /open/x    | wrong   | route open of workspace -  |
+
+  Scenario Outline: Versions never go back
+    Given a route book with version 5
+    When version <version> without routes is applied
+    Then a request for "one" "/a/x" gets <result>
+
+    Examples:
+      | version | result                    |
+      | 4       | route a of workspace port |
+      | 5       | route a of workspace port |
+      | 6       | error unknown_route       |
+
+  Scenario: Without a configuration nothing ran and the caller may come back
+    Given an empty route book
+    When a request for "one" "/a/x" comes with key "k-port"
+    Then it gets error no_configuration
+    And it was not run and may be sent again
+
+  Scenario: Requests are divided by weight
+    Given a route with services "x" of weight 3 and "y" of weight 1
+    Then about 75 of 100 requests go to "x"
--- /dev/null
+++ b/tests/laburnumstep/targets/registry.feature
@@ -0,0 +1,28 @@
+Feature: Targets register themselves, and their entries may lapse
+  Guards against work for a target that has left, and against a fleet that
+  forgets its targets because the registry was away.
+
+  Scenario Outline: Entries decide which targets are usable
+    Given target "a" is registered
+    When the registry sees that <event>
+    Then target "a" is <state>
+
+    Examples:
+      | event                                            | state   |
+      | nothing happens                                  | usable  |
+      | its entry says that it leaves                    | leaving |
+      | its entry is removed                             | leaving |
+      | its entry is removed and comes back              | usable  |
+      | its entry is removed and 2.5 s pass              | unknown |
+      | the registry fails and its entry is removed      | usable  |
+      | the registry fails, its entry is removed and 2.5 s pass | unknown |
+      | the registry fails, its entry is removed, 1.5 s pass and it comes back | usable |
+      | the registry fails, 7 s pass and its entry is removed | leaving |
+      | all entries are read anew without it             | leaving |
+      | an entry of an older start says that it leaves   | usable  |
+      | an entry of a newer start comes after its leaving | usable |
+
+  Scenario: Each leaving is told once it is known
+    Given target "a" is registered
+    When the registry sees that its entry says that it leaves
+    Then "a" was told as leaving
--- /dev/null
+++ b/tests/laburnumstep/targets/relay/calls.feature
@@ -0,0 +1,53 @@
+Feature: Requests with one answer are sent to targets until one answers
+  Guards against operations that run twice, and against "not run" being
+  said of a request that may have run.
+
+  Scenario Outline: What a target does decides whether another one is asked
+    Given a <kind> request with <attempts> attempts
+    And target "a" replies <first>
+    And target "b" replies <second>
+    When the request is relayed
+    Then targets "<asked>" were asked
+    And the caller gets <answer>
+
+    Examples: idempotent requests
+      | kind       | attempts | first       | second      | asked | answer                             |
+      | idempotent | 2        | status 200  | status 200  | a     | status 200                         |
+      | idempotent | 2        | status 404  | status 200  | a     | status 404                         |
+      | idempotent | 2        | status 500  | status 200  | a,b   | status 200                         |
+      | idempotent | 2        | status 500  | status 500  | a,b   | status 500                         |
+      | idempotent | 1        | status 500  | status 200  | a     | status 500                         |
+      | idempotent | 2        | lost        | status 200  | a,b   | status 200                         |
+      | idempotent | 2        | lost        | lost        | a,b   | error target_failed unknown        |
+      | idempotent | 2        | not run     | status 200  | a,b   | status 200                         |
+      | idempotent | 2        | not reached | not reached | a,b   | error no_target not_run            |
+
+    Examples: requests that run at most once
+      | kind | attempts | first       | second      | asked | answer                             |
+      | once | 1        | status 200  | status 200  | a     | status 200                         |
+      | once | 2        | status 500  | status 200  | a     | status 500                         |
+      | once | 2        | lost        | status 200  | a     | error outcome_unknown unknown      |
+      | once | 1        | lost        | status 200  | a     | error target_failed unknown        |
+      | once | 2        | not run     | status 200  | a,b   | status 200                         |
+      | once | 2        | not reached | not run     | a,b   | error no_target not_run            |
+
+  Scenario: A request whose time is over is told as a passed deadline
+    Given a once request with 1 attempts
+    And target "a" replies lost
+    And the deadline passes while target "a" is asked
+    When the request is relayed
+    Then the caller gets error deadline_exceeded unknown
+
+  Scenario: An idempotent request keeps half of its time for another target
+    Given a idempotent request with 2 attempts
+    And target "a" replies lost
+    And target "b" replies status 200
+    When the request is relayed
+    Then the sends may take 5 and 10 s
+
+  Scenario: Every place is given back once
+    Given a idempotent request with 2 attempts
+    And target "a" replies lost
+    And target "b" replies status 200
+    When the request is relayed
+    Then each place was released once
--- /dev/null
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -0,0 +1,276 @@
+"""Steps for the relay of calls and streams."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import anyio.lowlevel
+import attrs
+import behave
+
+from laburnumstep import core
+from laburnumstep.targets import relay
+from laburnumstep.targets.relay import _evacuation
+from support import clocks
+from support import relay_rig
+
+_KINDS: dict[str, core.RouteKind] = {
+    'idempotent': core.CallKind(idempotent=True),
+    'once': core.CallKind(idempotent=False),
+    'resumable': core.StreamKind(resumable=True),
+    'single': core.StreamKind(resumable=False),
+}
+
+
+def set_up(context: typing.Any, names: list[str]) -> None:
+    context.clock = core.ManualClock()
+    context.placer = relay_rig.Placer(names, context.clock)
+    context.port = relay_rig.Port({name: [] for name in names})
+    context.sink = relay_rig.Sink()
+    context.running = relay.RunningStreams()
+    context.error = None
+
+
+def parse_reply(text: str) -> relay.Reply:
+    match text.split():
+        case ['status', status]:
+            return relay.Answered(int(status), [], b'body')
+        case ['lost']:
+            return relay.Lost('reset')
+        case ['not', 'run']:
+            return relay.NotRun('full')
+        case ['not', 'reached']:
+            return relay.NotReached('refused')
+    raise ValueError(text)
+
+
+async def relay_request(context: typing.Any) -> None:
+    request = context.request
+    if isinstance(request.route.kind, core.CallKind):
+        runner: typing.Any = relay.CallRelay(
+            context.placer, context.port, context.clock
+        )
+    else:
+        runner = relay.StreamRelay(
+            context.placer, context.port, context.running, context.clock
+        )
+    try:
+        await runner.run(request, context.sink)
+    except core.CodedError as error:
+        context.error = error
+
+
+@behave.given('a {kind} request with {attempts:d} attempts')
+def step_request(context: typing.Any, kind: str, attempts: int) -> None:
+    set_up(context, ['a', 'b'])
+    context.request = relay_rig.make_request(
+        _KINDS[kind], context.clock.now(), attempts
+    )
+
+
+@behave.given('target "{name}" replies {reply}')
+def step_reply(context: typing.Any, name: str, reply: str) -> None:
+    context.port.replies[name].append(parse_reply(reply))
+
+
+@behave.given('the deadline passes while target "{name}" is asked')
+def step_late(context: typing.Any, name: str) -> None:
+    def advance(attempt: relay.Attempt) -> None:
+        if attempt.target.name == name:
+            context.clock.advance(relay_rig.WAIT_SECONDS)
+
+    context.port.on_send = advance
+
+
+@behave.when('the request is relayed')
+def step_relay(context: typing.Any) -> None:
+    clocks.wait(context, relay_request, context)
+
+
+@behave.then('targets "{names}" were asked')
+def step_asked(context: typing.Any, names: str) -> None:
+    asked = [attempt.target.name for attempt in context.port.attempts]
+    assert asked == names.split(','), asked
+
+
+@behave.then('the caller gets {answer}')
+def step_answer(context: typing.Any, answer: str) -> None:
+    match answer.split():
+        case ['status', status]:
+            assert context.error is None, context.error
+            assert context.sink.answered.status == int(status)
+        case ['error', code, outcome]:
+            assert context.sink.answered is None, context.sink.answered
+            found = (context.error.code.value, context.error.outcome.value)
+            assert found == (code, outcome), found
+        case _:
+            raise ValueError(answer)
+
+
+@behave.then('the sends may take {first:d} and {second:d} s')
+def step_bounds(context: typing.Any, first: int, second: int) -> None:
+    now = context.clock.now()
+    bounds = [attempt.deadline - now for attempt in context.port.attempts]
+    assert bounds == [first, second], bounds
+
+
+@behave.then('each place was released once')
+def step_released(context: typing.Any) -> None:
+    released = [place.releases for place in context.placer.places]
+    assert released and set(released) == {1}, released
+
+
+@behave.given('a {kind} stream of events 1 to {last:d}')
+def step_stream(context: typing.Any, kind: str, last: int) -> None:
+    set_up(context, ['a', 'b', 'c'])
+    context.last = last
+    context.request = relay_rig.make_request(_KINDS[kind], context.clock.now())
+
+
+@behave.given('a stream of few tokens with events 1 to {last:d}')
+def step_short(context: typing.Any, last: int) -> None:
+    set_up(context, ['a', 'b', 'c'])
+    context.last = last
+    context.request = relay_rig.make_request(
+        _KINDS['single'], context.clock.now(), max_tokens=60
+    )
+
+
+@behave.given('"{name}" streams events {first:d} to {last:d} and ends')
+def step_ends(context: typing.Any, name: str, first: int, last: int) -> None:
+    add_stream(context, name, [relay_rig.make_events(first, last), None])
+
+
+@behave.given('"{name}" streams events {first:d} to {last:d} and breaks')
+def step_breaks(context: typing.Any, name: str, first: int, last: int) -> None:
+    broken = relay.StreamBroken('reset')
+    add_stream(context, name, [relay_rig.make_events(first, last), broken])
+
+
+@behave.given('"{name}" breaks before its first event')
+def step_breaks_early(context: typing.Any, name: str) -> None:
+    add_stream(context, name, [relay.StreamBroken('reset')])
+
+
+@behave.given(
+    '"{name}" streams events {first:d} to {last:d} and leaves, with events'
+    ' {more:d} to {end:d} to come'
+)
+def step_leaves(
+    context: typing.Any, name: str, first: int, last: int, more: int, end: int
+) -> None:
+    async def leave() -> list[relay.StreamEvent]:
+        context.placer.leaving.add(name)
+        context.running.move_away(name)
+        return relay_rig.make_events(last, last)
+
+    async def go_on() -> list[relay.StreamEvent]:
+        # The copy is made by another task while the stream goes on.
+        with anyio.CancelScope(shield=True):
+            for _ in range(20):
+                await anyio.lowlevel.checkpoint()
+        return relay_rig.make_events(more, end)
+
+    steps = [relay_rig.make_events(first, last - 1), leave, go_on, None]
+    add_stream(context, name, steps)
+
+
+def add_stream(
+    context: typing.Any, name: str, steps: list[typing.Any]
+) -> None:
+    source = relay_rig.Source(steps)
+    context.sources = [*getattr(context, 'sources', []), source]
+    context.port.replies[name].append(relay.Streaming(200, [], source))
+
+
+@behave.given('"{name}" refuses the {which} copy')
+def step_refuses(context: typing.Any, name: str, which: str) -> None:
+    failed = relay.CopyFailed('no room')
+    context.port.copy_results[(name, which == 'second')] = failed
+
+
+@behave.given('"{name}" refuses the second copy after the run has stopped')
+def step_stopped(context: typing.Any, name: str) -> None:
+    failed = relay.CopyFailed('no room', 'a/stopped')
+    context.port.copy_results[(name, True)] = failed
+
+
+@behave.given('"{name}" keeps a copy ahead')
+def step_backup(context: typing.Any, name: str) -> None:
+    context.placer.backup = name
+
+
+@behave.then('the caller has each event once, in order, and the end')
+def step_whole(context: typing.Any) -> None:
+    expected = b''.join(b'%d;' % n for n in range(1, context.last + 1))
+    assert context.error is None, context.error
+    assert context.sink.data == expected, context.sink.data
+    assert context.sink.finished
+    assert context.sink.begun == 1
+
+
+@behave.then('the caller has events 1 to {last:d} and no end')
+def step_cut(context: typing.Any, last: int) -> None:
+    expected = b''.join(b'%d;' % n for n in range(1, last + 1))
+    assert context.sink.data == expected, context.sink.data
+    assert not context.sink.finished
+    assert context.error is not None
+
+
+@behave.then('"{name}" began from {start}')
+def step_start(context: typing.Any, name: str, start: str) -> None:
+    attempts = [a for a in context.port.attempts if a.target.name == name]
+    found = attempts[-1].start
+    match start.split():
+        case ['the', 'beginning']:
+            assert found == relay.Fresh(), found
+        case ['event', position]:
+            assert found == relay.Resumed(position.encode()), found
+        case ['copy', copy, 'at', 'event', position]:
+            expected = relay.Continued(position.encode(), copy)
+            assert found == expected, found
+        case _:
+            raise ValueError(start)
+
+
+@behave.then('every run was closed and every place given back')
+def step_closed(context: typing.Any) -> None:
+    assert all(source.closed for source in context.sources)
+    step_released(context)
+
+
+@behave.then('no copy was made')
+def step_no_copy(context: typing.Any) -> None:
+    assert not context.port.copies, context.port.copies
+
+
+@behave.given('an engine that lists runs')
+def step_runs(context: typing.Any) -> None:
+    set_up(context, ['a', 'b'])
+    context.port.runs = [
+        relay.EngineRun(row['key'], int(row['tokens']))
+        for row in context.table
+    ]
+
+
+@behave.when('two VMs ask for the turn of "{key}"')
+def step_turns(context: typing.Any, key: str) -> None:
+    request = relay_rig.make_request(_KINDS['single'], context.clock.now())
+    context.starts = []
+    for _ in range(2):
+        turns = _evacuation.Evacuations(
+            context.port, context.placer, context.clock
+        )
+        asked = attrs.evolve(request, key=key)
+        start = clocks.wait(
+            context, turns.find_start, asked, relay_rig.make_target('a')
+        )
+        context.starts.append(start - context.clock.now())
+
+
+@behave.then('both wait {seconds:g} s')
+def step_waits(context: typing.Any, seconds: float) -> None:
+    first, second = context.starts
+    assert first == second, context.starts
+    assert abs(first - seconds) < 1e-6, first
--- /dev/null
+++ b/tests/laburnumstep/targets/steps/registry_steps.py
@@ -0,0 +1,80 @@
+"""Steps for the registry of targets."""
+
+from __future__ import annotations
+
+import re
+import typing
+
+import behave
+
+from laburnumstep import core
+from laburnumstep import targets
+
+_BORN = 10
+
+
+def make_target(leaving: bool = False) -> core.Target:
+    return core.ServiceTarget('a', 'lima-1', '127.0.0.1:1', 's', leaving)
+
+
+@behave.given('target "a" is registered')
+def step_registered(context: typing.Any) -> None:
+    context.clock = core.ManualClock()
+    context.deployment = None
+    context.left = []
+
+    def keep(deployment: core.Deployment) -> None:
+        context.deployment = deployment
+
+    context.registry = targets.TargetRegistry(
+        context.clock, core.Deployment(''), keep, context.left.append
+    )
+    context.registry.replace({'a': (make_target(), _BORN)})
+
+
+def apply_event(context: typing.Any, event: str) -> None:
+    registry = context.registry
+    passed = re.fullmatch(r'([\d.]+) s pass', event)
+    if passed:
+        context.clock.advance(float(passed[1]))
+        registry.update({})
+        return
+    match event:
+        case 'nothing happens':
+            pass
+        case 'its entry says that it leaves':
+            registry.update({'a': (make_target(True), _BORN)})
+        case 'its entry is removed':
+            registry.update({'a': None})
+        case 'comes back' | 'it comes back':
+            registry.update({'a': (make_target(), _BORN)})
+        case 'the registry fails':
+            registry.note_failure()
+        case 'all entries are read anew without it':
+            registry.replace({})
+        case 'an entry of an older start says that it leaves':
+            registry.update({'a': (make_target(True), _BORN - 1)})
+        case 'an entry of a newer start comes after its leaving':
+            registry.update({'a': (make_target(True), _BORN)})
+            registry.update({'a': (make_target(), _BORN + 1)})
+        case _:
+            raise ValueError(event)
+
+
+@behave.when('the registry sees that {events}')
+def step_events(context: typing.Any, events: str) -> None:
+    for event in re.split(', | and ', events):
+        apply_event(context, event)
+
+
+@behave.then('target "a" is {state}')
+def step_state(context: typing.Any, state: str) -> None:
+    found = context.deployment.targets.get('a')
+    names = {None: 'unknown', True: 'leaving', False: 'usable'}
+    name = names[found.leaving if found is not None else None]
+    assert name == state, found
+
+
+@behave.then('"a" was told as leaving')
+def step_told(context: typing.Any) -> None:
+    assert context.left == ['a'], context.left
--- /dev/null
+++ b/tests/laburnumstep/transport/steps/exchange_steps.py
@@ -0,0 +1,168 @@
+"""Steps for exchanges on one connection."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+import typing
+
+import anyio
+import anyio.abc
+import behave
+
+from laburnumstep import core
+from laburnumstep import transport
+from support import clocks
+from support import hooks
+
+_RESET = struct.pack('ii', 1, 0)
+"""Lingering for no time makes a close reset the connection."""
+_HEAD = transport.RequestHead(b'GET', b'/', [(b'Host', b'peer')])
+_LIMIT = 1000
+
+
+class Peer:
+    """Answers each request with fixed bytes.
+
+    Args:
+        answer: The bytes.
+        then: `waits`, `closes` or `resets`.
+    """
+
+    def __init__(self, answer: bytes, then: str) -> None:
+        self._answer = answer
+        self._then = then
+
+    @contextlib.asynccontextmanager
+    async def serve(self) -> typing.AsyncIterator[str]:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, self._handle)
+            yield f'127.0.0.1:{port}'
+            tasks.cancel_scope.cancel()
+
+    async def _handle(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                while True:
+                    await stream.receive()
+                    if self._answer:
+                        await stream.send(self._answer)
+                    if self._then != 'waits':
+                        break
+            if self._then == 'resets':
+                raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+@behave.given('a peer that answers "{answer}" and then {then}')
+@behave.given('a peer that answers "" and then {then}')
+def step_peer(context: typing.Any, then: str, answer: str = '') -> None:
+    content = answer.encode().decode('unicode_escape').encode()
+    context.clock = core.SystemClock()
+    context.address = hooks.enter(context, Peer(content, then).serve())
+    context.closes = then != 'waits'
+
+
+async def exchange(context: typing.Any) -> None:
+    deadline = context.clock.now() + clocks.WAIT_SECONDS
+    connection = await transport.HttpConnection.open(
+        context.address, context.clock, deadline
+    )
+    context.connection = connection
+    context.stack.callback(connection.close)
+    try:
+        await connection.send(_HEAD, b'', deadline)
+        context.head = await connection.read_head(deadline)
+        context.body = await connection.read_body(_LIMIT, deadline)
+    except transport.ExchangeFailed:
+        context.body = None
+
+
+@behave.when('a request is sent to it')
+def step_exchange(context: typing.Any) -> None:
+    clocks.wait(context, exchange, context)
+
+
+@behave.then('the exchange gives body {body}')
+def step_body(context: typing.Any, body: str) -> None:
+    assert context.body == body.encode(), context.body
+
+
+@behave.then('the exchange gives a failure')
+def step_failure(context: typing.Any) -> None:
+    assert context.body is None, context.body
+
+
+async def wait_unusable(connection: transport.HttpConnection) -> None:
+    while connection.reusable:
+        await anyio.lowlevel.checkpoint()
+
+
+@behave.then('the connection is not kept')
+def step_not_kept(context: typing.Any) -> None:
+    clocks.wait(context, wait_unusable, context.connection)
+
+
+@behave.then('the connection is kept')
+def step_kept(context: typing.Any) -> None:
+    assert context.connection.reusable
+
+
+@behave.given('an address where nobody listens')
+def step_nobody(context: typing.Any) -> None:
+    context.clock = core.SystemClock()
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        context.address = f'127.0.0.1:{taken.getsockname()[1]}'
+
+
+@behave.then('connecting to it fails as not reached')
+def step_unreached(context: typing.Any) -> None:
+    try:
+        clocks.wait(context, exchange, context)
+    except transport.ConnectFailed:
+        return
+    raise AssertionError('the connection was opened')
+
+
+async def use_pool(context: typing.Any) -> None:
+    context.pool_clock = core.ManualClock()
+    context.pool = transport.ConnectionPool(
+        context.address, context.pool_clock
+    )
+    context.stack.callback(context.pool.close)
+    deadline = context.pool_clock.now() + clocks.WAIT_SECONDS
+    connection = await context.pool.acquire(False, deadline)
+    await connection.send(_HEAD, b'', deadline)
+    await connection.read_head(deadline)
+    await connection.read_body(_LIMIT, deadline)
+    context.connection = connection
+    context.pool.release(connection, context.pool_clock.now() + 1.0)
+
+
+@behave.when('a request is sent over a pool')
+def step_pool(context: typing.Any) -> None:
+    clocks.wait(context, use_pool, context)
+
+
+def acquire(context: typing.Any, fresh: bool) -> transport.HttpConnection:
+    deadline = context.pool_clock.now() + clocks.WAIT_SECONDS
+    connection = clocks.wait(context, context.pool.acquire, fresh, deadline)
+    context.stack.callback(connection.close)
+    return connection
+
+
+@behave.then('the pool hands out the same connection')
+def step_same(context: typing.Any) -> None:
+    assert acquire(context, fresh=False) is context.connection
+
+
+@behave.then('a fresh one when asked, and after the time to keep it')
+def step_fresh(context: typing.Any) -> None:
+    context.pool.release(context.connection, context.pool_clock.now() + 1.0)
+    assert acquire(context, fresh=True) is not context.connection
+    context.pool_clock.advance(1.0)
+    assert acquire(context, fresh=False) is not context.connection
--- a/tests/run.py
+++ b/tests/run.py
@@ -48,6 +48,11 @@
     return [f for f in folders if any(n in str(f) for n in names)]
 
 
+def list_features(folder: pathlib.Path) -> list[str]:
+    """Return the features of a folder without those of folders in it."""
+    return [str(path) for path in sorted(folder.glob('*.feature'))]
+
+
 def run_folder(folder: pathlib.Path) -> FolderResult:
     """Run behave on one folder and read its report."""
     with tempfile.TemporaryDirectory() as scratch:
@@ -56,7 +61,9 @@
         command += ['--format', 'json', '--outfile', str(report)]
         command += ['--format', 'plain', '--outfile', '/dev/stdout']
         run = subprocess.run(
-            [*command, str(folder)], capture_output=True, text=True
+            [*command, *list_features(folder)],
+            capture_output=True,
+            text=True,
         )
         output = run.stdout + run.stderr
         text = report.read_text() if report.exists() else ''
