--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -26,10 +26,10 @@
 if typing.TYPE_CHECKING:
     from starlette import types
 
-SERVERS_PAUSE_SECONDS = 0.2
+SERVERS_PAUSE_SECONDS = 0.4
 """Shortest time between reads of the servers' entries. Each server renews
 its entry about once a second, and every read is priced."""
-REPORT_SECONDS = 1.0
+REPORT_SECONDS = 2.0
 """Time between two load reports of an engine; each is priced."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
 """Shortest time between reads of the configuration."""
--- /dev/null
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -0,0 +1,227 @@
+"""Steps for the decoding of settings, entries and configurations."""
+
+from __future__ import annotations
+
+import json
+import os
+import tempfile
+import typing
+
+import attrs
+import behave
+
+from laburnumstep import callers
+from laburnumstep import core
+from laburnumstep import log
+from laburnumstep import platform
+from laburnumstep.platform import _configuration
+from laburnumstep.platform import _directory
+from laburnumstep.platform import _events
+from laburnumstep import targets
+from laburnumstep.targets import relay
+from support import clocks
+from support import platform_rig
+
+_SETTINGS = """
+nodeName = "front-1"
+zone = "callao-a"
+[zones]
+callao-a = "lima"
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetExtraRetries = 54
+budgetWindowS = 10
+[platform]
+address = "127.0.0.1:3"
+"""
+
+
+def make_directory(context: typing.Any) -> _directory.Directory:
+    if not hasattr(context, 'directory'):
+        context.registry = targets.TargetRegistry(
+            core.ManualClock(),
+            core.Deployment(''),
+            lambda deployment: None,
+            lambda name: None,
+        )
+        context.directory = _directory.Directory(context.registry)
+    return context.directory
+
+
+@behave.given('the configuration says that "app" has engines of 30000 tokens')
+def step_engines(context: typing.Any) -> None:
+    engine = _configuration.EngineService(30_000, 4, 0.0)
+    make_directory(context).apply_services({'app': engine})
+
+
+def write_entry(context: typing.Any, value: bytes) -> None:
+    record = log.KeyedRecord('i-1', value, 0)
+    make_directory(context).apply_records([record])
+
+
+@behave.when('an entry changes "{field}" to {value}')
+def step_entry(context: typing.Any, field: str, value: str) -> None:
+    entry = platform_rig.make_entry('127.0.0.1:1')
+    entry[field] = json.loads(value)
+    write_entry(context, json.dumps(entry).encode())
+
+
+@behave.when('the bytes "{text}" are written as an entry')
+def step_bytes(context: typing.Any, text: str) -> None:
+    write_entry(context, text.encode().decode('unicode_escape').encode('l1'))
+
+
+@behave.then('the registry has no target')
+def step_none(context: typing.Any) -> None:
+    assert not context.registry.targets, context.registry.targets
+
+
+@behave.then('the registry has service target i-1')
+def step_service(context: typing.Any) -> None:
+    target = context.registry.targets['i-1']
+    assert isinstance(target, core.ServiceTarget) and not target.leaving
+
+
+@behave.then('the registry has leaving target i-1')
+def step_leaving(context: typing.Any) -> None:
+    assert context.registry.targets['i-1'].leaving
+
+
+@behave.then(
+    'the registry has engine target i-1 of pool "{pool}" with {tokens:d}'
+    ' tokens'
+)
+def step_engine(context: typing.Any, pool: str, tokens: int) -> None:
+    target = context.registry.targets['i-1']
+    assert isinstance(target, core.EngineTarget), target
+    assert (target.models, target.kv_tokens) == ([pool], tokens), target
+
+
+def read_configuration(context: typing.Any, value: bytes) -> None:
+    if not hasattr(context, 'book'):
+        context.book = callers.RouteBook()
+        context.reader = _configuration.ConfigurationReader(
+            context.book, lambda services: None
+        )
+    record = log.KeyedRecord(_configuration.CONFIGURATION_KEY, value, 0)
+    context.reader.apply_records([record])
+
+
+@behave.when('a configuration has a route of kind "{kind}"')
+def step_kind(context: typing.Any, kind: str) -> None:
+    document = platform_rig.make_configuration()
+    document['routes'][0]['kind'] = kind
+    read_configuration(context, json.dumps(document).encode())
+
+
+@behave.then('its requests may run more than once')
+def step_repeat(context: typing.Any) -> None:
+    assert relay.is_repeatable(context.book.table.routes[0].kind)
+
+
+@behave.then('its requests run at most once')
+def step_once(context: typing.Any) -> None:
+    assert not relay.is_repeatable(context.book.table.routes[0].kind)
+
+
+@behave.when('the configuration "{document}" is written')
+def step_bad(context: typing.Any, document: str) -> None:
+    good = platform_rig.make_configuration(version=1)
+    read_configuration(context, json.dumps(good).encode())
+    read_configuration(context, document.encode())
+
+
+@behave.then('the routes in force have version {version:d}')
+def step_version(context: typing.Any, version: int) -> None:
+    assert context.book.table.version == version
+
+
+@behave.given(
+    'settings with "zone" removed, "bounds.graceS" as text and "listen" as a'
+    ' number'
+)
+def step_mistakes(context: typing.Any) -> None:
+    text = _SETTINGS.replace('zone = "callao-a"\n', 'listen = 1\n', 1)
+    text = text.replace('graceS = 8', 'graceS = "8"')
+    start, _, rest = text.partition('[listen]\n')
+    context.settings_text = start + '[bounds]' + rest.partition('[bounds]')[2]
+
+
+@behave.given('settings with a key that is not known')
+def step_unknown(context: typing.Any) -> None:
+    context.settings_text = (
+        'newField = [1]\n' + _SETTINGS + '\n[newTable]\nx = 1\n'
+    )
+
+
+@behave.when('the settings are read')
+def step_read(context: typing.Any) -> None:
+    handle, path = tempfile.mkstemp(suffix='.toml')
+    context.stack.callback(os.unlink, path)
+    with os.fdopen(handle, 'w') as file:
+        file.write(context.settings_text)
+    context.findings = []
+    try:
+        context.settings = platform.load_settings(path)
+    except core.FindingsError as error:
+        context.findings = error.findings
+
+
+@behave.then('the findings are {expected}')
+def step_findings(context: typing.Any, expected: str) -> None:
+    found = [
+        f'{item.position.section} {item.position.key}'.strip()
+        for item in context.findings
+    ]
+    assert sorted(found) == sorted(
+        item.strip('"') for item in expected.split(', ')
+    ), found
+
+
+@behave.then('there are no findings')
+def step_no_findings(context: typing.Any) -> None:
+    assert not context.findings, context.findings
+    assert context.settings.name == 'front-1'
+
+
+@attrs.define
+class Chunks:
+    """A connection whose body comes in given chunks."""
+
+    chunks: list[bytes]
+
+    async def read_chunk(self, deadline: float) -> bytes | None:
+        return self.chunks.pop(0) if self.chunks else None
+
+    def close(self) -> None:
+        pass
+
+
+@behave.given('a server that streams "{chunks}"')
+def step_chunks(context: typing.Any, chunks: str) -> None:
+    text = chunks.encode().decode('unicode_escape').encode()
+    context.chunks = Chunks(text.split(b';'))
+
+
+async def read_events(context: typing.Any) -> str:
+    reader = _events.EventReader(context.chunks, lambda: None, 4)
+    context.found = []
+    try:
+        while (events := await reader.read(0.0)) is not None:
+            context.found += [
+                (event.position or b'-').decode() for event in events
+            ]
+    except relay.StreamBroken:
+        return 'a break'
+    return 'the end'
+
+
+@behave.then('the events are "{events}" and then {end}')
+def step_events(context: typing.Any, events: str, end: str) -> None:
+    found = clocks.wait(context, read_events, context)
+    assert found == end, found
+    assert context.found == events.split(';'), context.found
