Say 'not run' only where no target can have run the request; bound the logs

Logs went to standard error and could block the process. Change: the relay remembers that a send may have run, and hands over the last answer of a target where no better one comes. Log lines go to standard output through a stream that drops and counts lines. The part of the retry budget of one VM is sized for the largest deployments. Engines in use are limited as for the product's own front.

--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -166,18 +166,16 @@
         The links between regions are far too narrow for the memory of a
         run, so runs on these engines are lost when they leave.
         """
-        engines = [
-            target
-            for _, target in self._state.view.list_targets()
-            if isinstance(target, core.EngineTarget)
-        ]
+        view = self._state.view
+        by_region: dict[str | None, list[str]] = {}
+        for name, target in view.list_targets():
+            state = view.find(name)
+            if state is None or not isinstance(target, core.EngineTarget):
+                continue
+            if self.is_usable(name):
+                by_region.setdefault(state.region, []).append(name)
         return frozenset(
-            engine.name
-            for engine in engines
-            if not any(
-                self._share_region(peer, engine)
-                for peer in self._list_peers(engine)
-            )
+            names[0] for names in by_region.values() if len(names) == 1
         )
 
     def _choose_near(
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -34,6 +34,7 @@
 from laburnumstep.core._keys import KEY_VALID_SECONDS
 from laburnumstep.core._keys import RequestKey
 from laburnumstep.core._keys import stable_hash
+from laburnumstep.core._log_stream import DroppingStream
 from laburnumstep.core._logs import configure_logging
 from laburnumstep.core._logs import get_logger
 from laburnumstep.core._logs import PrefixAdapter
@@ -64,6 +65,7 @@
     'Deployment',
     'DocumentObject',
     'EngineTarget',
+    'DroppingStream',
     'ErrorCode',
     'Finding',
     'FindingsError',
--- a/packages/laburnumstep/src/laburnumstep/core/_logs.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_logs.py
@@ -40,14 +40,29 @@
     return PrefixAdapter(logger, {'part': part})
 
 
-def configure_logging(level: str, form: str) -> None:
-    """Send logs to standard error.
+class LogStream(typing.Protocol):
+    """Where log lines go."""
+
+    def write(self, text: str) -> typing.Any:
+        """Write a line."""
+        ...
+
+    def flush(self) -> typing.Any:
+        """Write what is kept back."""
+        ...
+
+
+def configure_logging(
+    level: str, form: str, stream: LogStream | None = None
+) -> None:
+    """Send logs to a stream.
 
     Args:
         level: `debug`, `info`, `warning` or `error`.
         form: `text` or `json`.
+        stream: Where the lines go; standard error if None.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     if form == 'json':
         handler.setFormatter(JsonFormatter())
     else:
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import sys
 import typing
 
 import anyio
@@ -44,8 +45,9 @@
 WEIGHTS = core.PolicyWeights(stall=0.0, preemption=0.0, tail=1.0)
 """Placement plans for median lengths, because callers hint at them and a
 run that finds no room can move; memory kept free would delay first tokens."""
-EXPECTED_VMS = 12
-"""VMs among which the budget for repeated sends is divided."""
+EXPECTED_VMS = 96
+"""VMs among which the budget for repeated sends is divided; a VM does not
+know how many there are, and the largest deployments have fewer."""
 
 _LOGGER = core.get_logger('platform')
 
@@ -215,10 +217,13 @@
         self._directory.apply_services(services)
 
     def _apply_targets(self, deployment: core.Deployment) -> None:
-        self._view.apply_deployment(deployment)
-        self._admission.apply_deployment(deployment)
+        used = targets.limit_engines(
+            deployment, self._settings.name, self._settings.data_centre
+        )
+        self._view.apply_deployment(used)
+        self._admission.apply_deployment(used)
         if self._tasks is not None:
-            self._loads.apply_deployment(deployment, self._tasks)
+            self._loads.apply_deployment(used, self._tasks)
         self._port.forget(deployment.targets)
 
     def _note_leaving(self, target: str) -> None:
@@ -252,5 +257,6 @@
     """
     path = os.environ.get(_settings.SETTINGS_VARIABLE, '')
     settings = _settings.load_settings(path)
-    core.configure_logging('info', 'json')
+    stream = core.DroppingStream(sys.stdout.fileno())
+    core.configure_logging('info', 'json', stream)
     anyio.run(PlatformVM(settings, core.SteadyClock()).run)
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import attrs
+
 from laburnumstep import core
 from laburnumstep.targets import _bounds
 from laburnumstep.targets import _retry_decisions
@@ -19,6 +21,26 @@
 _LOGGER = core.get_logger('relay')
 
 
+@attrs.define
+class _CallRun:
+    """What became of a request so far."""
+
+    sends: int = 0
+    """Targets to which it was sent."""
+    ran: int = 0
+    """Targets that may have run it."""
+    answer: _ports.Answered | None = None
+    """Last answer of a target; it is given where no better one comes."""
+
+    def record(self, reply: _ports.Reply) -> None:
+        """Count a send with its reply."""
+        self.sends += 1
+        if find_outcome(reply) is not core.Outcome.NOT_RUN:
+            self.ran += 1
+        if isinstance(reply, _ports.Answered):
+            self.answer = reply
+
+
 class CallRelay:
     """Sends a request to targets until one answers.
 
@@ -48,35 +70,38 @@
         Raises:
             CodedError: No target answered.
         """
+        run = _CallRun()
+        try:
+            await self._try_targets(request, sink, run)
+        except core.CodedError as error:
+            if run.answer is None:
+                raise correct_outcome(error, run.ran > 0) from error
+            await sink.answer(run.answer)
+
+    async def _try_targets(
+        self,
+        request: _ports.RelayRequest,
+        sink: _ports.AnswerSink,
+        run: _CallRun,
+    ) -> None:
         idempotent = is_repeatable(request.route.kind)
         excluded: frozenset[str] = frozenset()
-        ran = sends = 0
         while True:
             place = await self._placer.place(request, excluded)
-            more = idempotent and ran + 1 < request.route.attempts
+            more = idempotent and run.ran + 1 < request.route.attempts
             reply = await self._send(request, place, more)
-            sends += 1
-            log_reply(request, place, reply, sends, self._clock.now())
-            match reply:
-                case _ports.Answered():
-                    ran += 1
-                    failed = reply.status >= _FIRST_FAILURE_STATUS
-                    if not (failed and more):
-                        await sink.answer(reply)
-                        return
-                case _ports.Lost():
-                    ran += 1
-            if sends >= MAX_SENDS or ran >= request.route.attempts:
-                decision: _retry_decisions.RetryDecision = give_up(reply)
-            else:
-                decision = self._decide(request, place, excluded, reply)
+            run.record(reply)
+            log_reply(request, place, reply, run.sends, self._clock.now())
+            if isinstance(reply, _ports.Answered):
+                failed = reply.status >= _FIRST_FAILURE_STATUS
+                if not (failed and more):
+                    await sink.answer(reply)
+                    return
+            decision = self._decide(request, place, excluded, reply, run)
             match decision:
                 case _retry_decisions.Retry():
                     excluded = decision.excluded
                 case _retry_decisions.GiveUp():
-                    if isinstance(reply, _ports.Answered):
-                        await sink.answer(reply)
-                        return
                     raise make_error(
                         reply, decision, request.deadline, self._clock.now()
                     )
@@ -108,7 +133,10 @@
         place: _places.RelayPlace,
         excluded: frozenset[str],
         reply: _ports.Reply,
+        run: _CallRun,
     ) -> _retry_decisions.RetryDecision:
+        if run.sends >= MAX_SENDS or run.ran >= request.route.attempts:
+            return give_up(reply)
         failed = _places.FailedSend(
             place.target.name, excluded, find_outcome(reply)
         )
@@ -160,6 +188,22 @@
     return core.CodedError(code, reason, decision.outcome, decision.resend)
 
 
+def correct_outcome(
+    error: core.CodedError, may_have_run: bool
+) -> core.CodedError:
+    """Return an error that does not deny an earlier send that may have run.
+
+    Args:
+        error: What the last step gave.
+        may_have_run: Whether a target may have run the request before.
+    """
+    if not may_have_run or error.outcome is not core.Outcome.NOT_RUN:
+        return error
+    return core.CodedError(
+        error.code, error.message, core.Outcome.UNKNOWN, error.resend
+    )
+
+
 def log_reply(
     request: _ports.RelayRequest,
     place: _places.RelayPlace,
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
@@ -133,6 +133,7 @@
         self._copying = False
         self._prepared: _places.RelayPlace | None = None
         self._begun = False
+        self._may_have_run = False
         self._runs = 0
         self._delivered_at = request.arrived_at
         self._first_seconds = 0.0
@@ -184,7 +185,7 @@
             self._longest_pause * 1000,
         )
         if error is not None:
-            raise error
+            raise _calls.correct_outcome(error, self._may_have_run)
 
     async def _relay(self) -> None:
         while True:
@@ -249,6 +250,8 @@
                 place.release(complete=False)
         now = self._clock.now()
         _calls.log_reply(request, place, reply, self._runs, now)
+        if _calls.find_outcome(reply) is not core.Outcome.NOT_RUN:
+            self._may_have_run = True
         if isinstance(reply, _ports.Streaming):
             # The run before ends only now, so that it goes on where it is
             # when the next engine refuses.
--- a/tests/laburnumstep/targets/relay/calls.feature
+++ b/tests/laburnumstep/targets/relay/calls.feature
@@ -19,6 +19,8 @@
       | idempotent | 1        | status 500  | status 200  | a     | status 500                         |
       | idempotent | 2        | lost        | status 200  | a,b   | status 200                         |
       | idempotent | 2        | lost        | lost        | a,b   | error target_failed unknown        |
+      | idempotent | 3        | lost        | not run     | a,b   | error no_target unknown            |
+      | idempotent | 3        | lost        | not reached | a,b   | error no_target unknown            |
       | idempotent | 2        | not run     | status 200  | a,b   | status 200                         |
       | idempotent | 2        | not reached | not reached | a,b   | error no_target not_run            |
 
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -97,6 +97,14 @@
     Then the caller has each event once, in order, and the end
     And "b" began from the beginning
 
+  Scenario: A stream that may have run is not said not to have run
+    Given a resumable stream of events 1 to 5
+    And "a" breaks before its first event
+    And target "b" replies not run
+    And target "c" replies not run
+    When the request is relayed
+    Then the caller gets error no_target unknown
+
   Scenario: A stream that was refused is sent elsewhere
     Given a single stream of events 1 to 5
     And target "a" replies not run
