--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -45,7 +45,6 @@
         calls: Relays requests with one answer.
         streams: Relays streams.
         gate: Counts requests in progress.
-        drain: Tells whether the VM is about to stop.
         clock: Compared with callers' deadlines.
     """
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_headers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_headers.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from laburnumstep import transport
+
 REQUEST_ID = b'attempt-id'
 """Identifies one attempt of a caller; servers echo it."""
 DEADLINE = b'deadline-remaining'
@@ -39,7 +41,7 @@
 KV_FROM = b'kv-from'
 """`ADDRESS/REFERENCE` of the copy from which a run goes on."""
 
-Headers = list[tuple[bytes, bytes]]
+Headers = transport.Headers
 
 _HOP_BY_HOP = frozenset(
     [
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -6,10 +6,12 @@
 
 import attrs
 
+from laburnumstep import transport
+
 if typing.TYPE_CHECKING:
     from laburnumstep import core
 
-Headers = list[tuple[bytes, bytes]]
+Headers = transport.Headers
 
 
 @attrs.frozen
