--- a/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
@@ -28,8 +28,8 @@
 from laburnumstep.targets.relay._ports import StreamEvent
 from laburnumstep.targets.relay._ports import Streaming
 from laburnumstep.targets.relay._ports import TargetPort
-from laburnumstep.targets.relay._streams import is_short
-from laburnumstep.targets.relay._streams import RunningStreams
+from laburnumstep.targets.relay._running import RunningStreams
+from laburnumstep.targets.relay._stream_run import is_short
 from laburnumstep.targets.relay._streams import StreamRelay
 
 __all__ = [
