Wait for a silent engine where no other can take the stream over

Change: 10 s for these; 6 s for a first event and 1 s afterwards where a copy or another engine takes over.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -16,8 +16,11 @@
 from laburnumstep.targets.relay import _running
 
 STALL_SECONDS = 1.0
-"""Silence in a stream after which its engine counts as lost. Engines make
-an event every few tens of milliseconds; a preempted run is quiet longer."""
+"""Silence after which a stream goes on elsewhere, where it can. Engines make
+an event every few tens of milliseconds."""
+SILENT_SECONDS = 10.0
+"""Silence after which a stream is given up that cannot go on elsewhere. A
+preempted run may be quiet for seconds; callers leave before this."""
 FIRST_EVENT_SECONDS = 6.0
 """Longest wait for the first event where another engine may take over."""
 SHORT_ANSWER_TOKENS = 96
@@ -203,14 +206,22 @@
 
     async def _read(self) -> list[_ports.StreamEvent] | None:
         assert self._source is not None
-        wait = STALL_SECONDS if self._begun else FIRST_EVENT_SECONDS
-        deadline = min(self._request.deadline, self._clock.now() + wait)
+        deadline = min(
+            self._request.deadline, self._clock.now() + self._find_patience()
+        )
         events: list[_ports.StreamEvent] | None = []
         with anyio.CancelScope() as self._reading:
             events = await self._source.read(deadline)
         self._reading = None
         return events
 
+    def _find_patience(self) -> float:
+        """Return how long the engine may be silent, in seconds."""
+        repeatable = _calls.is_repeatable(self._request.route.kind)
+        if self._backup is None and not repeatable:
+            return SILENT_SECONDS
+        return STALL_SECONDS if self._begun else FIRST_EVENT_SECONDS
+
     async def _deliver(self, events: list[_ports.StreamEvent]) -> None:
         if not events:
             return
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -201,6 +201,20 @@
     context.placer.backup = name
 
 
+@behave.given('"{name}" keeps no copy')
+def step_no_backup(context: typing.Any, name: str) -> None:
+    context.placer.backup = None
+
+
+@behave.then(
+    'reads waited {first:d} s for the first event and {later:d} s afterwards'
+)
+def step_patience(context: typing.Any, first: int, later: int) -> None:
+    now = context.clock.now()
+    waits = [limit - now for limit in context.sources[0].deadlines]
+    assert waits == [first, later], waits
+
+
 @behave.then('the caller has each event once, in order, and the end')
 def step_whole(context: typing.Any) -> None:
     expected = b''.join(b'%d;' % n for n in range(1, context.last + 1))
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -112,6 +112,19 @@
     When the request is relayed
     Then the caller has each event once, in order, and the end
 
+  Scenario Outline: An engine may be silent longer where no other takes over
+    Given a <kind> stream of events 1 to 4
+    And "b" keeps <copies>
+    And "a" streams events 1 to 4 and ends
+    When the request is relayed
+    Then reads waited <first> s for the first event and <later> s afterwards
+
+    Examples:
+      | kind      | copies       | first | later |
+      | single    | no copy      | 10    | 10    |
+      | single    | a copy ahead | 6     | 1     |
+      | resumable | no copy      | 6     | 1     |
+
   Scenario: A short answer ends where it runs
     Given a stream of few tokens with events 1 to 4
     And "a" streams events 1 to 3 and leaves, with events 4 to 4 to come
--- a/tests/support/relay_rig.py
+++ b/tests/support/relay_rig.py
@@ -90,8 +90,10 @@
     def __init__(self, steps: list[typing.Any]) -> None:
         self._steps = list(steps)
         self.closed = False
+        self.deadlines: list[float] = []
 
     async def read(self, deadline: float) -> list[relay.StreamEvent] | None:
+        self.deadlines.append(deadline)
         step = self._steps.pop(0) if self._steps else None
         if callable(step):
             step = await step()
