Drop events that come again; give back places at copies that are not used

Cause: found by reading. An engine that takes a run over may repeat events, which reached the caller twice; a run that ended or broke after its first copy kept its place at the destination for good, so that the engine looked fuller with each. Three scenarios fail before the change.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -89,6 +89,9 @@
             self._running.remove(self._place.target.name, self)
             self._place.release(complete)
             self._place = None
+        if self._prepared is not None:
+            self._prepared.release(complete=False)
+            self._prepared = None
 
     async def run(self) -> None:
         """Relay the stream.
@@ -223,6 +226,7 @@
         return STALL_SECONDS if self._begun else FIRST_EVENT_SECONDS
 
     async def _deliver(self, events: list[_ports.StreamEvent]) -> None:
+        events = [event for event in events if self._is_new(event)]
         if not events:
             return
         self._measure_pause()
@@ -235,6 +239,19 @@
             tokens = sum(event.tokens for event in events)
             self._place.record_tokens(tokens, len(data))
 
+    def _is_new(self, event: _ports.StreamEvent) -> bool:
+        """Tell whether an event follows the last one delivered.
+
+        An engine that takes a run over may repeat what the one before has
+        sent.
+        """
+        last, position = self._position, event.position
+        if last is None or position is None:
+            return True
+        if not (last.isdigit() and position.isdigit()):
+            return position != last
+        return int(position) > int(last)
+
     def _measure_pause(self) -> None:
         now = self._clock.now()
         pause = now - self._delivered_at
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -176,6 +176,52 @@
     add_stream(context, name, steps)
 
 
+@behave.given(
+    '"{name}" streams events {first:d} to {last:d} and leaves, and ends with'
+    ' event {end:d}'
+)
+def step_ends_early(
+    context: typing.Any, name: str, first: int, last: int, end: int
+) -> None:
+    add_leaving(context, name, last, end, None)
+
+
+@behave.given(
+    '"{name}" streams events {first:d} to {last:d} and leaves, and breaks'
+    ' after event {end:d}'
+)
+def step_breaks_leaving(
+    context: typing.Any, name: str, first: int, last: int, end: int
+) -> None:
+    add_leaving(context, name, last, end, relay.StreamBroken('reset'))
+
+
+def add_leaving(
+    context: typing.Any,
+    name: str,
+    last: int,
+    end: int,
+    outcome: Exception | None,
+) -> None:
+    """Add a stream whose copy is prepared as the engine ends it."""
+
+    async def leave() -> list[relay.StreamEvent]:
+        context.placer.leaving.add(name)
+        context.running.move_away(name)
+        return relay_rig.make_events(last, end)
+
+    async def finish() -> list[relay.StreamEvent] | None:
+        with anyio.CancelScope(shield=True):
+            for _ in range(20):
+                await anyio.lowlevel.checkpoint()
+        if outcome is not None:
+            raise outcome
+        return None
+
+    steps = [relay_rig.make_events(1, last - 1), leave, finish]
+    add_stream(context, name, steps)
+
+
 def add_stream(
     context: typing.Any, name: str, steps: list[typing.Any]
 ) -> None:
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -125,6 +125,29 @@
       | single    | a copy ahead | 6     | 1     |
       | resumable | no copy      | 6     | 1     |
 
+  Scenario: Events that an engine sends again reach the caller once
+    Given a resumable stream of events 1 to 5
+    And "a" streams events 1 to 3 and breaks
+    And "b" streams events 2 to 5 and ends
+    When the request is relayed
+    Then the caller has each event once, in order, and the end
+
+  Scenario: The place at a copy is given back when the run ends before
+    Given a single stream of events 1 to 4
+    And "a" streams events 1 to 3 and leaves, and ends with event 4
+    When the request is relayed
+    Then the caller has each event once, in order, and the end
+    And every run was closed and every place given back
+
+  Scenario: The place at a copy is given back when the run breaks before
+    Given a resumable stream of events 1 to 6
+    And "a" streams events 1 to 3 and leaves, and breaks after event 4
+    And "b" streams events 5 to 6 and ends
+    When the request is relayed
+    Then the caller has each event once, in order, and the end
+    And every run was closed and every place given back
+    And targets "a,b" were asked
+
   Scenario: A short answer ends where it runs
     Given a stream of few tokens with events 1 to 4
     And "a" streams events 1 to 3 and leaves, with events 4 to 4 to come
