Go on from the first copy of a run when its engine fails before the second

Cause: between the two copies of a run, or after a second copy in vain, a failing engine ended the stream although a copy was there. Change: the copy with its reference is kept until the run has gone on or ended.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import attrs
+
 from laburnumstep import core
 from laburnumstep.targets.relay import _ports
 
@@ -18,6 +20,17 @@
 
 _LOGGER = core.get_logger('relay')
 
+
+@attrs.frozen(eq=False)
+class PreparedCopy:
+    """A copy of a run that still goes on at its engine."""
+
+    place: _places.RelayPlace
+    """The place reserved at the copy."""
+    reference: str
+    """Reference of the copy."""
+
+
 StillRuns = typing.Callable[[], bool]
 
 
@@ -48,7 +61,7 @@
 
     async def prepare(
         self, place: _places.RelayPlace, still_runs: StillRuns
-    ) -> _places.RelayPlace | None:
+    ) -> PreparedCopy | None:
         """Copy the run without stopping it.
 
         The copy takes tenths of a second. What the run adds meanwhile is
@@ -59,7 +72,7 @@
             still_runs: Tells whether it still runs there.
 
         Returns:
-            The reserved place at the copy, or None when the run has ended.
+            The copy, or None when the run has ended.
         """
         start = await self._evacuations.find_start(self._request, place.target)
         await self._clock.sleep_until(start)
@@ -75,25 +88,25 @@
                     self._clock.now() + RETRY_SECONDS
                 )
                 continue
-            reserved = await self._copy_to(place, destination)
-            if reserved is not None:
-                return reserved
+            prepared = await self._copy_to(place, destination)
+            if prepared is not None:
+                return prepared
             refused |= {destination.name}
         return None
 
     async def stop(
-        self, place: _places.RelayPlace, reserved: _places.RelayPlace
+        self, place: _places.RelayPlace, prepared: PreparedCopy
     ) -> _ports.CopyResult:
         """Stop the run and copy what it has added."""
-        result = await self._copy(place, reserved.target, stop=True)
+        destination = prepared.place.target
+        result = await self._copy(place, destination, stop=True)
         if isinstance(result, _ports.CopyFailed):
-            reserved.release(complete=False)
-            self._log_failure(place, reserved.target, result.reason)
+            self._log_failure(place, destination, result.reason)
         return result
 
     async def _copy_to(
         self, place: _places.RelayPlace, destination: core.EngineTarget
-    ) -> _places.RelayPlace | None:
+    ) -> PreparedCopy | None:
         reserved = self._placer.place_on(self._request, destination.name)
         if reserved is None:
             return None
@@ -112,7 +125,7 @@
                 self._log_failure(place, destination, result.reason)
         if isinstance(result, _ports.CopyFailed):
             return None
-        return reserved
+        return PreparedCopy(reserved, result.copy)
 
     async def _copy(
         self,
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -60,7 +60,8 @@
         self._reading: anyio.CancelScope | None = None
         self._leaving = False
         self._copying = False
-        self._prepared: _places.RelayPlace | None = None
+        self._prepared: _copies.PreparedCopy | None = None
+        self._stopping = False
         self._begun = False
         self._may_have_run = False
         self._runs = 0
@@ -90,8 +91,9 @@
             self._place.release(complete)
             self._place = None
         if self._prepared is not None:
-            self._prepared.release(complete=False)
+            self._prepared.place.release(complete=False)
             self._prepared = None
+            self._stopping = False
 
     async def run(self) -> None:
         """Relay the stream.
@@ -135,9 +137,8 @@
             if self._leaving and self._begun:
                 self._leaving = False
                 await self._move()
-            if self._prepared is not None:
-                reserved, self._prepared = self._prepared, None
-                await self._finish_copy(reserved)
+            if self._prepared is not None and not self._stopping:
+                await self._finish_copy(self._prepared)
 
     async def _start(self) -> bool:
         """Open the stream; return False when its answer was no stream."""
@@ -284,32 +285,33 @@
 
     async def _prepare_copy(self, place: _places.RelayPlace) -> None:
         try:
-            reserved = await self._copier.prepare(
+            prepared = await self._copier.prepare(
                 place, lambda: self._place is place
             )
         finally:
             self._copying = False
-        if reserved is None:
+        if prepared is None:
             return
         if self._place is place:
-            self._prepared = reserved
+            self._prepared = prepared
             self._wake()
         else:
-            reserved.release(complete=False)
+            prepared.place.release(complete=False)
 
-    async def _finish_copy(self, reserved: _places.RelayPlace) -> None:
+    async def _finish_copy(self, prepared: _copies.PreparedCopy) -> None:
         """Stop the run, copy the rest and let it go on at the copy."""
         place = self._place
         if place is None:
-            reserved.release(complete=False)
             return
-        result = await self._copier.stop(place, reserved)
+        self._stopping = True
+        result = await self._copier.stop(place, prepared)
         match result:
             case _ports.Copied(copy=reference):
-                if not await self._continue(reserved, reference, 'copied'):
+                if not await self._continue_prepared(reference, 'copied'):
                     self.close()
                     await self._resume('the copy was not accepted')
             case _ports.CopyFailed(copy=None):
+                # The first copy stays for the case that the engine fails.
                 pass
             case _ports.CopyFailed(copy=reference):
                 again = self._placer.place_on(self._request, place.target.name)
@@ -319,6 +321,14 @@
             case _:
                 typing.assert_never(result)
 
+    async def _continue_prepared(self, reference: str, reason: str) -> bool:
+        """Let the run go on at the place that is reserved for its copy."""
+        prepared, self._prepared = self._prepared, None
+        self._stopping = False
+        if prepared is None:
+            return False
+        return await self._continue(prepared.place, reference, reason)
+
     async def _recover(self, reason: str) -> None:
         """Carry the stream on after its engine failed."""
         place, backup = self._place, self._backup
@@ -335,13 +345,18 @@
             )
             place.record_loss(crashed=True)
             self._excluded |= {place.target.name}
+        prepared, self._prepared = self._prepared, None
         self.close()
+        self._prepared = prepared
         if self._clock.now() >= self._request.deadline:
             raise core.CodedError(
                 core.ErrorCode.DEADLINE_EXCEEDED,
                 'the deadline has passed',
                 core.Outcome.RAN,
             )
+        if prepared is not None:
+            if await self._continue_prepared(prepared.reference, reason):
+                return
         if backup is not None and self._position is not None:
             reference = self._port.refer_backup(self._request, backup)
             place = self._placer.place_on(self._request, backup.name)
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -196,6 +196,25 @@
     add_leaving(context, name, last, end, relay.StreamBroken('reset'))
 
 
+@behave.given(
+    '"{name}" streams events {first:d} to {last:d} and leaves, breaking behind'
+    ' event {end:d}'
+)
+def step_breaks_behind(
+    context: typing.Any, name: str, first: int, last: int, end: int
+) -> None:
+    add_leaving(context, name, last, end - 1, None)
+    source = context.sources[-1]
+
+    async def go_on() -> list[relay.StreamEvent]:
+        with anyio.CancelScope(shield=True):
+            for _ in range(20):
+                await anyio.lowlevel.checkpoint()
+        return relay_rig.make_events(end, end)
+
+    source.replace_end([go_on, relay.StreamBroken('reset')])
+
+
 def add_leaving(
     context: typing.Any,
     name: str,
--- a/tests/support/relay_rig.py
+++ b/tests/support/relay_rig.py
@@ -92,6 +92,10 @@
         self.closed = False
         self.deadlines: list[float] = []
 
+    def replace_end(self, steps: list[typing.Any]) -> None:
+        """Put other steps in the place of the last one."""
+        self._steps[-1:] = steps
+
     async def read(self, deadline: float) -> list[relay.StreamEvent] | None:
         self.deadlines.append(deadline)
         step = self._steps.pop(0) if self._steps else None
