Remove what the relay does not use and share what stood twice

Found by reading the change again: a flag of connections, a check of routes and a mark of refusals that nothing read; engines looked up three times for each peer, where the view can list the usable ones once; the wait for a caller that leaves stood in both fronts; two names were the platform's words for a data centre and a region.

--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -20,15 +20,14 @@
 """How long a target that failed gets no new work, in seconds."""
 NO_TARGET_SECONDS = 0.5
 """When a caller may come back while no target is usable, in seconds."""
-
 BACKUP_MEMORY_PART = 0.3
 """Part of an engine's memory up to which it takes copies of other engines'
 runs. A copy cannot yield, and room for new runs goes first."""
 MOVE_MEMORY_PART = 0.97
 """Part of an engine's memory up to which it takes runs that must move."""
-
-ZONE_COPY_FACTOR = 2.0
+CENTRE_COPY_FACTOR = 2.0
 """How much longer a copy takes to another data centre."""
+
 _LOGGER = core.get_logger('callers')
 
 MakeBudget = typing.Callable[[], targets.RetryBudget]
@@ -84,9 +83,6 @@
         self, request: relay.RelayRequest, target: core.Target
     ) -> core.EngineTarget | None:
         """Return an engine that may keep a copy of a run, if any."""
-        state = self._state.view.find(target.name)
-        if state is None or request.prompt is None:
-            return None
         return self._choose_near(
             request, target, frozenset(), BACKUP_MEMORY_PART
         )
@@ -110,9 +106,10 @@
             return 0.0
         seconds = tokens * source.copy_seconds
         peers = self._list_peers(source)
-        if any(peer.data_centre == source.data_centre for peer in peers):
+        centres = {peer.declared.data_centre for peer in peers}
+        if source.data_centre in centres:
             return seconds
-        return ZONE_COPY_FACTOR * seconds
+        return CENTRE_COPY_FACTOR * seconds
 
     def is_usable(self, target: str) -> bool:
         """Tell whether a target may get new work."""
@@ -143,37 +140,24 @@
         """Count a send that carries a run on at another engine."""
         self._find_budget(request).record_retry(self._state.clock.now())
 
-    def _list_peers(self, source: core.Target) -> list[core.EngineTarget]:
+    def _list_peers(self, source: core.Target) -> list[targets.TargetState]:
         """Return the other engines that may get new work."""
         return [
-            target
-            for name, target in self._state.view.list_targets()
-            if isinstance(target, core.EngineTarget)
-            and name != source.name
-            and self.is_usable(name)
+            state
+            for state in self._state.view.list_usable_engines()
+            if state.declared.name != source.name
         ]
 
-    def _share_region(self, one: core.Target, other: core.Target) -> bool:
-        view = self._state.view
-        first, second = view.find(one.name), view.find(other.name)
-        if first is None or second is None:
-            return False
-        return first.region == second.region
-
     def _list_lone(self) -> frozenset[str]:
         """Return the engines without another one in their region.
 
         The links between regions are far too narrow for the memory of a
         run, so runs on these engines are lost when they leave.
         """
-        view = self._state.view
         by_region: dict[str | None, list[str]] = {}
-        for name, target in view.list_targets():
-            state = view.find(name)
-            if state is None or not isinstance(target, core.EngineTarget):
-                continue
-            if self.is_usable(name):
-                by_region.setdefault(state.region, []).append(name)
+        for state in self._state.view.list_usable_engines():
+            names = by_region.setdefault(state.region, [])
+            names.append(state.declared.name)
         return frozenset(
             names[0] for names in by_region.values() if len(names) == 1
         )
@@ -186,17 +170,19 @@
         memory_part: float,
     ) -> core.EngineTarget | None:
         """Return an engine for a copy, as near to its source as possible."""
+        state = self._state.view.find(source.name)
+        region = state.region if state is not None else None
         peers = self._list_peers(source)
         refused |= {source.name}
-        zone = frozenset(
-            peer.name
+        other_centres = frozenset(
+            peer.declared.name
             for peer in peers
-            if peer.data_centre != source.data_centre
+            if peer.declared.data_centre != source.data_centre
         )
-        region = frozenset(
-            peer.name for peer in peers if not self._share_region(peer, source)
+        other_regions = frozenset(
+            peer.declared.name for peer in peers if peer.region != region
         )
-        for outside in (zone, region):
+        for outside in (other_centres, other_regions):
             found = self._choose_engine(
                 request, refused | outside, memory_part
             )
--- a/packages/laburnumstep/src/laburnumstep/callers/_stream.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_stream.py
@@ -155,8 +155,7 @@
     async def _watch_caller(
         self, receive: types.Receive, scope: anyio.CancelScope
     ) -> None:
-        while (await receive())['type'] != 'http.disconnect':
-            pass
+        await transport.wait_for_disconnect(receive)
         self._disconnected = True
         scope.cancel()
 
--- a/packages/laburnumstep/src/laburnumstep/core/_routes.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_routes.py
@@ -71,10 +71,6 @@
             return self.services[0].service
         return rng.choices(self.services, weights)[0].service
 
-    def allows(self, service: str) -> bool:
-        """Tell whether a service may answer requests of this route."""
-        return any(item.service == service for item in self.services)
-
 
 @attrs.frozen
 class KeyHolder:
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -13,6 +13,7 @@
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _headers
 from laburnumstep.targets import relay
+from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
     from starlette import types
@@ -228,8 +229,7 @@
     async def run(
         self, receive: types.Receive, scope: anyio.CancelScope
     ) -> None:
-        while (await receive())['type'] != 'http.disconnect':
-            pass
+        await transport.wait_for_disconnect(receive)
         self.gone = True
         scope.cancel()
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -23,7 +23,6 @@
 REPORT_LAG_SECONDS = 0.5
 """Age of a report when it arrives, in seconds."""
 _LOWEST_PRIORITY = 9
-_MISDIRECTED = 421
 _MULTIPLE_CHOICES = 300
 _EVENT_STREAM = b'text/event-stream'
 
@@ -274,9 +273,7 @@
         except transport.ExchangeFailed:
             # The head has said that the request did not run.
             connection.close()
-        return relay.NotRun(
-            f'status {response.status}', response.status == _MISDIRECTED
-        )
+        return relay.NotRun(f'status {response.status}')
 
     def _open_stream(
         self,
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -211,9 +211,15 @@
         """Return what is known of a target."""
         return self._states.get(target_name)
 
-    def list_targets(self) -> list[tuple[str, core.Target]]:
-        """Return the targets with their names."""
-        return [(name, s.declared) for name, s in self._states.items()]
+    def list_usable_engines(self) -> list[_states.TargetState]:
+        """Return the engines that may get new work."""
+        now = self._clock.now()
+        return [
+            state
+            for state in self._states.values()
+            if isinstance(state.declared, core.EngineTarget)
+            and state.is_usable(now)
+        ]
 
     def get_pool(self, subject: str) -> _pools.TargetPool:
         """Return the usable targets of a model or a plain service."""
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -134,8 +134,6 @@
 
     reason: str
     """What it said."""
-    moved: bool = False
-    """Whether another target has its address now."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumstep.transport._bodies import MAX_BODY_BYTES
 from laburnumstep.transport._bodies import read_body
+from laburnumstep.transport._bodies import wait_for_disconnect
 from laburnumstep.transport._client import ConnectFailed
 from laburnumstep.transport._client import EXCHANGE_ERRORS
 from laburnumstep.transport._client import ExchangeFailed
@@ -34,4 +35,5 @@
     'read_body',
     'serve_app',
     'timeouts_until',
+    'wait_for_disconnect',
 ]
--- a/packages/laburnumstep/src/laburnumstep/transport/_bodies.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_bodies.py
@@ -8,11 +8,18 @@
 
 if typing.TYPE_CHECKING:
     from starlette import requests
+    from starlette import types
 
 MAX_BODY_BYTES = 1024 * 1024
 """Largest accepted body, in bytes."""
 
 
+async def wait_for_disconnect(receive: types.Receive) -> None:
+    """Wait until the caller of a request has closed its connection."""
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+
+
 async def read_body(request: requests.Request) -> bytes:
     """Return the body of a request.
 
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -63,7 +63,6 @@
         self._stream = stream
         self._clock = clock
         self._protocol = h11.Connection(h11.CLIENT)
-        self._used = False
 
     @classmethod
     async def open(
@@ -87,11 +86,6 @@
             raise _client.ConnectFailed(message) from error
         return cls(stream, clock)
 
-    @property
-    def used(self) -> bool:
-        """Whether an exchange was completed on it."""
-        return self._used
-
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on it.
@@ -200,7 +194,6 @@
             raise _fail('the response broke off', error) from error
 
     def _finish(self) -> None:
-        self._used = True
         trailing, closed = self._protocol.trailing_data
         done = (
             self._protocol.our_state is h11.DONE
