Read the list of a leaving engine's runs once for all streams of a VM

Cause: all streams of an engine hear of its leaving at once, and each read the same report before the first one was kept; reports are priced, and the turns were counted from several readings. The scenario fails before the change: the engine was asked once for each stream. Change: a lock for each engine around the first reading. The order of the copies is the same.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
@@ -4,6 +4,7 @@
 
 import typing
 
+import anyio
 import attrs
 
 from laburnumstep import core
@@ -54,16 +55,20 @@
         self._placer = placer
         self._clock = clock
         self._schedules: dict[str, _Schedule] = {}
+        self._locks: dict[str, anyio.Lock] = {}
 
     async def find_start(
         self, request: _ports.RelayRequest, source: core.Target
     ) -> float:
         """Return when the copy of a run may begin, in epoch seconds."""
         now = self._clock.now()
-        schedule = self._schedules.get(source.name)
-        if schedule is None or schedule.until < now:
-            schedule = await self._make_schedule(source)
-            self._schedules[source.name] = schedule
+        lock = self._locks.setdefault(source.name, anyio.Lock())
+        async with lock:
+            # All streams of an engine hear of its leaving at once.
+            schedule = self._schedules.get(source.name)
+            if schedule is None or schedule.until < now:
+                schedule = await self._make_schedule(source)
+                self._schedules[source.name] = schedule
         start = schedule.starts.get(request.key, schedule.last)
         _LOGGER.info(
             'copy scheduled; request=%s target=%s wait_ms=%d runs=%d',
@@ -90,6 +95,7 @@
         for name, schedule in list(self._schedules.items()):
             if schedule.until < now:
                 del self._schedules[name]
+                self._locks.pop(name, None)
 
 
 def order_runs(runs: list[_ports.EngineRun]) -> list[_ports.EngineRun]:
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -353,3 +353,25 @@
     first, second = context.starts
     assert first == second, context.starts
     assert abs(first - seconds) < 1e-6, first
+
+
+async def ask_turns(context: typing.Any, keys: list[str]) -> None:
+    turns = _evacuation.Evacuations(
+        context.port, context.placer, context.clock
+    )
+    request = relay_rig.make_request(_KINDS['single'], context.clock.now())
+    source = relay_rig.make_target('a')
+    async with anyio.create_task_group() as tasks:
+        for key in keys:
+            asked = attrs.evolve(request, key=key)
+            tasks.start_soon(turns.find_start, asked, source)
+
+
+@behave.when('one VM asks for the turns of "{one}" and "{other}" at once')
+def step_ask_at_once(context: typing.Any, one: str, other: str) -> None:
+    clocks.wait(context, ask_turns, context, [one, other])
+
+
+@behave.then('the engine was asked once')
+def step_asked_once(context: typing.Any) -> None:
+    assert context.port.lists == 1, context.port.lists
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -180,3 +180,11 @@
       | mid     | 0.16    |
       | large   | 0.43    |
       | missing | 0.92    |
+
+  Scenario: Streams of one VM share the list of an engine's runs
+    Given an engine that lists runs
+      | key   | tokens |
+      | small | 1000   |
+      | large | 4000   |
+    When one VM asks for the turns of "small" and "large" at once
+    Then the engine was asked once
--- a/tests/support/relay_rig.py
+++ b/tests/support/relay_rig.py
@@ -4,6 +4,7 @@
 
 import typing
 
+import anyio.lowlevel
 import attrs
 
 from laburnumstep import core
@@ -226,6 +227,7 @@
         self.copies: list[tuple[str, str, bool]] = []
         self.copy_results: dict[tuple[str, bool], relay.CopyResult] = {}
         self.runs: list[relay.EngineRun] = []
+        self.lists = 0
         self.on_send: typing.Callable[[relay.Attempt], None] | None = None
 
     async def send(self, attempt: relay.Attempt) -> relay.Reply:
@@ -249,6 +251,8 @@
     async def list_runs(
         self, target: core.Target, deadline: float
     ) -> list[relay.EngineRun]:
+        self.lists += 1
+        await anyio.lowlevel.checkpoint()
         return list(self.runs)
 
     def refer_backup(
