Read the reports of compared engines before placing a request

Ruled out: waiting at the VM (no request waited over 0.2 s), memory (median fill of the engines that were slow: 15%).

Change: two engines of the region and one of another are drawn for each request, and their reports are read again when they are older than 0.9 s, for at most 0.1 s. Requests that ask at once share a report. A report that names the time at which its engine ends counts like its entry.

--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -30,6 +30,20 @@
 
 _LOGGER = core.get_logger('callers')
 
+NEAR_CANDIDATES = 2
+"""Engines of the VM's region that are compared for a request."""
+FAR_CANDIDATES = 1
+"""Engines of other regions that are compared beside them."""
+REPORT_AGE_SECONDS = 0.9
+"""Age up to which a report is used for placement. Engines report what they
+measured half a second before."""
+REFRESH_SECONDS = 0.1
+"""Longest wait for new reports before a request is placed; an engine of
+another region answers within 30 ms."""
+
+Refresh = typing.Callable[[list[str], float, float], typing.Awaitable[None]]
+"""Reads the reports of engines again that were measured before the first
+time, until the second one."""
 MakeBudget = typing.Callable[[], targets.RetryBudget]
 
 
@@ -41,6 +55,7 @@
         admission: Queues generations until an engine has room.
         make_budget: Returns the retry budget of one service.
         weights: How much each measure counts for placement.
+        refresh: Reads load reports again that are old.
     """
 
     def __init__(
@@ -49,7 +64,9 @@
         admission: _admission.Admission,
         make_budget: MakeBudget,
         weights: core.PolicyWeights,
+        refresh: Refresh,
     ) -> None:
+        self._refresh = refresh
         self._state = state
         self._admission = admission
         self._make_budget = make_budget
@@ -252,6 +269,10 @@
         excluded: frozenset[str],
     ) -> RelayPlace:
         placement = _describe(request, prompt, excluded)
+        placement = attrs.evolve(
+            placement,
+            candidates=await self._find_candidates(prompt.model, excluded),
+        )
         if not relay.is_short(request):
             placement = attrs.evolve(placement, avoided=self._list_lone())
         result = await self._admission.admit(
@@ -270,6 +291,29 @@
             case _:
                 typing.assert_never(result)
 
+    async def _find_candidates(
+        self, model: str, excluded: frozenset[str]
+    ) -> tuple[str, ...]:
+        """Return some engines whose reports are new.
+
+        A VM of a large deployment places a request every few seconds. To
+        read the reports of a few engines then costs less than to read all
+        of them by turns, and they are newer.
+        """
+        names = targets.sample_engines(
+            self._state.view,
+            model,
+            excluded,
+            NEAR_CANDIDATES,
+            FAR_CANDIDATES,
+            self._rng,
+        )
+        now = self._state.clock.now()
+        await self._refresh(
+            list(names), now - REPORT_AGE_SECONDS, now + REFRESH_SECONDS
+        )
+        return names
+
     def _begin(self, request: relay.RelayRequest, target: str) -> RelayPlace:
         prompt = request.prompt
         send = self._state.view.begin(
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -125,10 +125,19 @@
                 kv_total=int(report['kvTotal']),
                 preemptions=0,
                 models=list(target.models),
+                reclaim_at=self._find_leaving(report),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise targets.MalformedStream(repr(error)) from error
 
+    def _find_leaving(self, report: dict[str, typing.Any]) -> float | None:
+        """Return when an engine ends that says so, in epoch seconds."""
+        now = self._clock.now()
+        left = report.get('leaves_ms')
+        if left is not None:
+            return now + float(left) / 1000.0
+        return now if report.get('state') == 'draining' else None
+
     async def list_runs(
         self, target: core.Target, deadline: float
     ) -> list[relay.EngineRun]:
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -179,7 +179,11 @@
             )
 
         placer = callers.RelayPlacer(
-            self._state, self._admission, make_budget, WEIGHTS
+            self._state,
+            self._admission,
+            make_budget,
+            WEIGHTS,
+            self._loads.refresh,
         )
         return _front.Front(
             self._book,
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -44,6 +44,7 @@
 from laburnumstep.targets._pace import EventRate
 from laburnumstep.targets._placement import choose_engine
 from laburnumstep.targets._placement import choose_service
+from laburnumstep.targets._placement import sample_engines
 from laburnumstep.targets._policy import MemoryPolicy
 from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
@@ -156,4 +157,5 @@
     'limit_engines',
     'list_unfinished',
     'new_generation_id',
+    'sample_engines',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -5,6 +5,7 @@
 import typing
 
 import anyio
+import attrs
 
 from laburnumstep import core
 from laburnumstep.targets import _engine_client
@@ -80,6 +81,13 @@
         ...
 
 
+@attrs.define(eq=False)
+class _EngineTask:
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    wanted: anyio.Event = attrs.field(factory=anyio.Event)
+    polled: anyio.Event = attrs.field(factory=anyio.Event)
+
+
 class LoadFollower:
     """Keeps the view's load reports and cache hints fresh.
 
@@ -110,12 +118,12 @@
         self._note_reclaim = note_reclaim
         self._min_poll_seconds = min_poll_seconds
         self._cache_every = cache_every
-        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._engines: dict[str, _EngineTask] = {}
 
     @property
     def poll_seconds(self) -> float:
         """Time between two load reports of an engine, in seconds."""
-        cost = len(self._scopes) * REPORT_BYTES
+        cost = len(self._engines) * REPORT_BYTES
         return max(self._min_poll_seconds, cost / POLL_BYTES_PER_SECOND)
 
     def apply_deployment(
@@ -132,17 +140,45 @@
             for name, target in deployment.targets.items()
             if isinstance(target, core.EngineTarget)
         }
-        for name in [n for n in self._scopes if n not in names]:
-            self._scopes.pop(name).cancel()
-        for name in names - set(self._scopes):
-            scope = anyio.CancelScope()
-            self._scopes[name] = scope
-            tasks.start_soon(self._follow, name, scope)
-
-    async def _follow(self, name: str, scope: anyio.CancelScope) -> None:
+        for name in [n for n in self._engines if n not in names]:
+            self._engines.pop(name).scope.cancel()
+        for name in names - set(self._engines):
+            engine = self._engines[name] = _EngineTask()
+            tasks.start_soon(self._follow, name, engine)
+
+    async def refresh(
+        self, names: list[str], oldest: float, deadline: float
+    ) -> None:
+        """Read the reports of some engines again where they are old.
+
+        Requests that ask at the same time share one report.
+
+        Args:
+            names: Engines.
+            oldest: Reports measured since are new enough, in epoch seconds.
+            deadline: When to go on with what is known, in epoch seconds.
+        """
+        old = [
+            engine
+            for name in names
+            if (engine := self._engines.get(name)) is not None
+            and (state := self._view.find(name)) is not None
+            and state.measured_at < oldest
+        ]
+        if not old:
+            return
+        for engine in old:
+            engine.wanted.set()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_at, deadline, group.cancel_scope)
+            for polled in [engine.polled for engine in old]:
+                await polled.wait()
+            group.cancel_scope.cancel()
+
+    async def _follow(self, name: str, engine: _EngineTask) -> None:
         reachable = True
         rounds = 0
-        with scope:
+        with engine.scope:
             while True:
                 client = self._clients.find(name)
                 if client is not None:
@@ -154,8 +190,24 @@
                         state = 'answers' if answered else 'does not answer'
                         _LOGGER.info('engine %s; target=%s', state, name)
                 rounds += 1
-                pause = self.poll_seconds
-                await self._clock.sleep_until(self._clock.now() + pause)
+                await self._wait_for_turn(engine)
+
+    async def _wait_for_turn(self, engine: _EngineTask) -> None:
+        """Wait until the next report is due or somebody wants one."""
+        engine.polled.set()
+        engine.polled = anyio.Event()
+        engine.wanted = anyio.Event()
+        until = self._clock.now() + self.poll_seconds
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_at, until, group.cancel_scope)
+            await engine.wanted.wait()
+            group.cancel_scope.cancel()
+
+    async def _cancel_at(
+        self, deadline: float, scope: anyio.CancelScope
+    ) -> None:
+        await self._clock.sleep_until(deadline)
+        scope.cancel()
 
     async def _poll(
         self,
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -191,7 +191,7 @@
         expected = min(expected, float(request.max_tokens))
     now = view.clock.now()
     question = _Question(view, request, lengths, policy, rng, expected, now)
-    names = _sample(view, request, rng)
+    names = list(request.candidates) or _sample(view, request, rng)
     ranked = question.rank(names)
     if not ranked:
         more = _sample_more(view, request, rng, names)
@@ -206,6 +206,37 @@
     )
 
 
+def sample_engines(
+    view: _view.FleetView,
+    model: str,
+    excluded: frozenset[str],
+    near: int,
+    far: int,
+    rng: random.Random,
+) -> tuple[str, ...]:
+    """Return engines to compare, in random order.
+
+    Args:
+        view: Targets and their load.
+        model: Model that they serve.
+        excluded: Engines that are left out.
+        near: How many of the VM's region.
+        far: How many of other regions; where its region has fewer than
+            wanted, others take their place.
+        rng: Source of random numbers.
+    """
+    pool = view.get_pool(model)
+    extra = len(excluded)
+    found = [
+        n for n in pool.sample(True, near + extra, rng) if n not in excluded
+    ]
+    missing = near - len(found[:near]) + far
+    others = pool.sample(False, missing + extra, rng)
+    found = found[:near] + [n for n in others if n not in excluded][:missing]
+    rng.shuffle(found)
+    return tuple(found)
+
+
 def choose_service(
     view: _view.FleetView,
     service: str,
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -27,6 +27,9 @@
     """Upper bound of the answer, in tokens, if known."""
     hinted_tokens: float | None = None
     """Length of the answer that the caller expects, in tokens, if any."""
+    candidates: tuple[str, ...] = ()
+    """Engines that are compared first, whose reports are new; empty leaves
+    the choice of them to placement."""
     avoided: frozenset[str] = frozenset()
     """Targets that are chosen only where others have much less room."""
     memory_part: float | None = None
--- a/tests/laburnumstep/platform/decoding.feature
+++ b/tests/laburnumstep/platform/decoding.feature
@@ -84,3 +84,28 @@
       | id: 1\ndata: a\n\n;id: 2\nda                 | 1                   | a break    |
       | data: a\n\n                                  | -                   | the end    |
       | weight-versions: 2\nid: 3\ndata: a\n\n       | 3                   | the end    |
+
+  Scenario Outline: An engine's report says when it leaves
+    Given an engine whose report has <fields> besides its load
+    When the report is read
+    Then the engine leaves <leaves>
+
+    Examples:
+      | fields                                 | leaves         |
+      | {}                                     | at no time     |
+      | {"state": "ready"}                     | at no time     |
+      | {"leaves_ms": null}                    | at no time     |
+      | {"leaves_ms": 1500}                    | in 1.5 seconds |
+      | {"state": "draining"}                  | in 0 seconds   |
+      | {"state": "draining", "leaves_ms": 900} | in 0.9 seconds |
+
+  Scenario Outline: A report that cannot be read
+    Given an engine whose report has <fields> besides its load
+    When the report is read
+    Then the report is malformed
+
+    Examples:
+      | fields                |
+      | {"leaves_ms": "soon"} |
+      | {"running": "many"}   |
+      | {"kvUsed": null}      |
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -17,8 +17,10 @@
 from laburnumstep.platform import _configuration
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _events
+from laburnumstep.platform import _servers
 from laburnumstep import targets
 from laburnumstep.targets import relay
+from laburnumstep import transport
 from support import clocks
 from support import platform_rig
 
@@ -225,3 +227,52 @@
     found = clocks.wait(context, read_events, context)
     assert found == end, found
     assert context.found == events.split(';'), context.found
+
+
+async def _read_report(document: dict[str, typing.Any]) -> typing.Any:
+    server = platform_rig.Server('i-1')
+    server.content = json.dumps(document).encode()
+    clock = clocks.ObservedClock()
+    async with transport.serve_app(server.app) as listening:
+        target = core.EngineTarget(
+            'i-1', 'lima-1', listening.address, ['app/m'], 1000, False
+        )
+        port = _servers.ServerPort(clock, lambda service: 1)
+        try:
+            report = await port.read_report(target, clock.now() + 5.0)
+        except targets.MalformedStream as error:
+            return error
+    left = report.reclaim_at
+    return None if left is None else left - clock.now()
+
+
+@behave.given('an engine whose report has {fields} besides its load')
+def step_report(context: typing.Any, fields: str) -> None:
+    context.document = {
+        'running': 1,
+        'queued': 0,
+        'kvUsed': 10,
+        'kvTotal': 1000,
+        **json.loads(fields),
+    }
+
+
+@behave.when('the report is read')
+def step_read_report(context: typing.Any) -> None:
+    context.leaves = clocks.wait(context, _read_report, context.document)
+
+
+@behave.then('the engine leaves at no time')
+def step_stays(context: typing.Any) -> None:
+    assert context.leaves is None, context.leaves
+
+
+@behave.then('the engine leaves in {seconds:g} seconds')
+def step_leaves(context: typing.Any, seconds: float) -> None:
+    # The clock counts from the epoch, so its last digits are rounded.
+    assert abs(context.leaves - seconds) < 1e-6, context.leaves
+
+
+@behave.then('the report is malformed')
+def step_malformed(context: typing.Any) -> None:
+    assert isinstance(context.leaves, targets.MalformedStream)
