Read the store and the load reports less often in large deployments

Each VM read the servers' entries every 0.4 s, asked again for the configuration every 1.5 s and polled all 36 engines by turns.

Change: the pause between reads of the entries grows with the servers, from 0.4 s to 1 s; the store may hold a read for 3 s, which with the time for the reply stays under the 4 s after which a VM counts as connected; a VM uses 16 engines beside those that leave, and polls each every 4 s, since those that placement compares are read when needed.

Sharing one reader among the VMs of a data centre would save most of what is left, and is not built.

--- a/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
@@ -9,7 +9,7 @@
 
 from laburnumstep import core
 
-WAIT_SECONDS = 1.5
+WAIT_SECONDS = 3.0
 """How long the log may wait for a record. A connection that went silent is
 noticed after this and the reply margin, so it bounds how stale a VM is."""
 REPLY_SECONDS = 0.8
@@ -106,8 +106,8 @@
         topic: The topic.
         reader: Takes in the records.
         clock: Bounds the reads.
-        pause: Shortest time between reads, in seconds; records that come
-            in between are taken in with one call.
+        find_pause: Returns the shortest time between reads, in seconds;
+            records that come in between are taken in with one call.
     """
 
     def __init__(
@@ -116,13 +116,13 @@
         topic: KeyedTopic,
         reader: KeyedReader,
         clock: core.Clock,
-        pause: float,
+        find_pause: typing.Callable[[], float],
     ) -> None:
         self._name = name
         self._topic = topic
         self._reader = reader
         self._clock = clock
-        self._pause = pause
+        self._find_pause = find_pause
         self._following: int | None = None
         self._failures = 0
         self._rng = random.Random()
@@ -146,7 +146,8 @@
                     self._failures,
                 )
                 self._failures = 0
-            await self._clock.sleep_until(self._clock.now() + self._pause)
+            pause = self._find_pause()
+            await self._clock.sleep_until(self._clock.now() + pause)
 
     async def _read(self) -> None:
         now = self._clock.now()
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -27,11 +27,21 @@
 if typing.TYPE_CHECKING:
     from starlette import types
 
-SERVERS_PAUSE_SECONDS = 0.4
+MIN_SERVERS_PAUSE_SECONDS = 0.4
 """Shortest time between reads of the servers' entries. Each server renews
 its entry about once a second, and every read is priced."""
-REPORT_SECONDS = 2.0
-"""Time between two load reports of an engine; each is priced."""
+MAX_SERVERS_PAUSE_SECONDS = 1.0
+"""Longest time between reads of the servers' entries. An engine that is
+reclaimed is gone two seconds after its entry says so."""
+PAUSE_PER_SERVER_SECONDS = 0.025
+"""Time between reads for each server. Large deployments have many VMs that
+read, and a VM has few streams on any one server that leaves."""
+REPORT_SECONDS = 4.0
+"""Time between two load reports of an engine; each is priced. Those that
+placement compares are read again when they are needed."""
+USED_ENGINES = 16
+"""Engines that a VM sends to and follows, so that the load reports of a
+deployment grow with its VMs and not with VMs times engines."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
 """Shortest time between reads of the configuration."""
 BALANCER_SECONDS = 3.0
@@ -204,17 +214,23 @@
                 _store.KeyedTopicClient(address, 'op', clock),
                 reader,
                 clock,
-                CONFIGURATION_PAUSE_SECONDS,
+                lambda: CONFIGURATION_PAUSE_SECONDS,
             ),
             log.KeyedFollower(
                 'servers',
                 _store.KeyedTopicClient(address, 'servers', clock),
                 self._directory,
                 clock,
-                SERVERS_PAUSE_SECONDS,
+                self._find_servers_pause,
             ),
         ]
 
+    def _find_servers_pause(self) -> float:
+        pause = PAUSE_PER_SERVER_SECONDS * len(self._registry.targets)
+        return min(
+            max(MIN_SERVERS_PAUSE_SECONDS, pause), MAX_SERVERS_PAUSE_SECONDS
+        )
+
     def _apply_services(self, services: _configuration.Services) -> None:
         self._services = services
         self._front.apply_services(services)
@@ -222,7 +238,10 @@
 
     def _apply_targets(self, deployment: core.Deployment) -> None:
         used = targets.limit_engines(
-            deployment, self._settings.name, self._settings.data_centre
+            deployment,
+            self._settings.name,
+            self._settings.data_centre,
+            USED_ENGINES,
         )
         self._view.apply_deployment(used)
         self._admission.apply_deployment(used)
--- a/packages/laburnumstep/src/laburnumstep/targets/_subset.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_subset.py
@@ -23,8 +23,9 @@
 
     Engines of the VM's data centre come first, then those of its region.
     Among equals each VM prefers others, by rendezvous hashing, so that all
-    engines are used and few change when an engine comes or goes. Small
-    deployments are returned unchanged.
+    engines are used and few change when an engine comes or goes. Engines
+    that leave are kept beside them while requests may still run there.
+    Small deployments are returned unchanged.
 
     Args:
         deployment: The configuration in force.
@@ -35,7 +36,7 @@
     engines = [
         target
         for target in deployment.targets.values()
-        if isinstance(target, core.EngineTarget)
+        if isinstance(target, core.EngineTarget) and not target.leaving
     ]
     if len(engines) <= limit:
         return deployment
@@ -63,6 +64,8 @@
         targets={
             name: target
             for name, target in deployment.targets.items()
-            if name in kept or isinstance(target, core.ServiceTarget)
+            if name in kept
+            or target.leaving
+            or isinstance(target, core.ServiceTarget)
         },
     )
--- a/tests/laburnumstep/log/steps/keyed_steps.py
+++ b/tests/laburnumstep/log/steps/keyed_steps.py
@@ -83,7 +83,7 @@
 async def follow(context: typing.Any) -> None:
     clock = clocks.ObservedClock()
     follower = log.KeyedFollower(
-        'test', context.topic, context.reader, clock, 0.5
+        'test', context.topic, context.reader, clock, lambda: 0.5
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(follower.run)
--- a/tests/laburnumstep/targets/steps/subset_steps.py
+++ b/tests/laburnumstep/targets/steps/subset_steps.py
@@ -87,3 +87,21 @@
 def step_change(context: typing.Any, vm: str, count: int) -> None:
     added = _use(context, vm) - context.before
     assert len(added) <= count, added
+
+
+@behave.when('an engine of "{vm}" begins to leave')
+def step_leave(context: typing.Any, vm: str) -> None:
+    context.before = _use(context, vm)
+    context.leaving = sorted(context.before)[0]
+    declared = dict(context.deployment.targets)
+    declared[context.leaving] = attrs.evolve(
+        declared[context.leaving], leaving=True
+    )
+    context.deployment = attrs.evolve(context.deployment, targets=declared)
+
+
+@behave.then('"{vm}" uses that engine still and 1 other engine than before')
+def step_kept(context: typing.Any, vm: str) -> None:
+    used = _use(context, vm)
+    assert context.before < used, context.before - used
+    assert len(used - context.before) == 1, used - context.before
--- a/tests/laburnumstep/targets/subset.feature
+++ b/tests/laburnumstep/targets/subset.feature
@@ -16,3 +16,8 @@
     Given 4300 engines of 27 models in 19 data centres
     When an engine of "vm-1" is removed
     Then "vm-1" uses at most 1 other engine than before
+
+  Scenario: An engine that leaves is kept and another one used beside it
+    Given 4300 engines of 27 models in 19 data centres
+    When an engine of "vm-1" begins to leave
+    Then "vm-1" uses that engine still and 1 other engine than before
