Count prompts that wait on an engine for more

Prompts are read one after another between the tokens of running requests, at about 7 tokens a millisecond, so three waiting prompts delay a first event by a second.

Change: a waiting prompt costs 0.12 of memory in place of 0.05, and the VM's own sends since the report count as waiting.

--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -45,8 +45,10 @@
 """Gain of a prompt that is fully cached, as a part of memory."""
 AVOIDED_COST = 0.4
 """Cost of a target that the request avoids, as a part of memory."""
-WAITING_COST = 0.05
-"""Cost of each request that waits on the engine."""
+WAITING_COST = 0.12
+"""Cost of each request that waits on the engine or was sent to it since its
+report. Prompts are read one after another between the tokens of running
+requests, so each delays the first token by some tenths of a second."""
 
 
 @attrs.frozen
@@ -114,7 +116,9 @@
             return None
         held = self.view.hints.match(name, self.request.prefixes)
         fill = peak / max(1, state.memory)
-        waiting = state.report.waiting if state.report is not None else 0
+        waiting = max(0, load.taken)
+        if state.report is not None:
+            waiting += state.report.waiting
         cost = fill - PREFIX_GAIN * held + WAITING_COST * waiting + far_cost
         if name in self.request.avoided:
             cost += AVOIDED_COST
