Say "unknown" of a call that is refused without a look at its key

Cause: a VM that refused a call because of a limit, its own stop, a missing configuration or a deadline said "not_run" of a key that it had never looked up. Another VM could have run the same key at the same moment.

Ruled out: a look at the claims before each refusal. It costs a round trip where load has to be shed, and an unclaimed key may still be on its way to another VM, so the answer would be false as well.

Change: refusals of /v1/calls before the claim keep their code and time to resend and say "unknown"; the caller sends the same key again. Malformed calls still say "not_run": no VM begins them. Generations are unchanged, since each send of one is a run of its own.

--- a/packages/laburnumstep/src/laburnumstep/callers/_app.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_app.py
@@ -126,7 +126,7 @@
                 self._route('POST', '/v1/generations', self._generate),
                 self._route('POST', '/v1/generations/resume', self._resume),
                 self._route('POST', '/v1/generations/cancel', self._cancel),
-                self._route('POST', '/v1/calls', self._call),
+                self._route('POST', '/v1/calls', self._call, keyed=True),
                 self._route('GET', '/v1/outcomes/{key}', self._outcome),
                 routing.Route('/healthz', self._health),
                 routing.Route('/readyz', self._ready),
@@ -135,9 +135,9 @@
         """The ASGI application."""
 
     def _route(
-        self, method: str, path: str, handler: Handler
+        self, method: str, path: str, handler: Handler, keyed: bool = False
     ) -> routing.Route:
-        endpoint = _Endpoint(self, handler)
+        endpoint = _Endpoint(self, handler, keyed)
         return routing.Route(path, endpoint, methods=[method])
 
     @property
@@ -236,7 +236,10 @@
             payload=body.payload,
             deadline=body.deadline or now + _codec.DEFAULT_CALL_SECONDS,
         )
-        self._check_deadline(call.deadline)
+        try:
+            self._check_deadline(call.deadline)
+        except core.CodedError as error:
+            raise error.with_outcome(core.Outcome.UNKNOWN) from error
         self._metrics.count('callers.calls')
         result = await self._services.call(call)
         return responses.JSONResponse(
@@ -302,22 +305,37 @@
 
 
 class _Endpoint:
-    """Serves one route: credentials, handler, errors and their count."""
+    """Serves one route: credentials, handler, errors and their count.
 
-    def __init__(self, front: CallersApp, handler: Handler) -> None:
+    Args:
+        front: Checks credentials and encodes errors.
+        handler: Serves requests that may begin.
+        keyed: Whether a request may have been sent before with its key. A
+            VM that refuses it without a look at the key does not know
+            whether it ran.
+    """
+
+    def __init__(
+        self, front: CallersApp, handler: Handler, keyed: bool
+    ) -> None:
         self._front = front
         self._handler = handler
+        self._keyed = keyed
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         request = requests.Request(scope, receive, send)
+        begun = False
         try:
             with self._front.gate.enter():
                 workspace = self._front.authenticate(request)
+                begun = True
                 response = await self._handler(request, workspace)
                 await response(scope, receive, send)
         except core.CodedError as error:
+            if self._keyed and not begun:
+                error = error.with_outcome(core.Outcome.UNKNOWN)
             response = self._front.refuse(request, error)
             await response(scope, receive, send)
         except requests.ClientDisconnect:
--- a/packages/laburnumstep/src/laburnumstep/core/_errors.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_errors.py
@@ -92,3 +92,9 @@
         self.outcome = outcome
         self.resend = resend
         self.resend_at = resend_at
+
+    def with_outcome(self, outcome: Outcome) -> CodedError:
+        """Return the same error that says something else of the request."""
+        return CodedError(
+            self.code, self.message, outcome, self.resend, self.resend_at
+        )
--- a/packages/laburnumstep/src/laburnumstep/services.py
+++ b/packages/laburnumstep/src/laburnumstep/services.py
@@ -139,6 +139,23 @@
         Raises:
             CodedError: With the outcome as far as it is known.
         """
+        try:
+            deployment, operation = self._admit_call(call)
+        except core.CodedError as error:
+            # The key was not looked up, and another VM may have run it.
+            raise error.with_outcome(core.Outcome.UNKNOWN) from error
+        self._state.budget.record_request(self._state.clock.now())
+        try:
+            ordered = self._order_targets(deployment, call.service)
+            self._keep_decision(call, [target.name for target in ordered])
+            return await self._calls.run(call, operation, ordered)
+        finally:
+            self._state.limits.end(call.workspace)
+
+    def _admit_call(
+        self, call: core.ServiceCall
+    ) -> tuple[core.Deployment, core.Operation]:
+        """Count a call against its workspace's limits."""
         deployment = self.find_deployment()
         operation = deployment.find_operation(call.service, call.operation)
         if operation is None:
@@ -147,13 +164,7 @@
                 f'{call.service}.{call.operation} is not declared',
             )
         self._begin(call.workspace)
-        self._state.budget.record_request(self._state.clock.now())
-        try:
-            ordered = self._order_targets(deployment, call.service)
-            self._keep_decision(call, [target.name for target in ordered])
-            return await self._calls.run(call, operation, ordered)
-        finally:
-            self._state.limits.end(call.workspace)
+        return deployment, operation
 
     async def find_outcome(
         self, workspace: str, key: core.RequestKey
--- a/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
@@ -99,6 +99,8 @@
             raise core.CodedError(
                 core.ErrorCode.NO_TARGET,
                 f'no live target serves {call.service}',
+                # The key was not looked up, and another VM may have run it.
+                core.Outcome.UNKNOWN,
                 resend=True,
             )
         if operation.idempotent:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
@@ -199,9 +199,7 @@
     """
     if not may_have_run or error.outcome is not core.Outcome.NOT_RUN:
         return error
-    return core.CodedError(
-        error.code, error.message, core.Outcome.UNKNOWN, error.resend
-    )
+    return error.with_outcome(core.Outcome.UNKNOWN)
 
 
 def log_reply(
--- a/tests/laburnumstep/callers/front.feature
+++ b/tests/laburnumstep/callers/front.feature
@@ -98,3 +98,15 @@
     And the stop deadline passes
     Then the stream ends with the error "vm_stopping"
     And the VM has stopped
+
+  Scenario Outline: A call refused without a look at its key denies nothing
+    Given <reason>
+    When a call is sent with the body "<body>"
+    Then the status is <status> and the code is "<code>" with outcome "<outcome>"
+
+    Examples:
+      | reason                         | body     | status | code              | outcome |
+      | the VM knows no configuration  | whole    | 503    | no_configuration  | unknown |
+      | the VM begins to stop          | whole    | 503    | vm_stopping       | unknown |
+      | the front end as it is         | late     | 504    | deadline_exceeded | unknown |
+      | the front end as it is         | no JSON  | 400    | bad_request       | not_run |
--- a/tests/laburnumstep/callers/steps/front_steps.py
+++ b/tests/laburnumstep/callers/steps/front_steps.py
@@ -151,6 +151,23 @@
     context.services.fail_after = 3
 
 
+@behave.given('the front end as it is')
+def step_unchanged(context: typing.Any) -> None:
+    del context
+
+
+@behave.when('a call is sent with the body "{body}"')
+def step_call(context: typing.Any, body: str) -> None:
+    call = {'service': 'booking', 'operation': 'confirm', 'payload': {}}
+    match body:
+        case 'late':
+            call['deadline'] = context.clock.now() - 1.0
+        case 'no JSON':
+            _post(context, '/v1/calls', b'{')
+            return
+    _post(context, '/v1/calls', json.dumps(call).encode())
+
+
 @behave.given('the VM knows no configuration')
 def step_no_configuration(context: typing.Any) -> None:
     context.services.deployment = None
@@ -244,6 +261,7 @@
     _post(context, '/v1/generations', body)
 
 
+@behave.given('the VM begins to stop')
 @behave.when('the VM begins to stop')
 def step_stop(context: typing.Any) -> None:
     deadline = context.clock.now() + _STOP_SECONDS
--- a/tests/laburnumstep/vm/postings.feature
+++ b/tests/laburnumstep/vm/postings.feature
@@ -38,6 +38,13 @@
     Then one caller at least is told "ran"
     And the operation had 1 effects
 
+  Scenario: Keys are sent through two VMs beyond the workspace's limit
+    Given VMs "vm-1" and "vm-2"
+    When 500 keys of "post" are each sent through both VMs, 20 at a time
+    Then some callers are refused with "limit_exceeded"
+    And nobody is told "not_run" of a key that had an effect
+    And no key had 2 effects
+
   Scenario: The log is down
     Given VMs "vm-1" and "vm-2"
     And the log has an outage
--- a/tests/laburnumstep/vm/steps/vm_steps.py
+++ b/tests/laburnumstep/vm/steps/vm_steps.py
@@ -12,6 +12,7 @@
 from laburnumstep import core
 from laburnumstep import log
 from laburnumstep_standins import caller
+from support import clocks
 from support import cluster
 from support import hooks
 from support import polling
@@ -239,6 +240,73 @@
     context.replies = [task.result() for task in tasks]
 
 
+@behave.when(
+    '{count:d} keys of "{operation}" are each sent through both VMs,'
+    ' {limit:d} at a time'
+)
+def step_call_pairs(
+    context: typing.Any, count: int, operation: str, limit: int
+) -> None:
+    context.pairs = clocks.wait(
+        context, _send_pairs, context, operation, count, limit
+    )
+
+
+async def _send_pairs(
+    context: typing.Any, operation: str, count: int, limit: int
+) -> list[tuple[str, caller.CallReply]]:
+    """Send each key through both VMs at once; return keys with replies."""
+    body = {
+        'service': cluster.SERVICE,
+        'operation': operation,
+        'payload': {'gang': 'A7'},
+    }
+    vms = [context.cluster.make_caller(n) for n in ('vm-1', 'vm-2')]
+    limiter = anyio.CapacityLimiter(limit)
+    replies: list[tuple[str, caller.CallReply]] = []
+
+    async def send(key: core.RequestKey) -> None:
+        async def call(vm: typing.Any) -> None:
+            deadline = context.cluster.clock.now() + cluster.DEADLINE_SECONDS
+            replies.append((str(key), await vm.call(body, key, deadline)))
+
+        async with limiter, anyio.create_task_group() as pair:
+            for vm in vms:
+                pair.start_soon(call, vm)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
+            tasks.start_soon(send, vms[0].issue_key())
+    return replies
+
+
+@behave.then('some callers are refused with "{code}"')
+def step_some_refused(context: typing.Any, code: str) -> None:
+    codes = [
+        reply.body['error']['code']
+        for _, reply in context.pairs
+        if 'error' in reply.body
+    ]
+    assert code in codes, set(codes)
+
+
+@behave.then('nobody is told "not_run" of a key that had an effect')
+def step_no_false_denial(context: typing.Any) -> None:
+    effects = context.cluster.service.ledger.effects
+    denied = [
+        key for key, reply in context.pairs if reply.outcome == 'not_run'
+    ]
+    false = [key for key in denied if effects[key]]
+    assert not false, len(false)
+
+
+@behave.then('no key had 2 effects')
+def step_no_double(context: typing.Any) -> None:
+    effects = context.cluster.service.ledger.effects
+    double = [key for key, _ in context.pairs if effects[key] > 1]
+    assert not double, len(double)
+
+
 @behave.then('the caller is told "{outcome}"')
 def step_outcome(context: typing.Any, outcome: str) -> None:
     assert context.reply.outcome == outcome, context.reply
