Refuse a request with two ends on every HTTP server

Cause: only the platform's front refused a request with both a length and chunks. The servers for callers, operators and health read such a body as chunks and answered the bytes behind it as a request of their own.

Change: the check moves from the platform's front to the HTTP server that all of them use. The answer is 400 and closes the connection.

Repeated lengths that differ, lists of lengths, a space before the colon and other transfer codings were refused before; a length that is repeated alike is one length.

Ruled out: a check of the raw bytes. Folding and bare line feeds are decoded before the check, as the protocol allows, so they cannot hide a header.

--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -97,7 +97,6 @@
             CodedError: The request is refused.
         """
         headers: _headers.Headers = list(scope['headers'])
-        _check_framing(headers)
         path = scope['raw_path']
         route, holder = self._book.match(
             _find_host(headers), path.decode('latin-1'), _find_key(headers)
@@ -327,16 +326,6 @@
             return 502
 
 
-def _check_framing(headers: _headers.Headers) -> None:
-    """Refuse a request whose end can be understood in two ways."""
-    names = [name for name, _ in headers]
-    if b'transfer-encoding' in names and b'content-length' in names:
-        raise core.CodedError(
-            core.ErrorCode.BAD_REQUEST,
-            'the body has both a length and a transfer coding',
-        )
-
-
 def _find_host(headers: _headers.Headers) -> str:
     host = _headers.find(headers, b'host').decode('latin-1').lower()
     return host.partition(':')[0]
--- a/packages/laburnumstep/src/laburnumstep/transport/_server.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_server.py
@@ -9,6 +9,8 @@
 import anyio
 import uvicorn
 
+from laburnumstep.transport import _framing
+
 if typing.TYPE_CHECKING:
     import collections.abc
 
@@ -59,7 +61,7 @@
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._host = host
         config = uvicorn.Config(
-            typing.cast(typing.Any, app),
+            typing.cast(typing.Any, _framing.FramingGuard(app)),
             http='h11',
             interface='asgi3',
             ws='none',
--- /dev/null
+++ b/tests/laburnumstep/transport/framing.feature
@@ -0,0 +1,26 @@
+Feature: A request has one end
+  Guards against bytes behind a request that are answered as a request of
+  their own, because two parties end the first one differently.
+
+  Scenario Outline: Contradictory framings
+    Given a server that counts its requests
+    When a request with <headers> and the body <body> is sent before another one
+    Then the server has begun <requests> requests
+    And the first answer has status <status> and the connection is <connection>
+
+    Examples:
+      | headers                                                 | body               | requests | status | connection |
+      | Content-Length: 5                                       | hello              | 2        | 200    | open       |
+      | Transfer-Encoding: chunked                              | 5\r\nhello\r\n0\r\n\r\n | 2   | 200    | open       |
+      | Content-Length: 5\r\nTransfer-Encoding: chunked         | 0\r\n\r\n          | 0        | 400    | closed     |
+      | Transfer-Encoding: chunked\r\nContent-Length: 5         | 0\r\n\r\n          | 0        | 400    | closed     |
+      | Transfer-Encoding:\r\n chunked\r\nContent-Length: 5     | 0\r\n\r\n          | 0        | 400    | closed     |
+      | Content-Length: 5\r\nContent-Length: 6                  | hello              | 0        | 400    | closed     |
+      | Content-Length: 5, 6                                    | hello              | 0        | 400    | closed     |
+      | Content-Length: +5                                      | hello              | 0        | 400    | closed     |
+      | Content-Length: 5\r\nContent-Length: 5                  | hello              | 2        | 200    | open       |
+      | Content-Length : 5                                      | hello              | 0        | 400    | closed     |
+      | Transfer-Encoding : chunked\r\nContent-Length: 5        | 0\r\n\r\n          | 0        | 400    | closed     |
+      | Transfer-Encoding: gzip                                 | hello              | 0        | 400    | closed     |
+      | Transfer-Encoding: gzip, chunked                        | 0\r\n\r\n          | 0        | 400    | closed     |
+      | Transfer-Encoding: chunked\nContent-Length: 5           | 0\r\n\r\n          | 0        | 400    | closed     |
