Leave out engines that do not report in time, and log what placement knew

Change: only the drawn engines with a new report are compared, all of them where none reported. The line of a placement tells the waiting prompts and the age of the report, beside memory.

--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -312,7 +312,14 @@
         await self._refresh(
             list(names), now - REPORT_AGE_SECONDS, now + REFRESH_SECONDS
         )
-        return names
+        fresh = [
+            name
+            for name in names
+            if (known := self._state.view.find(name)) is not None
+            and known.measured_at >= now - REPORT_AGE_SECONDS
+        ]
+        # An engine that does not report in time is overloaded or gone.
+        return tuple(fresh) or names
 
     def _begin(self, request: relay.RelayRequest, target: str) -> RelayPlace:
         prompt = request.prompt
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -57,11 +57,16 @@
     cost: float
     fill: float
     held: float
+    waiting: int
+    age: float
     near: bool
 
     def explain(self) -> str:
         where = 'region' if self.near else 'another region'
-        return f'{self.fill:.0%} memory, {self.held:.0%} prefix, {where}'
+        return (
+            f'{self.fill:.0%} memory, {self.held:.0%} prefix,'
+            f' {self.waiting} waiting, report {self.age:.1f} s old, {where}'
+        )
 
 
 @attrs.frozen
@@ -122,7 +127,8 @@
         cost = fill - PREFIX_GAIN * held + WAITING_COST * waiting + far_cost
         if name in self.request.avoided:
             cost += AVOIDED_COST
-        return _Candidate(name, cost, fill, held, state.near)
+        age = self.now - state.measured_at if state.report else math.inf
+        return _Candidate(name, cost, fill, held, waiting, age, state.near)
 
     def _may_take(
         self,
