Serve metrics of a VM on the platform, and tell answers from callers gone

Cause: counters of a VM on the platform went nowhere, and its line of an ended request said "gone" of each request that was answered: once an answer is complete, the server reports a disconnect, which looked like a caller that left.

Change: counters, gauges and histograms of times are kept for a page on port 9464 of the VM, beside statsd where it has an address. A port in use costs the page and a line of the log. The end of a request is "answered" when the relay returned.

Ruled out: statsd alone, for which the platform has no server.

Before: the scenario of the metrics failed with callers_calls_gone.

--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -39,6 +39,8 @@
 from laburnumstep.core._logs import get_logger
 from laburnumstep.core._logs import PrefixAdapter
 from laburnumstep.core._metrics import Metrics
+from laburnumstep.core._metrics_page import METRICS_CONTENT_TYPE
+from laburnumstep.core._metrics_page import MetricsPage
 from laburnumstep.core._requests import CallResult
 from laburnumstep.core._requests import Delivery
 from laburnumstep.core._requests import Generation
@@ -76,7 +78,9 @@
     'KeyHolder',
     'LinkBudget',
     'ManualClock',
+    'METRICS_CONTENT_TYPE',
     'Metrics',
+    'MetricsPage',
     'Operation',
     'Outcome',
     'Place',
--- a/packages/laburnumstep/src/laburnumstep/core/_metrics.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_metrics.py
@@ -1,9 +1,14 @@
-"""Counters and gauges, sent over statsd."""
+"""Counters, gauges and times, sent over statsd or kept for a page."""
 
 from __future__ import annotations
 
+import typing
+
 import statsd
 
+if typing.TYPE_CHECKING:
+    from laburnumstep.core import _metrics_page
+
 
 class Metrics:
     """Sends metrics, or drops them where no address is set.
@@ -11,9 +16,16 @@
     Args:
         address: IP number and port of the statsd server, or None.
         prefix: Put in front of each name.
+        page: Keeps the metrics as well, or None.
     """
 
-    def __init__(self, address: str | None, prefix: str) -> None:
+    def __init__(
+        self,
+        address: str | None,
+        prefix: str,
+        page: _metrics_page.MetricsPage | None = None,
+    ) -> None:
+        self._page = page
         self._client: statsd.StatsClient | None = None
         if address is not None:
             host, _, port = address.rpartition(':')
@@ -23,13 +35,19 @@
         """Add to a counter."""
         if self._client is not None:
             self._client.incr(name, amount)
+        if self._page is not None:
+            self._page.count(name, amount)
 
     def record_time(self, name: str, seconds: float) -> None:
         """Record how long something took, in seconds."""
         if self._client is not None:
             self._client.timing(name, seconds * 1000)
+        if self._page is not None:
+            self._page.record_time(name, seconds)
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         if self._client is not None:
             self._client.gauge(name, value)
+        if self._page is not None:
+            self._page.set_gauge(name, value)
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -47,6 +47,7 @@
         streams: Relays streams.
         gate: Counts requests in progress.
         clock: Compared with callers' deadlines.
+        metrics: Receives the ends of requests.
     """
 
     def __init__(
@@ -56,7 +57,9 @@
         streams: relay.StreamRelay,
         gate: callers.RequestGate,
         clock: core.Clock,
+        metrics: core.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._book = book
         self._calls = calls
         self._streams = streams
@@ -161,17 +164,20 @@
     ) -> None:
         """Relay a request until it ends or its caller leaves."""
         error: core.CodedError | None = None
+        outcome = 'gone'
         watch = _CallerWatch()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch.run, receive, tasks.cancel_scope)
             try:
                 await self._relay(request, sink)
+                # The end of an answer reads like a caller that leaves.
+                outcome = 'answered'
             except core.CodedError as raised:
                 error = raised
+                outcome = error.code.value
             tasks.cancel_scope.cancel()
-        outcome = 'gone' if watch.gone else 'answered'
-        if error is not None:
-            outcome = error.code.value
+        took = self._clock.now() - request.arrived_at
+        self._count_end(request, outcome, took)
         _LOGGER.info(
             'ended request=%s route=%s workspace=%s priority=%d prompt=%s'
             ' outcome=%s took_ms=%d',
@@ -181,11 +187,24 @@
             request.priority,
             request.prompt or '-',
             outcome,
-            (self._clock.now() - request.arrived_at) * 1000,
+            took * 1000,
         )
         if error is not None and not watch.gone:
             raise error
 
+    def _count_end(
+        self, request: relay.RelayRequest, outcome: str, seconds: float
+    ) -> None:
+        match request.route.kind:
+            case core.CallKind():
+                kind = 'calls'
+            case core.StreamKind():
+                kind = 'streams'
+            case _:
+                typing.assert_never(request.route.kind)
+        self._metrics.count(f'callers.{kind}.{outcome}')
+        self._metrics.record_time(f'callers.{kind}', seconds)
+
     async def _relay(self, request: relay.RelayRequest, sink: _Sink) -> None:
         match request.route.kind:
             case core.CallKind():
@@ -198,6 +217,7 @@
     async def _fail(
         self, scope: types.Scope, sink: _Sink, error: core.CodedError
     ) -> None:
+        self._metrics.count(f'callers.refused.{error.code.value}')
         _LOGGER.info(
             'refused path=%s code=%s outcome=%s reason="%s"',
             scope['path'],
@@ -365,3 +385,16 @@
             raise _BodyTooLarge
         if not message.get('more_body', False):
             return body
+
+
+async def serve_metrics(page: core.MetricsPage, send: types.Send) -> None:
+    """Answer a request for the metrics."""
+    content = page.render()
+    headers = [
+        (b'content-type', core.METRICS_CONTENT_TYPE.encode()),
+        (b'content-length', b'%d' % len(content)),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': 200, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': content})
--- a/packages/laburnumstep/src/laburnumstep/platform/_settings.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_settings.py
@@ -15,6 +15,10 @@
 _Value = typing.TypeVar('_Value')
 
 
+METRICS_PORT = 9464
+"""Port of the metrics; `deploy/system.toml` names the same."""
+
+
 @attrs.frozen
 class RetryAllowance:
     """How many repeated sends all VMs together may make to a service."""
@@ -41,6 +45,8 @@
     """IP number and port on which callers are served."""
     ready_address: str
     """IP number and port on which the platform asks for readiness."""
+    metrics_address: str
+    """IP number and port on which metrics are served."""
     store_address: str
     """IP number and port of the platform's store."""
     grace_seconds: float
@@ -120,6 +126,7 @@
         places=places,
         callers_address=read('listen', 'front', str, ''),
         ready_address=read('listen', 'ready', str, ''),
+        metrics_address=f'{read("", "ip", str, "")}:{METRICS_PORT}',
         store_address=read('platform', 'address', str, ''),
         grace_seconds=read('bounds', 'graceS', float, 0.0),
         retries=retries,
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -75,7 +75,8 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._metrics = core.Metrics(None, '')
+        self._page = core.MetricsPage()
+        self._metrics = core.Metrics(None, '', self._page)
         self._view = targets.FleetView(clock, settings.data_centre)
         lengths = targets.LengthEstimator()
         self._admission = callers.Admission(
@@ -121,6 +122,7 @@
         self._ready = transport.HttpServer(
             self._serve_ready, settings.ready_address
         )
+        self._metrics_server = self._build_metrics_server()
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -128,6 +130,9 @@
         return {
             'callers': self._callers.address,
             'ready': self._ready.address,
+            'metrics': self._metrics_server.address
+            if self._metrics_server is not None
+            else '',
         }
 
     @property
@@ -160,6 +165,8 @@
             tasks.start_soon(self._registry.run)
             tasks.start_soon(self._callers.run)
             tasks.start_soon(self._ready.run)
+            if self._metrics_server is not None:
+                tasks.start_soon(self._metrics_server.run)
             _LOGGER.info(
                 'started; name=%s callers=%s',
                 self._settings.name,
@@ -178,8 +185,27 @@
         await self._gate.drain(deadline)
         self._callers.abort()
         self._ready.abort()
+        if self._metrics_server is not None:
+            self._metrics_server.abort()
         _LOGGER.info('stopped; unfinished=%d', self._gate.in_progress)
 
+    def _build_metrics_server(self) -> transport.HttpServer | None:
+        async def serve(
+            scope: types.Scope, receive: types.Receive, send: types.Send
+        ) -> None:
+            self._metrics.set_gauge(
+                'targets.registered', len(self._registry.targets)
+            )
+            self._metrics.set_gauge('callers.waiting', self._admission.waiting)
+            await _front.serve_metrics(self._page, send)
+
+        try:
+            return transport.HttpServer(serve, self._settings.metrics_address)
+        except OSError as error:
+            # Callers are served all the same.
+            _LOGGER.warning('metrics are not served; reason=%s', error)
+            return None
+
     def _build_front(self) -> _front.Front:
         retries = self._settings.retries
 
@@ -201,6 +227,7 @@
             relay.StreamRelay(placer, self._port, self._running, self._clock),
             self._gate,
             self._clock,
+            self._metrics,
         )
 
     def _build_followers(self) -> list[log.KeyedFollower]:
--- a/tests/laburnumstep/platform/front.feature
+++ b/tests/laburnumstep/platform/front.feature
@@ -114,3 +114,17 @@
     Then the VM is not ready
     When "POST /unsafe/1" is sent with ""
     Then the answer has status 503
+
+  Scenario: Metrics tell how requests ended
+    When "POST /unsafe/1" is sent with ""
+    And "GET /open/1" is sent with "Authorization: Token wrong"
+    And "POST /nowhere/1" is sent with ""
+    Then the metrics have "laburnumstep_callers_calls_answered_total 2.0"
+    And the metrics have "laburnumstep_callers_calls_seconds_count 2.0"
+    And the metrics have "laburnumstep_callers_refused_unknown_route_total 1.0"
+    And the metrics have "laburnumstep_targets_registered 1.0"
+
+  Scenario: A port in use costs the metrics and nothing else
+    Given a port that another process listens on
+    When a VM is built whose metrics have that port
+    Then it has no address for metrics
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -26,6 +26,7 @@
 
 _SETTINGS = """
 nodeName = "front-1"
+ip = "127.0.0.1"
 zone = "callao-a"
 [zones]
 callao-a = "lima"
--- a/tests/laburnumstep/platform/steps/front_steps.py
+++ b/tests/laburnumstep/platform/steps/front_steps.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import socket
 import typing
 
 import anyio
+import attrs
 import behave
+import httpcore
 
+from laburnumstep import core
+from laburnumstep import platform
 from support import clocks
 from support import hooks
 from support import platform_rig
@@ -234,3 +239,45 @@
 @behave.then('the VM ends')
 def step_ends(context: typing.Any) -> None:
     clocks.wait(context, context.rig.stopped.wait)
+
+
+async def read_metrics(rig: platform_rig.Rig) -> str:
+    """Return the page of metrics of a VM."""
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(
+            'GET', f'http://{rig.metrics_address}/metrics'
+        )
+    assert response.status == 200, response.status
+    return response.content.decode()
+
+
+@behave.then('the metrics have "{line}"')
+def step_metrics(context: typing.Any, line: str) -> None:
+    page = clocks.wait(context, read_metrics, context.rig)
+    assert line in page.splitlines(), page
+
+
+@behave.given('a port that another process listens on')
+def step_taken_port(context: typing.Any) -> None:
+    context.taken = socket.create_server(('127.0.0.1', 0))
+    context.add_cleanup(context.taken.close)
+
+
+@behave.when('a VM is built whose metrics have that port')
+def step_build(context: typing.Any) -> None:
+    port = context.taken.getsockname()[1]
+
+    async def build() -> dict[str, str]:
+        settings = attrs.evolve(
+            platform_rig.make_settings('127.0.0.1:1'),
+            metrics_address=f'127.0.0.1:{port}',
+        )
+        return platform.PlatformVM(settings, core.SteadyClock()).addresses
+
+    context.addresses = clocks.wait(context, build)
+
+
+@behave.then('it has no address for metrics')
+def step_no_metrics(context: typing.Any) -> None:
+    assert context.addresses['metrics'] == '', context.addresses
+    assert context.addresses['callers'], context.addresses
--- a/tests/support/platform_rig.py
+++ b/tests/support/platform_rig.py
@@ -192,6 +192,7 @@
         self.server = Server('i-1')
         self.address = ''
         self.ready_address = ''
+        self.metrics_address = ''
         self.server_address = ''
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
@@ -212,6 +213,7 @@
             )
             self.address = vm.addresses['callers']
             self.ready_address = vm.addresses['ready']
+            self.metrics_address = vm.addresses['metrics']
             tasks.start_soon(self._serve, vm)
             yield self
             tasks.cancel_scope.cancel()
@@ -229,6 +231,7 @@
         places={'lima': core.Place('lima', [DATA_CENTRE])},
         callers_address='127.0.0.1:0',
         ready_address='127.0.0.1:0',
+        metrics_address='127.0.0.1:0',
         store_address=store_address,
         grace_seconds=4.0,
         retries=_settings.RetryAllowance(0.2, 50.0, 10),
