Explain a request from the logs of several VMs

Cause: an engineer had to find a request's lines by hand in the logs of all VMs, and the lines that say what its VM knew then name no request. A refusal before routing did not carry the request's id.

It prints the lines about a request from all VMs in order of time, and before them what they rest on: the version of the routes, the state of the store's topics and the target's registration, each with its age. Lines that a VM dropped or that cannot be read are told. Refusals and callers that leave before routing log the request's id.

--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_options.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_options.py
@@ -52,6 +52,26 @@
         ' repeated. The variable holds them separated by spaces.',
     ),
 ]
+AskedVMs = typing.Annotated[
+    list[str],
+    typer.Option(
+        '--at',
+        envvar='LABURNUMSTEP_VMS',
+        parser=read_address,
+        metavar='ADDRESS',
+        default_factory=list,
+        help="IP number and port of a VM's operators' interface; may be"
+        ' repeated. Not needed with --logs.',
+    ),
+]
+LogFolder = typing.Annotated[
+    str,
+    typer.Option(
+        '--logs',
+        metavar='FOLDER',
+        help='Folder with the log of each VM in a file of its name.',
+    ),
+]
 Key = typing.Annotated[
     str,
     typer.Option(
--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_vm_commands.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_vm_commands.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import json
+import pathlib
 import time
 import typing
 
 import anyio
+import attrs
 import typer
 
 from laburnumstep import core
 from laburnumstep_operator import _options
 from laburnumstep_operator import _output
+from laburnumstep_operator import logs as log_files
 from laburnumstep_operator import vms
 
 
@@ -56,7 +59,8 @@
     request: typing.Annotated[
         str, typer.Argument(help='Idempotency key of the request.')
     ],
-    at: _options.VMAddresses,
+    at: _options.AskedVMs,
+    logs: _options.LogFolder = '',
     key: _options.Key = '',
     key_file: _options.KeyFile = '',
     timeout: _options.Timeout = 5.0,
@@ -64,11 +68,22 @@
 ) -> None:
     """Show why a request was routed where it was.
 
-    Exits 0 when a VM remembers the decision, 1 when none does.
+    The VMs remember their last decisions; their logs tell all that touched
+    the request, and what the VM knew then and since when.
+
+    Exits 0 when a VM remembers the decision or the logs name the request,
+    1 when none does.
 
     Example: laburnumstep-operator explain 1764800000000-5f2c9a01
     --at 10.0.1.7:9000 --key-file operators.key
+
+    Example: laburnumstep-operator explain 795b20d889d1e2b2 --logs ./logs
     """
+    if logs:
+        _explain_from_logs(request, pathlib.Path(logs), as_json)
+        return
+    if not at:
+        _options.fail_usage(as_json, 'give --at or --logs')
     secret = _options.read_key(key, key_file, as_json)
     answers = anyio.run(
         vms.explain, at, secret, request, time.time() + timeout
@@ -85,6 +100,33 @@
     )
 
 
+def _explain_from_logs(
+    request: str, folder: pathlib.Path, as_json: bool
+) -> None:
+    try:
+        read, unread = log_files.read_folder(folder)
+    except OSError as error:
+        _options.fail_usage(as_json, f'--logs: {error}')
+    account = log_files.build_account(request, read)
+    if not account.lines:
+        _fail([], as_json, f'no log in {folder} names request {request}')
+    lines = []
+    for item in account.lines:
+        for known in item.known:
+            age = item.line.time - known.time
+            lines.append(f'    known for {age:.3f} s: {known.message}')
+        lines.append(
+            f'{item.line.time:.3f} {item.line.vm}: {item.line.message}'
+        )
+    if account.dropped:
+        lines.append(f'lines were dropped by: {", ".join(account.dropped)}')
+    if unread:
+        lines.append(f'lines that cannot be read: {unread}')
+    _output.print_answer(
+        as_json, {**attrs.asdict(account), 'unread': unread}, lines
+    )
+
+
 def drain(
     at: _options.VMAddresses,
     target: typing.Annotated[
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -87,9 +87,18 @@
         except core.CodedError as error:
             await self._fail(scope, sink, error)
         except _BodyTooLarge:
+            _LOGGER.info(
+                'refused request=%s path=%s code=body_too_large',
+                _find_request_id(scope['headers']) or '-',
+                scope['path'],
+            )
             await sink.refuse(413, 'body_too_large', None)
         except _CallerGone:
-            _LOGGER.info('caller left; path=%s', scope['path'])
+            _LOGGER.info(
+                'caller left; request=%s path=%s',
+                _find_request_id(scope['headers']) or '-',
+                scope['path'],
+            )
 
     async def _decode(
         self, scope: types.Scope, receive: types.Receive, arrived_at: float
@@ -121,7 +130,7 @@
         service = route.choose_service(self._rng)
         wait = min(_find_wait(headers), route.answer_seconds)
         return relay.RelayRequest(
-            key=_headers.find(headers, _headers.REQUEST_ID).decode('latin-1'),
+            key=_find_request_id(headers),
             workspace=holder.workspace if holder is not None else '',
             route=route,
             service=service,
@@ -219,7 +228,8 @@
     ) -> None:
         self._metrics.count(f'callers.refused.{error.code.value}')
         _LOGGER.info(
-            'refused path=%s code=%s outcome=%s reason="%s"',
+            'refused request=%s path=%s code=%s outcome=%s reason="%s"',
+            _find_request_id(scope['headers']) or '-',
             scope['path'],
             error.code.value,
             error.outcome.value,
@@ -346,6 +356,10 @@
             return 502
 
 
+def _find_request_id(headers: _headers.Headers) -> str:
+    return _headers.find(headers, _headers.REQUEST_ID).decode('latin-1')
+
+
 def _find_host(headers: _headers.Headers) -> str:
     host = _headers.find(headers, b'host').decode('latin-1').lower()
     return host.partition(':')[0]
