Split the platform's front and the relay placer by concept

The examples read their options with a library that is not the agreed one, and two options of the operators' commands repeated each other.

Change: answers to the platform stand in platform/_pages.py, the place of a relayed request in callers/_relay_place.py.

--- a/examples/cuadrilla.py
+++ b/examples/cuadrilla.py
@@ -10,6 +10,7 @@
 import options
 
 import laburnumstep_operator
+import typer
 
 LINK_BYTES_PER_SECOND = 2_000_000
 """What Lima and Piura may send each other; billed by volume."""
@@ -88,9 +89,9 @@
         )
 
 
-def main() -> None:
-    """Print the configuration document."""
-    given = options.read_options('Deployment of Cuadrilla Analítica.')
+def main(address: options.Addresses, secrets: options.Secrets = '') -> None:
+    """Print the configuration document of Cuadrilla Analítica."""
+    given = options.read_options(address, secrets)
     builder = laburnumstep_operator.DeploymentBuilder('cuadrilla')
     builder.add_place('lima', 'lima', ['lima-1', 'lima-2'])
     builder.add_place('piura', 'piura', ['piura-1'])
@@ -106,4 +107,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    typer.run(main)
--- a/examples/omake.py
+++ b/examples/omake.py
@@ -10,6 +10,7 @@
 import options
 
 import laburnumstep_operator
+import typer
 
 LINK_BYTES_PER_SECOND = 1_000_000
 """What Windhoek and Swakop may send each other; billed by volume."""
@@ -80,9 +81,9 @@
     )
 
 
-def main() -> None:
-    """Print the configuration document."""
-    given = options.read_options('Deployment of the Omake burial fund.')
+def main(address: options.Addresses, secrets: options.Secrets = '') -> None:
+    """Print the configuration document of the Omake burial fund."""
+    given = options.read_options(address, secrets)
     builder = laburnumstep_operator.DeploymentBuilder('omake')
     builder.add_place('windhoek', 'windhoek', ['windhoek-1', 'windhoek-2'])
     builder.add_place('swakop', 'swakop', ['swakop-1'])
@@ -101,4 +102,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    typer.run(main)
--- a/examples/options.py
+++ b/examples/options.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import pathlib
+import typing
 
 import attrs
 
 import laburnumstep_operator
+import typer
 
 
 @attrs.frozen
@@ -34,29 +35,37 @@
         return laburnumstep_operator.digest_secret(secret)
 
 
-def read_options(description: str) -> Options:
-    """Read the options of the command line."""
-    parser = argparse.ArgumentParser(description=description)
-    parser.add_argument(
+Addresses = typing.Annotated[
+    list[str],
+    typer.Option(
         '--address',
-        action='append',
-        default=[],
         metavar='TARGET=ADDRESS',
-        help='IP number and port of a target; may be repeated',
-    )
-    parser.add_argument(
-        '--secrets',
-        metavar='FILE',
-        help='JSON object with the secret of each workspace',
-    )
-    given = parser.parse_args()
+        default_factory=list,
+        help='IP number and port of a target; may be repeated.',
+    ),
+]
+Secrets = typing.Annotated[
+    str,
+    typer.Option(
+        metavar='FILE', help='JSON object with the secret of each workspace.'
+    ),
+]
+
+
+def read_options(address: list[str], secrets: str) -> Options:
+    """Return what the command line gives.
+
+    Args:
+        address: Addresses as `TARGET=ADDRESS`.
+        secrets: File with the secrets, or nothing.
+    """
     addresses = {}
-    for text in given.address:
-        target, equals, address = text.partition('=')
+    for text in address:
+        target, equals, found = text.partition('=')
         if not equals:
-            parser.error(f'--address {text}: must be TARGET=ADDRESS')
-        addresses[target] = address
-    secrets = {}
-    if given.secrets:
-        secrets = json.loads(pathlib.Path(given.secrets).read_text())
-    return Options(addresses, secrets)
+            raise typer.BadParameter(
+                f'--address {text}: must be TARGET=ADDRESS'
+            )
+        addresses[target] = found
+    known = json.loads(pathlib.Path(secrets).read_text()) if secrets else {}
+    return Options(addresses, known)
--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_options.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_options.py
@@ -41,13 +41,16 @@
         help='Version from which the document was made; 0 for the first.',
     ),
 ]
+_AT: dict[str, typing.Any] = {
+    'envvar': 'LABURNUMSTEP_VMS',
+    'parser': read_address,
+    'metavar': 'ADDRESS',
+}
 VMAddresses = typing.Annotated[
     list[str],
     typer.Option(
         '--at',
-        envvar='LABURNUMSTEP_VMS',
-        parser=read_address,
-        metavar='ADDRESS',
+        **_AT,
         help="IP number and port of a VM's operators' interface; may be"
         ' repeated. The variable holds them separated by spaces.',
     ),
@@ -56,9 +59,7 @@
     list[str],
     typer.Option(
         '--at',
-        envvar='LABURNUMSTEP_VMS',
-        parser=read_address,
-        metavar='ADDRESS',
+        **_AT,
         default_factory=list,
         help="IP number and port of a VM's operators' interface; may be"
         ' repeated. Not needed with --logs.',
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -8,6 +8,7 @@
 import attrs
 
 from laburnumstep.callers import _admission_queue
+from laburnumstep.callers import _relay_place
 from laburnumstep import core
 from laburnumstep import targets
 from laburnumstep.targets import relay
@@ -16,8 +17,6 @@
     from laburnumstep.callers import _admission
     from laburnumstep.callers import _engine_placer
 
-FAILED_SECONDS = 2.0
-"""How long a target that failed gets no new work, in seconds."""
 NO_TARGET_SECONDS = 0.5
 """When a caller may come back while no target is usable, in seconds."""
 BACKUP_MEMORY_PART = 0.3
@@ -76,7 +75,7 @@
 
     async def place(
         self, request: relay.RelayRequest, excluded: frozenset[str]
-    ) -> RelayPlace:
+    ) -> _relay_place.RelayPlace:
         """Wait for room and return a target.
 
         Raises:
@@ -90,7 +89,7 @@
 
     def place_on(
         self, request: relay.RelayRequest, target: str
-    ) -> RelayPlace | None:
+    ) -> _relay_place.RelayPlace | None:
         """Return a place on a named target, or None if it is not known."""
         if self._state.view.find(target) is None:
             return None
@@ -238,7 +237,7 @@
 
     def _place_call(
         self, request: relay.RelayRequest, excluded: frozenset[str]
-    ) -> RelayPlace:
+    ) -> _relay_place.RelayPlace:
         placement = targets.choose_service(
             self._state.view, request.service, excluded, self._rng
         )
@@ -267,7 +266,7 @@
         request: relay.RelayRequest,
         prompt: relay.PromptShape,
         excluded: frozenset[str],
-    ) -> RelayPlace:
+    ) -> _relay_place.RelayPlace:
         placement = _describe(request, prompt, excluded)
         placement = attrs.evolve(
             placement,
@@ -321,7 +320,9 @@
         # An engine that does not report in time is overloaded or gone.
         return tuple(fresh) or names
 
-    def _begin(self, request: relay.RelayRequest, target: str) -> RelayPlace:
+    def _begin(
+        self, request: relay.RelayRequest, target: str
+    ) -> _relay_place.RelayPlace:
         prompt = request.prompt
         send = self._state.view.begin(
             target,
@@ -335,72 +336,11 @@
         )
         return self._make_place(send)
 
-    def _make_place(self, send: targets.Send) -> RelayPlace:
+    def _make_place(self, send: targets.Send) -> _relay_place.RelayPlace:
         state = self._state.view.find(send.target)
         if state is None:
             raise RuntimeError(f'the view dropped {send.target} at once')
-        return RelayPlace(self._state, send, state.declared)
-
-
-class RelayPlace:
-    """One request's place on a target, as `relay.RelayPlace`.
-
-    Args:
-        state: What this VM knows.
-        send: The send, already counted by the view.
-        target: The target.
-    """
-
-    def __init__(
-        self,
-        state: _engine_placer.RoutingState,
-        send: targets.Send,
-        target: core.Target,
-    ) -> None:
-        self._state = state
-        self._send = send
-        self._target = target
-
-    @property
-    def target(self) -> core.Target:
-        """The target."""
-        return self._target
-
-    def record_tokens(self, count: int, size: int) -> None:
-        """Count tokens that the target sent.
-
-        Args:
-            count: Tokens.
-            size: Their encoded size, in bytes.
-        """
-        self._state.view.record_tokens(self._send, count)
-        self._state.view.record_received(self._send, size)
-
-    def record_loss(self, crashed: bool) -> None:
-        """Give a failed target no new work for a while.
-
-        Args:
-            crashed: Whether it cut a request that it had begun.
-        """
-        name = 'crashes' if crashed else 'unreached'
-        self._state.metrics.count(f'targets.{name}')
-        until = self._state.clock.now() + FAILED_SECONDS
-        self._state.view.set_failed(self._target.name, until)
-
-    def release(self, complete: bool) -> None:
-        """Give the target's room back.
-
-        Args:
-            complete: Whether the answer is whole, so that its length may
-                be learned.
-        """
-        if self._send.ended_at is not None:
-            return
-        self._state.view.end(self._send)
-        if complete and self._send.model:
-            self._state.lengths.observe(
-                self._send.workspace, self._send.model, self._send.tokens
-            )
+        return _relay_place.RelayPlace(self._state, send, state.declared)
 
 
 def _describe(
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -325,21 +325,6 @@
         await self.answer(relay.Answered(status, headers, body))
 
 
-async def ask_ready(
-    ready: typing.Callable[[], bool], send: types.Send
-) -> None:
-    """Answer the platform's question whether the VM takes requests."""
-    status = 200 if ready() else 503
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': status,
-            'headers': [(b'content-length', b'0')],
-        }
-    )
-    await send({'type': 'http.response.body', 'body': b''})
-
-
 def _find_status(error: core.CodedError) -> int:
     match error.code:
         case core.ErrorCode.BAD_REQUEST:
@@ -399,16 +384,3 @@
             raise _BodyTooLarge
         if not message.get('more_body', False):
             return body
-
-
-async def serve_metrics(page: core.MetricsPage, send: types.Send) -> None:
-    """Answer a request for the metrics."""
-    content = page.render()
-    headers = [
-        (b'content-type', core.METRICS_CONTENT_TYPE.encode()),
-        (b'content-length', b'%d' % len(content)),
-    ]
-    await send(
-        {'type': 'http.response.start', 'status': 200, 'headers': headers}
-    )
-    await send({'type': 'http.response.body', 'body': content})
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -16,6 +16,7 @@
 from laburnumstep.platform import _configuration
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _front
+from laburnumstep.platform import _pages
 from laburnumstep.platform import _reports
 from laburnumstep.platform import _servers
 from laburnumstep.platform import _settings
@@ -197,7 +198,7 @@
                 'targets.registered', len(self._registry.targets)
             )
             self._metrics.set_gauge('callers.waiting', self._admission.waiting)
-            await _front.serve_metrics(self._page, send)
+            await _pages.serve_metrics(self._page, send)
 
         try:
             return transport.HttpServer(serve, self._settings.metrics_address)
@@ -286,7 +287,7 @@
     async def _serve_ready(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
-        await _front.ask_ready(lambda: self.is_ready, send)
+        await _pages.ask_ready(lambda: self.is_ready, send)
 
 
 async def _wait_for_stop(
