End a stopping VM on the platform at its grace time

The gate's drain waits until no request is in progress; its expiry is for streams that resume elsewhere, and nothing on the platform's front waits for it.

Ruled out: the process not hearing the signal; its line is in the log.

Before: the scenario failed, the request was answered at its timeout before the VM ended. After: the VM ends first.

The stream is cut either way; a restart is sooner.

--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -183,13 +183,30 @@
         deadline = now + self._settings.grace_seconds - STOP_MARGIN_SECONDS
         self._front.leaving = True
         await self._clock.sleep_until(min(now + BALANCER_SECONDS, deadline))
-        await self._gate.drain(deadline)
+        await self._drain(deadline)
         self._callers.abort()
         self._ready.abort()
         if self._metrics_server is not None:
             self._metrics_server.abort()
         _LOGGER.info('stopped; unfinished=%d', self._gate.in_progress)
 
+    async def _drain(self, deadline: float) -> None:
+        """Wait until no request is in progress, but not beyond a deadline.
+
+        Requests of the platform cannot go on at another VM, so nothing
+        ends them before the process ends.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_at, deadline, tasks.cancel_scope)
+            await self._gate.drain(deadline)
+            tasks.cancel_scope.cancel()
+
+    async def _cancel_at(
+        self, deadline: float, scope: anyio.CancelScope
+    ) -> None:
+        await self._clock.sleep_until(deadline)
+        scope.cancel()
+
     def _build_metrics_server(self) -> transport.HttpServer | None:
         async def serve(
             scope: types.Scope, receive: types.Receive, send: types.Send
--- a/tests/laburnumstep/platform/front.feature
+++ b/tests/laburnumstep/platform/front.feature
@@ -115,6 +115,12 @@
     When "POST /unsafe/1" is sent with ""
     Then the answer has status 503
 
+  Scenario: A request that outlives the grace time does not hold the VM up
+    Given the server does not answer
+    And a request waits with 60 seconds to its deadline
+    When the VM is told to stop
+    Then the VM ends before the request is answered
+
   Scenario: Metrics tell how requests ended
     When "POST /unsafe/1" is sent with ""
     And "GET /open/1" is sent with "Authorization: Token wrong"
--- a/tests/laburnumstep/platform/steps/front_steps.py
+++ b/tests/laburnumstep/platform/steps/front_steps.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import attrs
 import behave
 import httpcore
@@ -236,6 +237,38 @@
     context.portal.call(context.rig.stopping.set)
 
 
+@behave.given('a request waits with 60 seconds to its deadline')
+def step_waiting(context: typing.Any) -> None:
+    data = platform_rig.encode_request(
+        '/unsafe/1', 'POST', Deadline_Remaining='60000'
+    )
+    context.received = []
+
+    async def wait_for_answer() -> None:
+        host, _, port = context.rig.address.rpartition(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(data)
+            try:
+                context.received.append(await stream.receive())
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                pass
+
+    context.portal.start_task_soon(wait_for_answer)
+    clocks.wait(context, wait_received, context.rig)
+
+
+async def wait_received(rig: platform_rig.Rig) -> None:
+    """Wait until the server has the request."""
+    while not rig.server.received:
+        await anyio.lowlevel.checkpoint()
+
+
+@behave.then('the VM ends before the request is answered')
+def step_ends_first(context: typing.Any) -> None:
+    step_ends(context)
+    assert not context.received, context.received
+
+
 @behave.then('the VM ends')
 def step_ends(context: typing.Any) -> None:
     clocks.wait(context, context.rig.stopped.wait)
