--- a/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
@@ -9,9 +9,10 @@
 
 from laburnumstep import core
 
-WAIT_SECONDS = 3.0
+WAIT_SECONDS = 1.5
 """How long the log may wait for a record. A connection that went silent is
-noticed after this and the reply margin, so it bounds how stale a VM is."""
+noticed after this and the reply margin, so it bounds how stale a VM is. A
+new version has to be in force 2.5 s after its acknowledgement."""
 REPLY_SECONDS = 0.8
 """Time for a reply beyond the wait asked for, in seconds."""
 SNAPSHOT_SECONDS = 2.0
--- a/tests/laburnumstep/log/keyed.feature
+++ b/tests/laburnumstep/log/keyed.feature
@@ -23,3 +23,8 @@
     Given a keyed topic that gives "unavailable", "snapshot a=1"
     When the follower has read 2 times
     Then the reader saw "failure", "snapshot a=1"
+
+  Scenario: A read that nobody answers ends before a version must be in force
+    Given a keyed topic that gives "snapshot a=1", "records b=2"
+    When the follower has read 2 times
+    Then the read is given up 2.4 seconds after its begin
--- a/tests/laburnumstep/log/steps/keyed_steps.py
+++ b/tests/laburnumstep/log/steps/keyed_steps.py
@@ -20,6 +20,7 @@
     """
 
     def __init__(self, script: list[str]) -> None:
+        self.deadlines: list[float] = []
         self._script = script
         self.asked: list[str] = []
         self.done = anyio.Event()
@@ -30,6 +31,7 @@
     async def read_from(
         self, offset: int, wait_until: float, deadline: float
     ) -> log.KeyedPage:
+        self.deadlines.append(deadline)
         return await self._give(str(offset))
 
     async def _give(self, asked: str) -> log.KeyedPage:
@@ -85,6 +87,7 @@
     follower = log.KeyedFollower(
         'test', context.topic, context.reader, clock, lambda: 0.5
     )
+    context.began = clock.now()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(follower.run)
         while not context.topic.done.is_set():
@@ -107,3 +110,10 @@
 @behave.then('the offsets asked for were {expected}')
 def step_asked(context: typing.Any, expected: str) -> None:
     assert context.topic.asked == split(expected), context.topic.asked
+
+
+@behave.then('the read is given up {seconds:g} seconds after its begin')
+def step_given_up(context: typing.Any, seconds: float) -> None:
+    # The clock has moved by one second before the second read.
+    patience = context.topic.deadlines[0] - context.began - 1.0
+    assert patience <= seconds, patience
