Cancel a scope at a time with one function

A passed deadline of a call was raised and caught in the same method only to change its outcome.

Change: core.cancel_at serves all five. The check of a deadline takes the outcome that its refusal tells. Two constructors assign in the order of their arguments.

Left as they are: decoding calls and entries by field, the two placers' retry wrappers, which differ in what they count, and the mapping of codes to statuses of two interfaces.

--- a/packages/laburnumstep/src/laburnumstep/callers/_app.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_app.py
@@ -236,10 +236,8 @@
             payload=body.payload,
             deadline=body.deadline or now + _codec.DEFAULT_CALL_SECONDS,
         )
-        try:
-            self._check_deadline(call.deadline)
-        except core.CodedError as error:
-            raise error.with_outcome(core.Outcome.UNKNOWN) from error
+        # The key was not looked up, and another VM may have run it.
+        self._check_deadline(call.deadline, core.Outcome.UNKNOWN)
         self._metrics.count('callers.calls')
         result = await self._services.call(call)
         return responses.JSONResponse(
@@ -296,11 +294,14 @@
     ) -> _handles.ResumeHandle:
         return self._signer.verify(text, workspace.name, self._clock.now())
 
-    def _check_deadline(self, deadline: float) -> None:
+    def _check_deadline(
+        self, deadline: float, outcome: core.Outcome = core.Outcome.NOT_RUN
+    ) -> None:
         if self._clock.now() >= deadline:
             raise core.CodedError(
                 core.ErrorCode.DEADLINE_EXCEEDED,
                 'the deadline has passed',
+                outcome,
             )
 
 
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -65,11 +65,11 @@
         weights: core.PolicyWeights,
         refresh: Refresh,
     ) -> None:
-        self._refresh = refresh
         self._state = state
         self._admission = admission
         self._make_budget = make_budget
         self._weights = weights
+        self._refresh = refresh
         self._budgets: dict[str, targets.RetryBudget] = {}
         self._rng = random.Random()
 
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -1,5 +1,6 @@
 """Types that every part shares; no input or output of its own."""
 
+from laburnumstep.core._clock import cancel_at
 from laburnumstep.core._clock import Clock
 from laburnumstep.core._clock import ManualClock
 from laburnumstep.core._clock import SteadyClock
@@ -103,6 +104,7 @@
     'VersionedDeployment',
     'WeightedService',
     'Workspace',
+    'cancel_at',
     'choose_by_rendezvous',
     'configure_logging',
     'decode_document',
--- a/packages/laburnumstep/src/laburnumstep/core/_clock.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_clock.py
@@ -23,6 +23,14 @@
         ...
 
 
+async def cancel_at(
+    clock: Clock, deadline: float, scope: anyio.CancelScope
+) -> None:
+    """Cancel a scope at a time in epoch seconds."""
+    await clock.sleep_until(deadline)
+    scope.cancel()
+
+
 class SystemClock:
     """The machine's clock."""
 
--- a/packages/laburnumstep/src/laburnumstep/log/_claims_book.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_book.py
@@ -187,15 +187,13 @@
             until: When to give up, in epoch seconds.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_at, until, tasks.cancel_scope)
+            tasks.start_soon(
+                core.cancel_at, self._clock, until, tasks.cancel_scope
+            )
             for partition in list(self._partitions.values()):
                 await partition.flush()
             tasks.cancel_scope.cancel()
 
-    async def _cancel_at(self, until: float, scope: anyio.CancelScope) -> None:
-        await self._clock.sleep_until(until)
-        scope.cancel()
-
     def _judge_refusal(
         self, key: core.RequestKey, is_known: bool
     ) -> core.Outcome:
--- a/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
@@ -153,14 +153,12 @@
             await self._arrived.wait()
             return
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_at, due, tasks.cancel_scope)
+            tasks.start_soon(
+                core.cancel_at, self._clock, due, tasks.cancel_scope
+            )
             await self._arrived.wait()
             tasks.cancel_scope.cancel()
 
-    async def _cancel_at(self, due: float, scope: anyio.CancelScope) -> None:
-        await self._clock.sleep_until(due)
-        scope.cancel()
-
     async def _exchange(self) -> None:
         """Append a batch and read the stream until the claims are seen."""
         self._give_up_overdue()
@@ -210,7 +208,9 @@
         answers: list[_claims_answers.ClaimAnswer | None] = []
         reason = 'no answer in time'
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_at, until, tasks.cancel_scope)
+            tasks.start_soon(
+                core.cancel_at, self._clock, until, tasks.cancel_scope
+            )
             try:
                 answers = await forwarder.forward(owner, batch)
             except core.CodedError as error:
--- a/packages/laburnumstep/src/laburnumstep/log/_lease_keeper.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_lease_keeper.py
@@ -145,15 +145,13 @@
 
     async def _interrupt(self, due: float, scope: anyio.CancelScope) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_at, due, tasks.cancel_scope)
+            tasks.start_soon(
+                core.cancel_at, self._clock, due, tasks.cancel_scope
+            )
             await self._changed.wait()
             tasks.cancel_scope.cancel()
         scope.cancel()
 
-    async def _cancel_at(self, due: float, scope: anyio.CancelScope) -> None:
-        await self._clock.sleep_until(due)
-        scope.cancel()
-
     def _apply(self, stored: _records.LogRecord) -> None:
         if stored.offset < self._position:
             return
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -59,12 +59,12 @@
         clock: core.Clock,
         metrics: core.Metrics,
     ) -> None:
-        self._metrics = metrics
         self._book = book
         self._calls = calls
         self._streams = streams
         self._gate = gate
         self._clock = clock
+        self._metrics = metrics
         self._services: _configuration.Services = {}
         self._rng = random.Random()
         self.leaving = False
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -197,16 +197,12 @@
         ends them before the process ends.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_at, deadline, tasks.cancel_scope)
+            tasks.start_soon(
+                core.cancel_at, self._clock, deadline, tasks.cancel_scope
+            )
             await self._gate.drain(deadline)
             tasks.cancel_scope.cancel()
 
-    async def _cancel_at(
-        self, deadline: float, scope: anyio.CancelScope
-    ) -> None:
-        await self._clock.sleep_until(deadline)
-        scope.cancel()
-
     def _build_metrics_server(self) -> transport.HttpServer | None:
         async def serve(
             scope: types.Scope, receive: types.Receive, send: types.Send
--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -170,7 +170,9 @@
         for engine in old:
             engine.wanted.set()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._cancel_at, deadline, group.cancel_scope)
+            group.start_soon(
+                core.cancel_at, self._clock, deadline, group.cancel_scope
+            )
             for polled in [engine.polled for engine in old]:
                 await polled.wait()
             group.cancel_scope.cancel()
@@ -199,16 +201,12 @@
         engine.wanted = anyio.Event()
         until = self._clock.now() + self.poll_seconds
         async with anyio.create_task_group() as group:
-            group.start_soon(self._cancel_at, until, group.cancel_scope)
+            group.start_soon(
+                core.cancel_at, self._clock, until, group.cancel_scope
+            )
             await engine.wanted.wait()
             group.cancel_scope.cancel()
 
-    async def _cancel_at(
-        self, deadline: float, scope: anyio.CancelScope
-    ) -> None:
-        await self._clock.sleep_until(deadline)
-        scope.cancel()
-
     async def _poll(
         self,
         name: str,
