--- a/packages/laburnumstep-standins/src/laburnumstep_standins/siblings/_network.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/siblings/_network.py
@@ -4,6 +4,7 @@
 
 import collections
 import random
+import time
 
 import anyio
 import anyio.abc
@@ -100,7 +101,7 @@
         traffic = self.traffic[source]
         traffic.messages += 1
         if self._measure:
-            encoded = _codec.encode_message(message)
+            encoded = _codec.encode_message(message, time.time())
             traffic.size += encoded.ByteSize()
         self._queue.append(_QueuedMessage(source, destination, message))
 
@@ -189,3 +190,10 @@
         """Forward claim records to a sibling."""
         handler = self._network.get_handler(self._address, address)
         return await handler.claim(request)
+
+    async def read_topic(
+        self, address: str, request: siblings.TopicRead
+    ) -> siblings.TopicAnswer:
+        """Read records of a topic that a sibling follows."""
+        handler = self._network.get_handler(self._address, address)
+        return await handler.serve_topic(request)
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -37,6 +37,7 @@
 from laburnumstep.core._keys import choose_by_rendezvous
 from laburnumstep.core._keys import KEY_SKEW_SECONDS
 from laburnumstep.core._keys import KEY_VALID_SECONDS
+from laburnumstep.core._keys import rank_by_rendezvous
 from laburnumstep.core._keys import RequestKey
 from laburnumstep.core._keys import stable_hash
 from laburnumstep.core._log_stream import DroppingStream
@@ -120,6 +121,7 @@
     'load_json',
     'load_settings',
     'parse_settings',
+    'rank_by_rendezvous',
     'stable_hash',
     'update_digest',
 ]
--- a/packages/laburnumstep/src/laburnumstep/core/_keys.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_keys.py
@@ -68,6 +68,13 @@
     return int.from_bytes(digest, 'big')
 
 
+def rank_by_rendezvous(subject: str, names: list[str]) -> list[str]:
+    """Return names by their rendezvous hash for a subject, highest first."""
+    return sorted(
+        names, key=lambda name: stable_hash(f'{subject}|{name}'), reverse=True
+    )
+
+
 def choose_by_rendezvous(subject: str, names: list[str]) -> str | None:
     """Return the name with the highest rendezvous hash for a subject.
 
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/load_sharing.py
@@ -0,0 +1,179 @@
+"""Exchanges load reports of engines with sibling VMs.
+
+One VM of an engine's data centre reads its reports, chosen by rendezvous
+hashing. It sends each report to one VM of every data centre, which distributes
+it to the others there. The reads of an engine do not grow with the number of
+VMs, and all VMs know loads that are a few tenths of a second old.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from laburnumstep import core
+from laburnumstep import siblings
+from laburnumstep import targets
+
+MIN_SHARING_VMS = 4
+"""Smallest number of live VMs in an engine's data centre that share its
+reports."""
+READ_INTERVAL_SECONDS = 0.25
+"""Interval of the reports that a VM reads for the others, in seconds. With the
+lag of the reports and the distribution, a report is younger than the age at
+which placement reads a new one."""
+BATCH_SECONDS = 0.1
+"""Time for which reports are collected before they are distributed in a data
+centre, in seconds."""
+_DISTRIBUTOR_SUBJECT = 'loads'
+
+
+class LoadSiblings(typing.Protocol):
+    """The siblings with which load reports are exchanged."""
+
+    def rank_neighbours(
+        self, subject: str, data_centre: str = ''
+    ) -> list[siblings.Member]:
+        """Return the live VMs of a data centre, best reader first."""
+        ...
+
+    def list_data_centres(self) -> list[str]:
+        """Return the data centres of the known VMs."""
+        ...
+
+    def send_loads(self, address: str, message: siblings.EngineLoads) -> None:
+        """Send load reports to a sibling without waiting."""
+        ...
+
+
+FindTarget = typing.Callable[[str], core.Target | None]
+ApplyReport = typing.Callable[[str, targets.LoadReport], None]
+
+
+class LoadSharing:
+    """Publishes and distributes reports, as `targets.SharedReports`.
+
+    Args:
+        vm_name: Name of this VM.
+        neighbours: The siblings.
+        find_target: Returns a registered target by name.
+        clock: Clock of the batches.
+    """
+
+    def __init__(
+        self,
+        vm_name: str,
+        neighbours: LoadSiblings,
+        find_target: FindTarget,
+        clock: core.Clock,
+    ) -> None:
+        self._vm_name = vm_name
+        self._neighbours = neighbours
+        self._find_target = find_target
+        self._clock = clock
+        self._pending: dict[str, siblings.EngineLoad] = {}
+        self._arrived = anyio.Event()
+        self._apply: ApplyReport | None = None
+
+    def subscribe(self, apply: ApplyReport) -> None:
+        """Set the function that is called with each report of a sibling."""
+        self._apply = apply
+
+    def find_interval(self, target: str) -> float | None:
+        """Return the interval of the reports that this VM reads for others.
+
+        Args:
+            target: Name of the engine.
+
+        Returns:
+            The interval in seconds, or None if another VM reads them or
+            reports are not shared.
+        """
+        engine = self._find_target(target)
+        if engine is None or engine.leaving:
+            return None
+        ranked = self._neighbours.rank_neighbours(
+            f'load|{target}', engine.data_centre
+        )
+        if len(ranked) < MIN_SHARING_VMS or ranked[0].name != self._vm_name:
+            return None
+        return READ_INTERVAL_SECONDS
+
+    def publish(self, target: str, report: targets.LoadReport) -> None:
+        """Distribute a report if this VM reads the engine for others."""
+        if self.find_interval(target) is None:
+            return
+        load = _make_load(target, report)
+        for data_centre in self._neighbours.list_data_centres():
+            ranked = self._neighbours.rank_neighbours(
+                _DISTRIBUTOR_SUBJECT, data_centre
+            )
+            if ranked and ranked[0].name == self._vm_name:
+                self._queue([load])
+            elif ranked:
+                message = siblings.EngineLoads([load], distribute=True)
+                self._neighbours.send_loads(ranked[0].address, message)
+
+    def receive(self, message: siblings.EngineLoads) -> None:
+        """Apply reports of a sibling and distribute them if it asks to."""
+        if message.distribute:
+            self._queue(message.loads)
+        for load in message.loads:
+            engine = self._find_target(load.target)
+            if self._apply is not None and isinstance(
+                engine, core.EngineTarget
+            ):
+                self._apply(load.target, _make_report(load, engine))
+
+    async def run(self) -> None:
+        """Distribute collected reports in the data centre until cancelled."""
+        while True:
+            await self._arrived.wait()
+            await self._clock.sleep_until(self._clock.now() + BATCH_SECONDS)
+            self._arrived = anyio.Event()
+            self.distribute()
+
+    def distribute(self) -> None:
+        """Send the collected reports to the other VMs of the data centre."""
+        loads, self._pending = list(self._pending.values()), {}
+        if not loads:
+            return
+        message = siblings.EngineLoads(loads, distribute=False)
+        for member in self._neighbours.rank_neighbours(_DISTRIBUTOR_SUBJECT):
+            if member.name != self._vm_name:
+                self._neighbours.send_loads(member.address, message)
+
+    def _queue(self, loads: list[siblings.EngineLoad]) -> None:
+        for load in loads:
+            known = self._pending.get(load.target)
+            if known is None or known.measured_at < load.measured_at:
+                self._pending[load.target] = load
+        self._arrived.set()
+
+
+def _make_load(target: str, report: targets.LoadReport) -> siblings.EngineLoad:
+    return siblings.EngineLoad(
+        target,
+        report.measured_at,
+        report.running,
+        report.waiting,
+        report.kv_used,
+        report.kv_total,
+        report.reclaim_at,
+    )
+
+
+def _make_report(
+    load: siblings.EngineLoad, engine: core.EngineTarget
+) -> targets.LoadReport:
+    return targets.LoadReport(
+        measured_at=load.measured_at,
+        running=load.running,
+        waiting=load.waiting,
+        kv_used=load.kv_used,
+        kv_total=load.kv_total,
+        preemptions=0,
+        models=list(engine.models),
+        reclaim_at=load.reclaim_at,
+    )
--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -78,6 +78,8 @@
 from laburnumstep.log._snapshots import FollowerView
 from laburnumstep.log._snapshots import NoSnapshot
 from laburnumstep.log._snapshots import SnapshotDecision
+from laburnumstep.log._topic_cache import Fingerprint
+from laburnumstep.log._topic_cache import TopicCache
 
 __all__ = [
     'AcquireRecord',
@@ -99,6 +101,7 @@
     'Expired',
     'FIRST_REQUEST_SECONDS',
     'FollowerView',
+    'Fingerprint',
     'ForwardedRecords',
     'Granted',
     'Held',
@@ -145,6 +148,7 @@
     'SnapshotHeader',
     'SnapshotRepublisher',
     'Taken',
+    'TopicCache',
     'TopicUnavailable',
     'Unclaimed',
     'WrongDeployment',
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -0,0 +1,159 @@
+"""Connects the entry VM to its siblings on the platform."""
+
+from __future__ import annotations
+
+import json
+import random
+import typing
+
+from laburnumstep import core
+from laburnumstep import load_sharing
+from laburnumstep import log
+from laburnumstep.platform import _store
+from laburnumstep import siblings
+from laburnumstep import topic_sharing
+
+if typing.TYPE_CHECKING:
+    from laburnumstep.platform import _settings
+    from laburnumstep import targets
+
+SIBLING_KEY = ''
+"""Key of sibling calls. The platform gives its VMs no common secret, so calls
+are not authenticated; only VMs of the deployment reach the port."""
+DEFAULT_VMS = 200
+"""Assumed number of VMs as long as no sibling has been heard of. It exceeds
+the usual size of a deployment, so that shares of a common limit stay small."""
+
+_LOGGER = core.get_logger('platform')
+
+
+class Fleet:
+    """This VM's part in the fleet: membership, topics and load reports.
+
+    Args:
+        settings: Settings of the VM.
+        clock: Source of the current time.
+        metrics: Counts live VMs and malformed entries.
+        registry: The registered targets.
+    """
+
+    def __init__(
+        self,
+        settings: _settings.PlatformVMSettings,
+        clock: core.Clock,
+        metrics: core.Metrics,
+        registry: targets.TargetRegistry,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._topics: dict[str, topic_sharing.SharedTopic] = {}
+        self._largest_count = 1
+        self._membership = siblings.Membership(
+            siblings.Identity(settings.name, settings.data_centre),
+            siblings.GrpcLinks(settings.siblings_address, SIBLING_KEY, clock),
+            list(settings.sibling_seeds),
+            siblings.MembershipCallbacks(
+                lambda: None,
+                lambda configuration: False,
+                _refuse_claim,
+                self._serve_topic,
+                self._receive_loads,
+            ),
+            clock,
+            metrics,
+            random.Random(),
+        )
+        self._loads = load_sharing.LoadSharing(
+            settings.name, self._membership, registry.find, clock
+        )
+
+    @property
+    def loads(self) -> load_sharing.LoadSharing:
+        """Exchange of load reports with the siblings."""
+        return self._loads
+
+    @property
+    def address(self) -> str:
+        """IP address and port at which siblings reach this VM."""
+        return self._membership.address
+
+    def count_vms(self) -> int:
+        """Return the number of VMs that share the limits of the deployment.
+
+        A VM that has lost its siblings keeps the largest number it knew, and
+        one that has never heard of any assumes `DEFAULT_VMS`.
+        """
+        count = len(self._membership.members)
+        self._largest_count = max(self._largest_count, count)
+        if count > 1:
+            return count
+        return self._largest_count if self._largest_count > 1 else DEFAULT_VMS
+
+    def share_topic(
+        self, name: str, find_fingerprint: log.Fingerprint
+    ) -> topic_sharing.SharedTopic:
+        """Return a topic of the store that siblings can read from this VM.
+
+        Args:
+            name: Name of the topic.
+            find_fingerprint: Returns what has to differ for a value to count
+                as changed.
+        """
+        client = _store.KeyedTopicClient(
+            self._settings.store_address, name, self._clock
+        )
+        topic = topic_sharing.SharedTopic(
+            name,
+            self._settings.name,
+            client,
+            self._membership,
+            log.TopicCache(self._clock, find_fingerprint),
+            self._clock,
+        )
+        self._topics[name] = topic
+        return topic
+
+    def announce_stopping(self) -> None:
+        """Announce to the siblings that this VM accepts no new work."""
+        self._membership.announce_stopping()
+
+    async def run(self) -> None:
+        """Serve and follow the siblings until cancelled.
+
+        A VM whose sibling server cannot listen reads everything itself.
+        """
+        try:
+            await self._membership.run()
+        except* RuntimeError as errors:
+            _LOGGER.error(
+                'siblings are not served; address=%s reason=%r',
+                self._settings.siblings_address,
+                errors.exceptions,
+            )
+
+    async def _serve_topic(
+        self, request: siblings.TopicRead
+    ) -> siblings.TopicAnswer:
+        topic = self._topics.get(request.topic)
+        if topic is None:
+            return siblings.TopicUnavailable()
+        return await topic.serve(request)
+
+    def _receive_loads(self, message: siblings.EngineLoads) -> None:
+        self._loads.receive(message)
+
+
+async def _refuse_claim(request: siblings.ClaimForward) -> core.DocumentObject:
+    raise core.CodedError(
+        core.ErrorCode.INTERNAL, 'claims are not used on the platform'
+    )
+
+
+def find_entry_fingerprint(value: bytes) -> typing.Hashable:
+    """Return a server's entry without the counter that each renewal raises."""
+    try:
+        entry = json.loads(value)
+        entry.pop('sequence', None)
+    except (AttributeError, ValueError):
+        return value
+    return json.dumps(entry, sort_keys=True)
--- a/packages/laburnumstep/src/laburnumstep/platform/_settings.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_settings.py
@@ -52,6 +52,10 @@
     """Time between SIGTERM and SIGKILL, in seconds."""
     retries: RetryBudgetSettings
     """Retry budget of each service."""
+    siblings_address: str
+    """IP address and port of the server for sibling VMs."""
+    sibling_seeds: tuple[str, ...] = ()
+    """Addresses of siblings that are contacted first."""
 
 
 class _SettingsReader:
@@ -67,6 +71,10 @@
         self._document = document
         self.findings: list[core.Finding] = []
 
+    def find(self, key: str) -> typing.Any:
+        """Return an optional value of the top level, or None."""
+        return self._document.get(key)
+
     def read(
         self, section: str, key: str, value_type: type[_Value], default: _Value
     ) -> _Value:
@@ -135,14 +143,31 @@
         read('bounds', 'budgetExtraRetries', float, 0.0),
         int(read('bounds', 'budgetWindowS', float, 1.0)),
     )
+    address = read('', 'ip', str, '')
+    ports: list[int] = read('', 'internalPortRange', list, [0])
+    port = int(ports[0]) if ports else 0
     return PlatformVMSettings(
         name=read('', 'nodeName', str, ''),
         data_centre=read('', 'zone', str, ''),
         places=places,
         callers_address=read('listen', 'front', str, ''),
         ready_address=read('listen', 'ready', str, ''),
-        metrics_address=f'{read("", "ip", str, "")}:{METRICS_PORT}',
+        metrics_address=f'{address}:{METRICS_PORT}',
         store_address=read('platform', 'address', str, ''),
         grace_seconds=read('bounds', 'graceS', float, 0.0),
         retries=retries,
+        siblings_address=f'{address}:{port}',
+        sibling_seeds=_list_seeds(reader.find('seedNodes'), port),
     )
+
+
+def _list_seeds(nodes: typing.Any, port: int) -> tuple[str, ...]:
+    """Return the sibling addresses of the machines that the platform names.
+
+    The platform gives other ports of theirs. All VMs use the same port for
+    their siblings.
+    """
+    if not isinstance(nodes, list):
+        return ()
+    hosts = (str(node).rpartition(':')[0] for node in nodes)
+    return tuple(f'{host}:{port}' for host in hosts if host)
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -15,12 +15,12 @@
 from laburnumstep import log
 from laburnumstep.platform import _configuration
 from laburnumstep.platform import _directory
+from laburnumstep.platform import _fleet
 from laburnumstep.platform import _front
 from laburnumstep.platform import _pages
 from laburnumstep.platform import _reports
 from laburnumstep.platform import _servers
 from laburnumstep.platform import _settings
-from laburnumstep.platform import _store
 from laburnumstep import targets
 from laburnumstep.targets import relay
 from laburnumstep import transport
@@ -42,10 +42,9 @@
 REPORT_INTERVAL_SECONDS = 4.0
 """Interval of the load reports of an engine, in seconds. The platform charges
 for every report; placement refreshes the reports of its candidates."""
-MAX_USED_ENGINES = 16
-"""Limit of the engines that one VM uses and reads load reports from. It keeps
-the number of reports in a deployment proportional to its VMs instead of to
-VMs times engines."""
+SHARED_SERVERS_PAUSE_SECONDS = 0.3
+"""Pause between reads of the servers' entries for a whole data centre, in
+seconds."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
 """Minimum pause between reads of the configuration, in seconds."""
 BALANCER_DELAY_SECONDS = 3.0
@@ -61,9 +60,6 @@
 """Weights of placement. It plans for median lengths, because callers send
 length hints and a run without capacity can migrate. Memory reserved for
 longer runs would delay first tokens."""
-EXPECTED_VMS = 96
-"""Assumed number of VMs that share `RetryBudgetSettings.extra`. A VM does not
-know how many VMs run; even the largest deployments have fewer."""
 
 _LOGGER = core.get_logger('platform')
 
@@ -114,6 +110,9 @@
             self._evacuate,
         )
         self._directory = _directory.Directory(self._registry)
+        self._fleet = _fleet.Fleet(
+            settings, clock, self._metrics, self._registry
+        )
         self._load_follower = targets.LoadFollower(
             _reports.ReportClients(self._server_client, self._registry),
             self._fleet_view,
@@ -121,7 +120,9 @@
             lambda target, reclaim_at: self._evacuate(target),
             min_poll_seconds=REPORT_INTERVAL_SECONDS,
             cache_every=0,
+            shared=self._fleet.loads,
         )
+        self._fleet.loads.subscribe(self._load_follower.apply_report)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._front = self._build_front()
         self._caller_server = transport.HttpServer(
@@ -178,6 +179,8 @@
             for follower in self._build_followers():
                 tasks.start_soon(follower.run)
             tasks.start_soon(self._registry.run)
+            tasks.start_soon(self._fleet.run)
+            tasks.start_soon(self._fleet.loads.run)
             tasks.start_soon(self._caller_server.run)
             tasks.start_soon(self._readiness_server.run)
             if self._metrics_server is not None:
@@ -200,6 +203,7 @@
         now = self._clock.now()
         deadline = now + self._settings.grace_seconds - STOP_MARGIN_SECONDS
         self._front.leaving = True
+        self._fleet.announce_stopping()
         await self._clock.sleep_until(
             min(now + BALANCER_DELAY_SECONDS, deadline)
         )
@@ -245,7 +249,9 @@
 
         def make_retry_budget() -> targets.RetryBudget:
             return targets.RetryBudget(
-                retries.share, retries.extra / EXPECTED_VMS, retries.window
+                retries.share,
+                lambda: retries.extra / self._fleet.count_vms(),
+                retries.window,
             )
 
         placer = callers.RelayPlacer(
@@ -267,24 +273,30 @@
         )
 
     def _build_followers(self) -> list[log.KeyedFollower]:
-        address, clock = self._settings.store_address, self._clock
+        clock = self._clock
+        configuration = self._fleet.share_topic('op', bytes)
+        servers = self._fleet.share_topic(
+            'servers', _fleet.find_entry_fingerprint
+        )
         reader = _configuration.ConfigurationReader(
             self._active_routes, self._apply_services
         )
         return [
             log.KeyedFollower(
                 'configuration',
-                _store.KeyedTopicClient(address, 'op', clock),
+                configuration,
                 reader,
                 clock,
                 lambda: CONFIGURATION_PAUSE_SECONDS,
             ),
             log.KeyedFollower(
                 'servers',
-                _store.KeyedTopicClient(address, 'servers', clock),
+                servers,
                 self._directory,
                 clock,
-                self._choose_servers_pause,
+                lambda: servers.find_pause(
+                    self._choose_servers_pause(), SHARED_SERVERS_PAUSE_SECONDS
+                ),
             ),
         ]
 
@@ -304,7 +316,6 @@
             deployment,
             self._settings.name,
             self._settings.data_centre,
-            MAX_USED_ENGINES,
         )
         self._fleet_view.apply_deployment(limited)
         self._admission.apply_deployment(limited)
--- a/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
@@ -24,7 +24,15 @@
 from laburnumstep.siblings._membership import Membership
 from laburnumstep.siblings._membership import MembershipCallbacks
 from laburnumstep.siblings._messages import ClaimForward
+from laburnumstep.siblings._messages import EngineLoad
+from laburnumstep.siblings._messages import EngineLoads
 from laburnumstep.siblings._messages import SiblingMessage
+from laburnumstep.siblings._messages import TopicAnswer
+from laburnumstep.siblings._messages import TopicHistoryLost
+from laburnumstep.siblings._messages import TopicPage
+from laburnumstep.siblings._messages import TopicRead
+from laburnumstep.siblings._messages import TopicRecord
+from laburnumstep.siblings._messages import TopicUnavailable
 from laburnumstep.siblings._presence import Identity
 from laburnumstep.siblings._server import SiblingHandler
 from laburnumstep.siblings._server import SiblingServer
@@ -39,6 +47,8 @@
     'ClaimForward',
     'ConfigurationValue',
     'DataValue',
+    'EngineLoad',
+    'EngineLoads',
     'EntryKey',
     'EntryKind',
     'EntryValue',
@@ -61,6 +71,12 @@
     'TargetState',
     'TargetStatus',
     'TargetValue',
+    'TopicAnswer',
+    'TopicHistoryLost',
+    'TopicPage',
+    'TopicRead',
+    'TopicRecord',
+    'TopicUnavailable',
     'VMState',
     'VMValue',
     'fetch_configuration',
--- a/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
@@ -14,6 +14,8 @@
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 """Largest decompressed configuration document, in bytes. A document with
 10,000 workspaces takes about 2 MB."""
+MAX_TOPIC_WAIT_SECONDS = 5.0
+"""Longest wait of a sibling's read of a topic, in seconds."""
 _KIND_NUMBERS = {
     _entries.EntryKind.VM: pb.Entry.VM,
     _entries.EntryKind.TARGET: pb.Entry.TARGET,
@@ -115,8 +117,16 @@
             return None
 
 
-def encode_message(message: _messages.SiblingMessage) -> pb.SiblingMessage:
-    """Convert a message to its protocol buffer."""
+def encode_message(
+    message: _messages.SiblingMessage, now: float
+) -> pb.SiblingMessage:
+    """Convert a message to its protocol buffer.
+
+    Args:
+        message: The message.
+        now: Current time of the local clock, in epoch seconds. Clocks of
+            two VMs differ, so some times are sent as differences.
+    """
     match message:
         case _messages.Heartbeat(sequence, vm):
             heartbeat = pb.Heartbeat(sequence=sequence, vm=vm)
@@ -139,15 +149,21 @@
             return pb.SiblingMessage(summaries=summaries)
         case _messages.WantedKeys(keys):
             return pb.SiblingMessage(wanted=pb.WantedKeys(keys=keys))
+        case _messages.EngineLoads():
+            return pb.SiblingMessage(loads=_encode_loads(message, now))
         case _:
             typing.assert_never(message)
 
 
 def decode_message(
-    encoded: pb.SiblingMessage,
+    encoded: pb.SiblingMessage, now: float
 ) -> tuple[_messages.SiblingMessage | None, int]:
     """Convert a protocol buffer to a message.
 
+    Args:
+        encoded: The protocol buffer.
+        now: Current time of the local clock, in epoch seconds.
+
     Returns:
         The message, or None if its kind is unknown, and the number of its
         entries that could not be decoded.
@@ -175,10 +191,127 @@
             ), 0
         case 'wanted':
             return _messages.WantedKeys(list(encoded.wanted.keys)), 0
+        case 'loads':
+            return _decode_loads(encoded.loads, now), 0
         case _:
             return None, 0
 
 
+def _encode_loads(
+    message: _messages.EngineLoads, now: float
+) -> pb.EngineLoads:
+    return pb.EngineLoads(
+        loads=[
+            pb.EngineLoad(
+                target=load.target,
+                age=now - load.measured_at,
+                running=load.running,
+                waiting=load.waiting,
+                kv_used=load.kv_used,
+                kv_total=load.kv_total,
+                reclaim_in=None
+                if load.reclaim_at is None
+                else load.reclaim_at - now,
+            )
+            for load in message.loads
+        ],
+        distribute=message.distribute,
+    )
+
+
+def _decode_loads(
+    encoded: pb.EngineLoads, now: float
+) -> _messages.EngineLoads:
+    loads = [
+        _messages.EngineLoad(
+            load.target,
+            now - max(0.0, load.age),
+            load.running,
+            load.waiting,
+            load.kv_used,
+            load.kv_total,
+            now + load.reclaim_in if load.HasField('reclaim_in') else None,
+        )
+        for load in encoded.loads
+    ]
+    return _messages.EngineLoads(loads, encoded.distribute)
+
+
+def encode_topic_read(
+    request: _messages.TopicRead, now: float
+) -> pb.TopicRequest:
+    """Convert a read of a topic to its request."""
+    return pb.TopicRequest(
+        topic=request.topic,
+        newest=request.newest,
+        start=request.start,
+        wait=max(0.0, request.wait_until - now),
+    )
+
+
+def decode_topic_read(
+    encoded: pb.TopicRequest, now: float
+) -> _messages.TopicRead:
+    """Convert a request to the read of a topic.
+
+    The deadline of the read is the end of its wait.
+    """
+    wait_until = now + min(encoded.wait, MAX_TOPIC_WAIT_SECONDS)
+    return _messages.TopicRead(
+        encoded.topic, encoded.newest, encoded.start, wait_until, wait_until
+    )
+
+
+def encode_topic_answer(
+    answer: _messages.TopicAnswer, now: float
+) -> pb.TopicReply:
+    """Convert the answer to a read of a topic to its reply."""
+    match answer:
+        case _messages.TopicPage():
+            return pb.TopicReply(
+                status=pb.TopicReply.PAGE,
+                records=[
+                    pb.TopicRecord(
+                        key=record.key,
+                        value=record.value,
+                        offset=record.offset,
+                    )
+                    for record in answer.records
+                ],
+                next_offset=answer.next_offset,
+                age=max(0.0, now - answer.complete_at),
+            )
+        case _messages.TopicHistoryLost():
+            return pb.TopicReply(status=pb.TopicReply.HISTORY_LOST)
+        case _messages.TopicUnavailable():
+            return pb.TopicReply(status=pb.TopicReply.UNAVAILABLE)
+        case _:
+            typing.assert_never(answer)
+
+
+def decode_topic_answer(
+    encoded: pb.TopicReply, now: float
+) -> _messages.TopicAnswer:
+    """Convert a reply to the answer to a read of a topic."""
+    match encoded.status:
+        case pb.TopicReply.PAGE:
+            records = [
+                _messages.TopicRecord(
+                    record.key,
+                    record.value if record.HasField('value') else None,
+                    record.offset,
+                )
+                for record in encoded.records
+            ]
+            return _messages.TopicPage(
+                records, encoded.next_offset, now - encoded.age
+            )
+        case pb.TopicReply.HISTORY_LOST:
+            return _messages.TopicHistoryLost()
+        case _:
+            return _messages.TopicUnavailable()
+
+
 def encode_configuration(
     configuration: core.VersionedDeployment,
 ) -> pb.FetchReply:
--- a/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_connection.py
@@ -58,6 +58,7 @@
     Args:
         address: IP address and port of the sibling.
         key: Sibling key that the call carries.
+        clock: Clock of the times in messages.
         receive: Handles a message of the sibling and returns the answers
             to send back.
     """
@@ -66,12 +67,14 @@
         self,
         address: str,
         key: str,
+        clock: core.Clock,
         receive: collections.abc.Callable[
             [_messages.SiblingMessage], list[_messages.SiblingMessage]
         ],
     ) -> None:
         self._address = address
         self._metadata = _auth.build_metadata(key)
+        self._clock = clock
         self._receive = receive
         self._sender, self._outbox = anyio.create_memory_object_stream[
             _messages.SiblingMessage
@@ -160,14 +163,14 @@
                 raise
 
     def _handle_message(self, encoded: pb.SiblingMessage) -> None:
-        message, _ = _codec.decode_message(encoded)
+        message, _ = _codec.decode_message(encoded, self._clock.now())
         if message is not None:
             for answer in self._receive(message):
                 self.send(answer)
 
     async def _encode_outbox(self) -> typing.AsyncIterator[pb.SiblingMessage]:
         async for message in self._outbox:
-            yield _codec.encode_message(message)
+            yield _codec.encode_message(message, self._clock.now())
 
 
 async def fetch_configuration(
@@ -235,6 +238,35 @@
     raise _codec.decode_refusal(reply.refusal)
 
 
+async def read_topic(
+    channel: grpc.aio.Channel,
+    address: str,
+    key: str,
+    request: _messages.TopicRead,
+    clock: core.Clock,
+) -> _messages.TopicAnswer:
+    """Read records of a topic that a sibling follows.
+
+    Args:
+        channel: Channel to the sibling.
+        address: IP address and port of the sibling, named in errors.
+        key: Sibling key that the call carries.
+        request: The read.
+        clock: Clock of the times in the request and its answer.
+
+    Raises:
+        SiblingUnavailable: The sibling did not answer.
+    """
+    now = clock.now()
+    call = pb_grpc.SiblingsStub(channel).ReadTopic(
+        _codec.encode_topic_read(request, now),
+        metadata=_auth.build_metadata(key),
+        timeout=max(0.001, request.deadline - now),
+    )
+    reply = await _await_reply(call, address)
+    return _codec.decode_topic_answer(reply, clock.now())
+
+
 async def _await_reply(
     call: collections.abc.Awaitable[typing.Any], address: str
 ) -> typing.Any:
--- a/packages/laburnumstep/src/laburnumstep/siblings/_links.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 import typing
 
@@ -14,6 +15,8 @@
 from laburnumstep.siblings import _server
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from laburnumstep import core
     from laburnumstep.siblings import _messages
 
@@ -93,9 +96,19 @@
         """
         ...
 
+    async def read_topic(
+        self, address: str, request: _messages.TopicRead
+    ) -> _messages.TopicAnswer:
+        """Read records of a topic that a sibling follows.
+
+        Raises:
+            SiblingUnavailable: The sibling did not answer.
+        """
+        ...
+
 
 @attrs.define
-class _ClaimChannel:
+class _CallChannel:
     channel: grpc.aio.Channel
     used_at: float
     in_flight: int = 0
@@ -108,17 +121,19 @@
         address: IP address and port of the server; with port 0 the system
             chooses the port.
         key: Sibling key that every call carries.
+        clock: Clock of the times in messages and calls.
     """
 
-    def __init__(self, address: str, key: str) -> None:
+    def __init__(self, address: str, key: str, clock: core.Clock) -> None:
         self._requested_address = address
         self._key = key
+        self._clock = clock
         self._server: _server.SiblingServer | None = None
         self._handler: _server.SiblingHandler | None = None
         self._tasks: anyio.abc.TaskGroup | None = None
         self._connections: dict[str, _connection.SiblingConnection] = {}
         self._used_at: dict[str, float] = {}
-        self._claim_channels: dict[str, _ClaimChannel] = {}
+        self._call_channels: dict[str, _CallChannel] = {}
 
     @property
     def address(self) -> str:
@@ -143,7 +158,7 @@
             RuntimeError: The address cannot be bound.
         """
         server = _server.SiblingServer(
-            self._requested_address, self._key, handler
+            self._requested_address, self._key, handler, self._clock
         )
         await server.start()
         self._server = server
@@ -158,9 +173,9 @@
                 await self._close()
 
     async def _close(self) -> None:
-        for claim_channel in self._claim_channels.values():
-            await claim_channel.channel.close(grace=None)
-        self._claim_channels.clear()
+        for call_channel in self._call_channels.values():
+            await call_channel.channel.close(grace=None)
+        self._call_channels.clear()
         if self._server is not None:
             await self._server.stop()
 
@@ -171,7 +186,7 @@
         connection = self._connections.get(address)
         if connection is None or not connection.is_open:
             connection = _connection.SiblingConnection(
-                address, self._key, self._handler.receive
+                address, self._key, self._clock, self._handler.receive
             )
             self._connections[address] = connection
             self._tasks.start_soon(self._run_connection, connection)
@@ -208,14 +223,9 @@
         for address, used_at in list(self._used_at.items()):
             if used_at < oldest:
                 self.drop(address)
-        for address, claim_channel in list(self._claim_channels.items()):
-            if (
-                claim_channel.used_at < oldest
-                and not claim_channel.in_flight
-                and self._tasks
-            ):
-                del self._claim_channels[address]
-                self._tasks.start_soon(claim_channel.channel.close, None)
+        for address, call_channel in list(self._call_channels.items()):
+            if call_channel.used_at < oldest and not call_channel.in_flight:
+                self._drop_call_channel(address)
 
     async def fetch_configuration(
         self, address: str, known_version: int
@@ -247,18 +257,53 @@
             SiblingUnavailable: The sibling did not answer.
             CodedError: The sibling refused the records.
         """
-        claim_channel = self._claim_channels.get(address)
-        if claim_channel is None:
-            claim_channel = _ClaimChannel(
-                _connection.open_channel(address), 0.0
-            )
-            self._claim_channels[address] = claim_channel
-        claim_channel.used_at = time.monotonic()
-        claim_channel.in_flight += 1
-        timeout = max(0.001, request.deadline - time.time())
-        try:
+        timeout = max(0.001, request.deadline - self._clock.now())
+        with self._use_call_channel(address) as channel:
             return await _connection.send_claim(
-                claim_channel.channel, address, self._key, request, timeout
+                channel, address, self._key, request, timeout
             )
+
+    async def read_topic(
+        self, address: str, request: _messages.TopicRead
+    ) -> _messages.TopicAnswer:
+        """Read records of a topic that a sibling follows.
+
+        Raises:
+            SiblingUnavailable: The sibling did not answer.
+        """
+        try:
+            with self._use_call_channel(address) as channel:
+                return await _connection.read_topic(
+                    channel, address, self._key, request, self._clock
+                )
+        except _connection.SiblingUnavailable:
+            # An established connection can stop delivering without a reset.
+            # The next call opens another one.
+            self._drop_call_channel(address)
+            raise
+
+    @contextlib.contextmanager
+    def _use_call_channel(
+        self, address: str
+    ) -> collections.abc.Iterator[grpc.aio.Channel]:
+        call_channel = self._call_channels.get(address)
+        if call_channel is None:
+            channel = _connection.open_channel(address)
+            call_channel = _CallChannel(channel, 0.0)
+            self._call_channels[address] = call_channel
+        call_channel.used_at = time.monotonic()
+        call_channel.in_flight += 1
+        try:
+            yield call_channel.channel
         finally:
-            claim_channel.in_flight -= 1
+            call_channel.in_flight -= 1
+
+    def _drop_call_channel(self, address: str) -> None:
+        """Close the channel for calls to a sibling.
+
+        Calls in progress on it end with an error.
+        """
+        call_channel = self._call_channels.get(address)
+        if call_channel is not None and self._tasks is not None:
+            del self._call_channels[address]
+            self._tasks.start_soon(call_channel.channel.close, None)
--- a/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
@@ -51,6 +51,24 @@
 ]
 
 
+TopicHandler = typing.Callable[
+    [_messages.TopicRead],
+    'collections.abc.Awaitable[_messages.TopicAnswer]',
+]
+LoadsHandler = typing.Callable[[_messages.EngineLoads], None]
+
+
+async def _refuse_topic_read(
+    request: _messages.TopicRead,
+) -> _messages.TopicAnswer:
+    """Answer as a VM that follows no topic."""
+    return _messages.TopicUnavailable()
+
+
+def _ignore_loads(message: _messages.EngineLoads) -> None:
+    """Ignore load reports, as a VM that reads them all itself."""
+
+
 @attrs.frozen
 class MembershipCallbacks:
     """Functions of the VM that membership calls."""
@@ -61,6 +79,10 @@
     """Applies a configuration of a sibling; returns whether it is in force."""
     claim: ClaimHandler
     """Handles claim records for the owner of their partition."""
+    read_topic: TopicHandler = _refuse_topic_read
+    """Returns records of a topic that this VM follows."""
+    receive_loads: LoadsHandler = _ignore_loads
+    """Receives load reports that a sibling read."""
 
 
 class Membership:
@@ -87,6 +109,7 @@
         randomness: random.Random,
     ) -> None:
         self._name = identity.name
+        self._data_centre = identity.data_centre
         self._links = links
         self._seeds = seeds
         self._callbacks = callbacks
@@ -145,6 +168,41 @@
         """
         return self._roster.choose_owner(subject)
 
+    def rank_neighbours(
+        self, subject: str, data_centre: str = ''
+    ) -> list[_members.Member]:
+        """Return the live VMs of a data centre, best owner of a subject first.
+
+        Args:
+            subject: Name of what is owned, such as a topic.
+            data_centre: The data centre; empty for that of this VM.
+        """
+        return self._roster.rank_neighbours(
+            subject, data_centre or self._data_centre
+        )
+
+    def list_data_centres(self) -> list[str]:
+        """Return the data centres of the known VMs, sorted."""
+        return sorted(set(self._roster.get_data_centres().values()))
+
+    async def read_topic(
+        self, address: str, request: _messages.TopicRead
+    ) -> _messages.TopicAnswer:
+        """Read records of a topic that a sibling follows.
+
+        Args:
+            address: Address of the sibling.
+            request: The read.
+
+        Raises:
+            SiblingUnavailable: The sibling did not answer.
+        """
+        return await self._links.read_topic(address, request)
+
+    def send_loads(self, address: str, message: _messages.EngineLoads) -> None:
+        """Send load reports to a sibling without waiting."""
+        self._links.send(address, message)
+
     def is_leaving(self, name: str) -> bool:
         """Return whether a target is leaving and gets no new work."""
         status = self._target_reports.get_status(name)
@@ -282,6 +340,9 @@
                 return []
             case _messages.Heartbeat(_, vm):
                 return self._gossip.handle(message) + self._build_reports(vm)
+            case _messages.EngineLoads():
+                self._callbacks.receive_loads(message)
+                return []
             case _:
                 return self._gossip.handle(message)
 
@@ -320,6 +381,12 @@
         """
         return await self._callbacks.claim(request)
 
+    async def serve_topic(
+        self, request: _messages.TopicRead
+    ) -> _messages.TopicAnswer:
+        """Return records of a topic that this VM follows."""
+        return await self._callbacks.read_topic(request)
+
     # Periodic tasks, and the steps that each of them repeats.
 
     async def run(
--- a/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
@@ -72,6 +72,37 @@
     """Hashes of the keys of the requested entries."""
 
 
+@attrs.frozen
+class EngineLoad:
+    """Load report of an engine that one VM read for the others."""
+
+    target: str
+    """Name of the engine."""
+    measured_at: float
+    """When the engine measured it, in epoch seconds of the local clock."""
+    running: int
+    """Number of running requests."""
+    waiting: int
+    """Number of waiting requests."""
+    kv_used: int
+    """Used memory, in tokens."""
+    kv_total: int
+    """Size of the memory, in tokens."""
+    reclaim_at: float | None
+    """When the engine is reclaimed, in epoch seconds of the local clock;
+    None if it stays."""
+
+
+@attrs.frozen
+class EngineLoads:
+    """Transfers load reports of engines."""
+
+    loads: list[EngineLoad]
+    """The reports."""
+    distribute: bool
+    """Whether the receiver distributes them in its data centre."""
+
+
 SiblingMessage = (
     Heartbeat
     | HeartbeatAck
@@ -80,6 +111,7 @@
     | BucketDigests
     | BucketSummaries
     | WantedKeys
+    | EngineLoads
 )
 
 
@@ -93,3 +125,59 @@
     """JSON object with the records, defined by the claim index."""
     deadline: float
     """Deadline of the call, in epoch seconds."""
+
+
+@attrs.frozen
+class TopicRead:
+    """Read of a topic that a sibling follows."""
+
+    topic: str
+    """Name of the topic."""
+    newest: bool
+    """Whether the newest record of each key is read in place of the records
+    from `start` on."""
+    start: int
+    """Offset of the first record. With `newest`, the lowest offset that the
+    sibling has to have reached."""
+    wait_until: float
+    """How long the sibling may wait for a record, in epoch seconds."""
+    deadline: float
+    """Deadline of the call, in epoch seconds."""
+
+
+@attrs.frozen
+class TopicRecord:
+    """One record of a topic."""
+
+    key: str
+    """Key of the record."""
+    value: bytes | None
+    """Value, or None if the key was deleted."""
+    offset: int
+    """Offset of the record in the topic."""
+
+
+@attrs.frozen
+class TopicPage:
+    """Records of a topic."""
+
+    records: list[TopicRecord]
+    """Records in the order of their offsets."""
+    next_offset: int
+    """Offset at which the next read starts."""
+    complete_at: float
+    """When the sibling last knew every record, in epoch seconds of the local
+    clock."""
+
+
+@attrs.frozen
+class TopicHistoryLost:
+    """The sibling no longer has the first requested record."""
+
+
+@attrs.frozen
+class TopicUnavailable:
+    """The sibling does not follow the topic or cannot read it."""
+
+
+TopicAnswer = TopicPage | TopicHistoryLost | TopicUnavailable
--- a/packages/laburnumstep/src/laburnumstep/siblings/_reconcile.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_reconcile.py
@@ -103,7 +103,11 @@
             for entry in entries:
                 store.merge(entry)
             return []
-        case _messages.Heartbeat() | _messages.HeartbeatAck():
+        case (
+            _messages.Heartbeat()
+            | _messages.HeartbeatAck()
+            | _messages.EngineLoads()
+        ):
             return []
         case _:
             typing.assert_never(message)
--- a/packages/laburnumstep/src/laburnumstep/siblings/_roster.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_roster.py
@@ -51,6 +51,7 @@
         self._leaving: dict[str, float] = {}
         self._view_expires_at = 0.0
         self._owners: dict[str, str] = {}
+        self._ranks: dict[tuple[str, str], list[str]] = {}
         gossip.subscribe(_entries.EntryKind.VM, self._handle_vm_entry)
 
     @property
@@ -90,6 +91,29 @@
                 self._owners[subject] = owner
         return owner
 
+    def rank_neighbours(
+        self, subject: str, data_centre: str
+    ) -> list[_members.Member]:
+        """Return the live VMs of a data centre, best owner of a subject first.
+
+        Args:
+            subject: Name of what is owned.
+            data_centre: The data centre.
+        """
+        members = self.members
+        key = (subject, data_centre)
+        ranked = self._ranks.get(key)
+        if ranked is None:
+            names = [
+                name
+                for name in self._live
+                if members[name].data_centre == data_centre
+            ]
+            ranked = core.rank_by_rendezvous(subject, names)
+            if len(self._ranks) < MAX_CACHED_OWNERS:
+                self._ranks[key] = ranked
+        return [members[name] for name in ranked]
+
     def find_address(self, name: str) -> str | None:
         """Return the address of a VM, or None if it failed or is unknown."""
         member = self.members.get(name)
@@ -183,6 +207,7 @@
         if live != self._live:
             self._live = live
             self._owners.clear()
+            self._ranks.clear()
             self._metrics.set_gauge('siblings.live', len(live))
         other_addresses = [
             member.address
--- a/packages/laburnumstep/src/laburnumstep/siblings/_server.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_server.py
@@ -58,12 +58,19 @@
         """
         ...
 
+    async def serve_topic(
+        self, request: _messages.TopicRead
+    ) -> _messages.TopicAnswer:
+        """Return records of a topic that this VM follows."""
+        ...
+
 
 class _Servicer(pb_grpc.SiblingsServicer):
     """Decodes calls, passes them to the handler and encodes the answers."""
 
-    def __init__(self, handler: SiblingHandler) -> None:
+    def __init__(self, handler: SiblingHandler, clock: core.Clock) -> None:
         self._handler = handler
+        self._clock = clock
         self._encoded: (
             tuple[core.VersionedDeployment, pb.FetchReply] | None
         ) = None
@@ -74,12 +81,14 @@
         context: grpc.aio.ServicerContext,
     ) -> typing.AsyncIterator[pb.SiblingMessage]:
         async for encoded in request_iterator:
-            message, malformed = _codec.decode_message(encoded)
+            message, malformed = _codec.decode_message(
+                encoded, self._clock.now()
+            )
             if malformed or message is None:
                 self._handler.record_malformed(max(1, malformed))
             if message is not None:
                 for answer in self._handler.receive(message):
-                    yield _codec.encode_message(answer)
+                    yield _codec.encode_message(answer, self._clock.now())
 
     async def FetchConfiguration(
         self, request: pb.FetchRequest, context: grpc.aio.ServicerContext
@@ -112,6 +121,14 @@
             return _codec.encode_refusal(error)
         return pb.ClaimReply(body=json.dumps(answer).encode())
 
+    async def ReadTopic(
+        self, request: pb.TopicRequest, context: grpc.aio.ServicerContext
+    ) -> pb.TopicReply:
+        answer = await self._handler.serve_topic(
+            _codec.decode_topic_read(request, self._clock.now())
+        )
+        return _codec.encode_topic_answer(answer, self._clock.now())
+
 
 class SiblingServer:
     """Serves sibling VMs over gRPC.
@@ -121,14 +138,20 @@
             port.
         key: Key that every call must carry.
         handler: Receives the decoded calls.
+        clock: Clock of the times in messages.
     """
 
     def __init__(
-        self, address: str, key: str, handler: SiblingHandler
+        self,
+        address: str,
+        key: str,
+        handler: SiblingHandler,
+        clock: core.Clock,
     ) -> None:
         self._requested_address = address
         self._key = key
         self._handler = handler
+        self._clock = clock
         self._server: grpc.aio.Server | None = None
         self._port = 0
 
@@ -148,7 +171,7 @@
             interceptors=[_auth.KeyInterceptor(self._key)], options=_OPTIONS
         )
         pb_grpc.add_SiblingsServicer_to_server(
-            _Servicer(self._handler), server
+            _Servicer(self._handler, self._clock), server
         )
         self._port = server.add_insecure_port(self._requested_address)
         await server.start()
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -32,6 +32,7 @@
 from laburnumstep.targets._load_follower import LoadClient
 from laburnumstep.targets._load_follower import LoadClients
 from laburnumstep.targets._load_follower import LoadFollower
+from laburnumstep.targets._load_follower import SharedReports
 from laburnumstep.targets._orders import compare_models
 from laburnumstep.targets._orders import LeaseView
 from laburnumstep.targets._orders import OrderReconciler
@@ -133,6 +134,7 @@
     'RetryBudget',
     'RetryDecision',
     'Send',
+    'SharedReports',
     'ServiceAnswer',
     'ServiceClient',
     'ServiceClients',
--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -29,6 +29,12 @@
 """Number of load reports of an engine for each read of its cache events."""
 REPLY_SECONDS = 2.0
 """Longest wait for a load report, in seconds."""
+RECLAIM_REPEAT_SECONDS = 2.0
+"""Shortest time between two calls for the reclaim of one engine, in seconds.
+Load reports that siblings distribute arrive several times a second."""
+MAX_WAIT_SECONDS = 1.0
+"""Longest time until the interval of an engine is evaluated again, in
+seconds. It becomes shorter when this VM has to read for others."""
 FAILED_SECONDS = 2.0
 """How long an engine that does not answer is ejected, in seconds."""
 
@@ -80,6 +86,25 @@
         ...
 
 
+class SharedReports(typing.Protocol):
+    """Exchange of load reports between VMs."""
+
+    def find_interval(self, target: str) -> float | None:
+        """Return the interval of the reports that this VM reads for others.
+
+        Args:
+            target: Name of the engine.
+
+        Returns:
+            The interval in seconds, or None if another VM reads them.
+        """
+        ...
+
+    def publish(self, target: str, report: _reports.LoadReport) -> None:
+        """Distribute a report that this VM has read."""
+        ...
+
+
 class LoadClients(typing.Protocol):
     """Clients of the engines, by name."""
 
@@ -108,6 +133,7 @@
             engine, in seconds.
         cache_every: Number of load reports of an engine for each read of
             its cache events; 0 disables these reads.
+        shared: Distributes reports to other VMs, if they are shared.
     """
 
     def __init__(
@@ -118,6 +144,7 @@
         on_reclaim: typing.Callable[[str, float], None],
         min_poll_seconds: float = MIN_POLL_SECONDS,
         cache_every: int = CACHE_EVERY,
+        shared: SharedReports | None = None,
     ) -> None:
         self._clients = clients
         self._view = view
@@ -125,7 +152,9 @@
         self._on_reclaim = on_reclaim
         self._min_poll_seconds = min_poll_seconds
         self._cache_every = cache_every
+        self._shared = shared
         self._engines: dict[str, _EngineTask] = {}
+        self._reclaim_announced_at: dict[str, float] = {}
 
     @property
     def poll_seconds(self) -> float:
@@ -149,6 +178,7 @@
         }
         for name in [n for n in self._engines if n not in names]:
             self._engines.pop(name).scope.cancel()
+            self._reclaim_announced_at.pop(name, None)
         for name in names - set(self._engines):
             engine = self._engines[name] = _EngineTask()
             tasks.start_soon(self._follow, name, engine)
@@ -201,14 +231,42 @@
                         state = 'answers' if answered else 'does not answer'
                         _LOGGER.info('engine %s; target=%s', state, name)
                 polls += 1
-                await self._wait_for_next_poll(engine)
+                await self._wait_for_next_poll(name, engine)
 
-    async def _wait_for_next_poll(self, engine: _EngineTask) -> None:
-        """Wait until the next poll is due or `refresh` requests one."""
+    async def _wait_for_next_poll(
+        self, name: str, engine: _EngineTask
+    ) -> None:
+        """Wait until the next poll is due or `refresh` requests one.
+
+        A report that a sibling distributes postpones the poll.
+        """
         engine.polled.set()
         engine.polled = anyio.Event()
         engine.requested = anyio.Event()
-        until = self._clock.now() + self.poll_seconds
+        polled_at = self._clock.now()
+        while not engine.requested.is_set():
+            now = self._clock.now()
+            due = self._compute_due_time(name, polled_at)
+            if due <= now:
+                return
+            await self._wait_for_request(
+                engine, min(due, now + MAX_WAIT_SECONDS)
+            )
+
+    def _compute_due_time(self, name: str, polled_at: float) -> float:
+        """Return when an engine is polled next, in epoch seconds."""
+        interval = None
+        if self._shared is not None:
+            interval = self._shared.find_interval(name)
+        if interval is not None:
+            return polled_at + interval
+        state = self._view.find(name)
+        measured_at = state.measured_at if state is not None else 0.0
+        return max(polled_at, measured_at) + self.poll_seconds
+
+    async def _wait_for_request(
+        self, engine: _EngineTask, until: float
+    ) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(
                 core.cancel_at, self._clock, until, group.cancel_scope
@@ -225,7 +283,9 @@
         deadline = self._clock.now() + REPLY_SECONDS
         try:
             report = await client.read_load(deadline)
-            self._apply_report(name, report)
+            self.apply_report(name, report)
+            if self._shared is not None:
+                self._shared.publish(name, report)
             if with_cache:
                 page = await client.read_cache_events(
                     self._view.hints.get_next_seq(name), deadline
@@ -238,7 +298,18 @@
             _LOGGER.warning('malformed report; target=%s: %s', name, error)
         return True
 
-    def _apply_report(self, name: str, report: _reports.LoadReport) -> None:
+    def apply_report(self, name: str, report: _reports.LoadReport) -> None:
+        """Apply a report that this VM or a sibling has read.
+
+        Args:
+            name: Name of the engine.
+            report: The report.
+        """
         self._view.record_report(name, report)
-        if report.reclaim_at is not None:
+        if report.reclaim_at is None or name not in self._engines:
+            return
+        now = self._clock.now()
+        announced_at = self._reclaim_announced_at.get(name, 0.0)
+        if now >= announced_at + RECLAIM_REPEAT_SECONDS:
+            self._reclaim_announced_at[name] = now
             self._on_reclaim(name, report.reclaim_at)
--- a/packages/laburnumstep/src/laburnumstep/targets/_retries.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import typing
 
 import attrs
 
@@ -24,18 +25,19 @@
 
     Args:
         ratio: Maximum number of retries for each request in the window.
-        extra: Number of retries in a window that are allowed in addition.
+        get_extra: Returns the number of retries in a window that are allowed
+            in addition.
         window: Length of the sliding window, in whole seconds.
     """
 
     def __init__(
         self,
         ratio: float = 0.1,
-        extra: float = 0.0,
+        get_extra: typing.Callable[[], float] = lambda: 0.0,
         window: int = WINDOW_SECONDS,
     ) -> None:
         self._ratio = ratio
-        self._extra = extra
+        self._get_extra = get_extra
         self._window = window
         self._slots: collections.deque[_Slot] = collections.deque()
         self._requests = 0
@@ -61,10 +63,10 @@
             now: Current time, in epoch seconds.
         """
         slot = self._get_slot(now)
-        allowed = self._ratio * self._requests
+        allowed = self._ratio * self._requests + self._get_extra()
         if self._requests and self._ratio > 0:
             allowed = max(1.0, allowed)
-        if self._retries + 1 > allowed + self._extra:
+        if self._retries + 1 > allowed:
             return False
         slot.retries += 1
         self._retries += 1
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -233,7 +233,7 @@
         return siblings.Membership(
             siblings.Identity(settings.vm.name, settings.vm.data_centre),
             siblings.GrpcLinks(
-                settings.siblings.address, settings.siblings.key
+                settings.siblings.address, settings.siblings.key, self._clock
             ),
             settings.siblings.seeds,
             siblings.MembershipCallbacks(
--- a/tests/laburnumstep/platform/decoding.feature
+++ b/tests/laburnumstep/platform/decoding.feature
@@ -71,6 +71,7 @@
     Given settings with an unknown key
     When the settings are read
     Then there are no findings
+    And siblings are reached at "127.0.0.1:7200", "10.1.0.19:7200", "10.2.0.13:7200"
 
   Scenario Outline: Streams are split into complete events
     Given a server that streams "<chunks>"
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -28,6 +28,8 @@
 nodeName = "front-1"
 ip = "127.0.0.1"
 zone = "callao-a"
+internalPortRange = [7200, 7215]
+seedNodes = ["10.1.0.19:8748", "10.2.0.13:8748"]
 [zones]
 callao-a = "lima"
 [listen]
@@ -185,6 +187,13 @@
     ), positions
 
 
+@behave.then('siblings are reached at {addresses}')
+def step_siblings(context: typing.Any, addresses: str) -> None:
+    settings = context.settings
+    found = [settings.siblings_address, *settings.sibling_seeds]
+    assert ', '.join(f'"{item}"' for item in found) == addresses, found
+
+
 @behave.then('there are no findings')
 def step_no_findings(context: typing.Any) -> None:
     assert not context.findings, context.findings
--- a/tests/laburnumstep/siblings/server.feature
+++ b/tests/laburnumstep/siblings/server.feature
@@ -20,6 +20,9 @@
       | Claim              | another-key       | UNAUTHENTICATED | 0        |
       | Claim              | none              | UNAUTHENTICATED | 0        |
       | Claim              | siblings-test-key | none            | 1        |
+      | ReadTopic          | another-key       | UNAUTHENTICATED | 0        |
+      | ReadTopic          | none              | UNAUTHENTICATED | 0        |
+      | ReadTopic          | siblings-test-key | none            | 1        |
 
   Scenario: A heartbeat is answered over a connection
     When a connection sends a heartbeat
@@ -30,6 +33,25 @@
     Then the connection receives its answer
     And the handler has counted 1 malformed entry
 
+  Scenario Outline: The answer to a read of a topic reaches the caller
+    Guards against a time that is taken from the clock of another VM.
+    Given the server answers reads of a topic with <answer>
+    When a VM whose clock is 500 seconds ahead reads the topic
+    Then the read returns <answer>
+
+    Examples:
+      | answer              |
+      | a page              |
+      | a page with removal |
+      | an empty page       |
+      | lost history        |
+      | unavailable         |
+
+  Scenario: Times of load reports are those of the receiver's clock
+    When load reports are sent to a VM whose clock is 500 seconds ahead
+    Then the reports have the same age there
+    And the engine is reclaimed after the same time
+
   Scenario: A refusal of the claim handler reaches the caller
     Given the claim handler refuses with "key_in_use"
     When a claim is sent
--- a/tests/laburnumstep/siblings/steps/cancellation_steps.py
+++ b/tests/laburnumstep/siblings/steps/cancellation_steps.py
@@ -9,6 +9,7 @@
 import anyio
 import behave
 
+from laburnumstep import core
 from laburnumstep import siblings
 
 _EXPIRING_SECONDS = 0.2
@@ -41,7 +42,9 @@
 
 async def _call(address: str, call: str) -> None:
     if call == 'forwards claims':
-        links = siblings.GrpcLinks('127.0.0.1:0', 'a-key-of-siblings')
+        links = siblings.GrpcLinks(
+            '127.0.0.1:0', 'a-key-of-siblings', core.SystemClock()
+        )
         deadline = time.time() + _CALL_TIMEOUT_SECONDS
         request = siblings.ClaimForward(0, {'records': []}, deadline)
         await links.claim(address, request)
--- a/tests/laburnumstep/siblings/steps/server_steps.py
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -13,6 +13,7 @@
 from laburnumstep import core
 from laburnumstep import siblings
 from laburnumstep.siblings import _auth
+from laburnumstep.siblings import _codec
 from laburnumstep.siblings import _connection
 from laburnumstep.siblings import _messages
 from laburnumstep.siblings import siblings_pb2 as pb
@@ -20,6 +21,7 @@
 from support import hooks
 
 KEY = 'siblings-test-key'
+CLOCK_LEAD_SECONDS = 500.0
 
 
 class RecordingHandler:
@@ -30,6 +32,7 @@
         self.malformed = 0
         self.configuration: core.VersionedDeployment | None = None
         self.refusal: core.CodedError | None = None
+        self.topic_answer: siblings.TopicAnswer = siblings.TopicUnavailable()
 
     def receive(self, message: typing.Any) -> list[typing.Any]:
         self.received.append(message)
@@ -49,12 +52,20 @@
             raise self.refusal
         return {'echo': request.body}
 
+    async def serve_topic(
+        self, request: siblings.TopicRead
+    ) -> siblings.TopicAnswer:
+        self.received.append(request)
+        return self.topic_answer
+
 
 @contextlib.asynccontextmanager
 async def serve(
     handler: RecordingHandler, key: str
 ) -> typing.AsyncIterator[siblings.SiblingServer]:
-    server = siblings.SiblingServer('127.0.0.1:0', key, handler)
+    server = siblings.SiblingServer(
+        '127.0.0.1:0', key, handler, core.SystemClock()
+    )
     await server.start()
     try:
         yield server
@@ -94,6 +105,9 @@
                 case 'Claim':
                     claim = pb.ClaimRequest(body=b'{}')
                     await stub.Claim(claim, metadata=metadata)
+                case 'ReadTopic':
+                    read = pb.TopicRequest(topic='op')
+                    await stub.ReadTopic(read, metadata=metadata)
         except grpc.aio.AioRpcError as error:
             return error.code().name
     return 'none'
@@ -135,7 +149,9 @@
         arrived.set()
         return []
 
-    connection = siblings.SiblingConnection(address, KEY, receive)
+    connection = siblings.SiblingConnection(
+        address, KEY, core.SystemClock(), receive
+    )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(connection.run)
         connection.send(_messages.Heartbeat(7, 'vm-1'))
@@ -235,3 +251,93 @@
 @behave.then('the fetch fails with "{code}"')
 def step_fetch_fails(context: typing.Any, code: str) -> None:
     assert [f.code for f in context.findings] == [code], context.findings
+
+
+def make_topic_answer(name: str) -> siblings.TopicAnswer:
+    """Return an answer that was complete two seconds ago."""
+    complete_at = time.time() - 2.0
+    match name:
+        case 'a page':
+            record = siblings.TopicRecord('config', b'{}', 6)
+            return siblings.TopicPage([record], 7, complete_at)
+        case 'a page with removal':
+            record = siblings.TopicRecord('config', None, 6)
+            return siblings.TopicPage([record], 7, complete_at)
+        case 'an empty page':
+            return siblings.TopicPage([], 7, complete_at)
+        case 'lost history':
+            return siblings.TopicHistoryLost()
+        case 'unavailable':
+            return siblings.TopicUnavailable()
+    raise AssertionError(name)
+
+
+class FastClock(core.SystemClock):
+    """A clock that is ahead of the system time."""
+
+    def now(self) -> float:
+        return super().now() + CLOCK_LEAD_SECONDS
+
+
+async def read_topic(address: str) -> siblings.TopicAnswer:
+    clock = FastClock()
+    now = clock.now()
+    request = siblings.TopicRead('op', False, 6, now, now + 10)
+    async with _connection.open_channel(address) as channel:
+        return await _connection.read_topic(
+            channel, address, KEY, request, clock
+        )
+
+
+@behave.given('the server answers reads of a topic with {name}')
+def step_topic_answer(context: typing.Any, name: str) -> None:
+    context.handler.topic_answer = make_topic_answer(name)
+
+
+@behave.when('a VM whose clock is 500 seconds ahead reads the topic')
+def step_read_topic(context: typing.Any) -> None:
+    context.answer = context.portal.call(read_topic, context.server.address)
+
+
+@behave.then('the read returns {name}')
+def step_topic_read(context: typing.Any, name: str) -> None:
+    expected = context.handler.topic_answer
+    if isinstance(expected, siblings.TopicPage):
+        answer = context.answer
+        assert (answer.records, answer.next_offset) == (
+            expected.records,
+            expected.next_offset,
+        ), answer
+        shift = answer.complete_at - expected.complete_at
+        # The call itself adds to the difference of the clocks.
+        assert abs(shift - CLOCK_LEAD_SECONDS) < 10.0, shift
+    else:
+        assert context.answer == expected, context.answer
+
+
+@behave.when('load reports are sent to a VM whose clock is 500 seconds ahead')
+def step_send_loads(context: typing.Any) -> None:
+    now = 1000.0
+    load = siblings.EngineLoad('engine-1', now - 0.5, 3, 1, 40, 90, now + 2.0)
+    message = siblings.EngineLoads([load], distribute=True)
+    encoded = _codec.encode_message(message, now)
+    context.received, _ = _codec.decode_message(
+        pb.SiblingMessage.FromString(encoded.SerializeToString()),
+        now + CLOCK_LEAD_SECONDS,
+    )
+    context.now = now + CLOCK_LEAD_SECONDS
+
+
+@behave.then('the reports have the same age there')
+def step_same_age(context: typing.Any) -> None:
+    assert context.received.distribute
+    (load,) = context.received.loads
+    assert context.now - load.measured_at == 0.5, load
+    assert (load.running, load.waiting) == (3, 1), load
+    assert (load.kv_used, load.kv_total) == (40, 90), load
+
+
+@behave.then('the engine is reclaimed after the same time')
+def step_same_reclaim(context: typing.Any) -> None:
+    (load,) = context.received.loads
+    assert load.reclaim_at - context.now == 2.0, load
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -255,6 +255,7 @@
         store_address=store_address,
         grace_seconds=4.0,
         retries=_settings.RetryBudgetSettings(0.2, 50.0, 10),
+        siblings_address='127.0.0.1:0',
     )
 
 
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -162,7 +162,7 @@
         self.leaving: set[str] = set()
         self.backup: str | None = None
         self.placements: list[RecordingPlacement] = []
-        self.budget = targets.RetryBudget(ratio=1.0, extra=10.0)
+        self.budget = targets.RetryBudget(ratio=1.0, get_extra=lambda: 10.0)
         self.resends = 0
         self._clock = clock
 
--- a/tests/support/sibling_vm.py
+++ b/tests/support/sibling_vm.py
@@ -52,7 +52,7 @@
     def __init__(
         self, name: str, seeds: list[str], forwarder: typing.Any = None
     ) -> None:
-        self._links = ForwardedLinks('127.0.0.1:0', KEY)
+        self._links = ForwardedLinks('127.0.0.1:0', KEY, core.SystemClock())
         self._forwarder = forwarder
         self.membership = siblings.Membership(
             siblings.Identity(name, 'lima-1'),
