Count the sends of sibling VMs that an engine has not reported yet

Ruled out: more candidates.

Change: each VM announces its sends through the distributors of the load reports. Placement counts them until a report does.

--- a/packages/laburnumstep/src/laburnumstep/load_sharing.py
+++ b/packages/laburnumstep/src/laburnumstep/load_sharing.py
@@ -1,9 +1,11 @@
-"""Exchanges load reports of engines with sibling VMs.
+"""Exchanges load reports of engines and own sends with sibling VMs.
 
 One VM of an engine's data centre reads its reports, chosen by rendezvous
-hashing. It sends each report to one VM of every data centre, which distributes
-it to the others there. The reads of an engine do not grow with the number of
-VMs, and all VMs know loads that are a few tenths of a second old.
+hashing. It sends each report to one VM of every data centre, the distributor,
+which passes it to the others there. The reads of an engine do not grow with
+the number of VMs, and all VMs know loads that are a few tenths of a second
+old. Each VM announces its sends in the same way, because a report does not
+count the requests of the last half second.
 """
 
 from __future__ import annotations
@@ -49,6 +51,7 @@
 
 FindTarget = typing.Callable[[str], core.Target | None]
 ApplyReport = typing.Callable[[str, targets.LoadReport], None]
+ApplySend = typing.Callable[[str, targets.SiblingSend], None]
 
 
 class LoadSharing:
@@ -73,12 +76,22 @@
         self._find_target = find_target
         self._clock = clock
         self._pending: dict[str, siblings.EngineLoad] = {}
+        self._pending_sends: list[siblings.EngineSend] = []
         self._arrived = anyio.Event()
-        self._apply: ApplyReport | None = None
+        self._apply_report: ApplyReport | None = None
+        self._apply_send: ApplySend | None = None
 
-    def subscribe(self, apply: ApplyReport) -> None:
-        """Set the function that is called with each report of a sibling."""
-        self._apply = apply
+    def subscribe(
+        self, apply_report: ApplyReport, apply_send: ApplySend
+    ) -> None:
+        """Set the functions that are called with what siblings announce.
+
+        Args:
+            apply_report: Called with each report.
+            apply_send: Called with each send.
+        """
+        self._apply_report = apply_report
+        self._apply_send = apply_send
 
     def find_interval(self, target: str) -> float | None:
         """Return the interval of the reports that this VM reads for others.
@@ -104,27 +117,54 @@
         """Distribute a report if this VM reads the engine for others."""
         if self.find_interval(target) is None:
             return
-        load = _make_load(target, report)
+        self._announce([_make_load(target, report)], [])
+
+    def publish_send(self, send: targets.Send) -> None:
+        """Announce a request that this VM has sent to an engine.
+
+        Args:
+            send: The send, already counted on this VM.
+        """
+        ranked = self._neighbours.rank_neighbours(_DISTRIBUTOR_SUBJECT)
+        if len(ranked) < MIN_SHARING_VMS:
+            return
+        announced = siblings.EngineSend(
+            send.target, self._vm_name, send.sent_at, send.prompt_tokens
+        )
+        self._announce([], [announced])
+
+    def _announce(
+        self,
+        loads: list[siblings.EngineLoad],
+        sends: list[siblings.EngineSend],
+    ) -> None:
+        """Send reports and sends to the distributor of each data centre."""
+        message = siblings.EngineLoads(loads, sends, distribute=True)
         for data_centre in self._neighbours.list_data_centres():
             ranked = self._neighbours.rank_neighbours(
                 _DISTRIBUTOR_SUBJECT, data_centre
             )
             if ranked and ranked[0].name == self._vm_name:
-                self._queue([load])
+                self._queue(message)
             elif ranked:
-                message = siblings.EngineLoads([load], distribute=True)
                 self._neighbours.send_loads(ranked[0].address, message)
 
     def receive(self, message: siblings.EngineLoads) -> None:
-        """Apply reports of a sibling and distribute them if it asks to."""
+        """Apply what a sibling announces and distribute it if it asks to."""
         if message.distribute:
-            self._queue(message.loads)
+            self._queue(message)
         for load in message.loads:
             engine = self._find_target(load.target)
-            if self._apply is not None and isinstance(
+            if self._apply_report is not None and isinstance(
                 engine, core.EngineTarget
             ):
-                self._apply(load.target, _make_report(load, engine))
+                self._apply_report(load.target, _make_report(load, engine))
+        for send in message.sends:
+            if self._apply_send is not None and send.vm != self._vm_name:
+                self._apply_send(
+                    send.target,
+                    targets.SiblingSend(send.sent_at, send.prompt_tokens),
+                )
 
     async def run(self) -> None:
         """Distribute collected reports in the data centre until cancelled."""
@@ -135,20 +175,22 @@
             self.distribute()
 
     def distribute(self) -> None:
-        """Send the collected reports to the other VMs of the data centre."""
+        """Pass what was collected to the other VMs of the data centre."""
         loads, self._pending = list(self._pending.values()), {}
-        if not loads:
+        sends, self._pending_sends = self._pending_sends, []
+        if not loads and not sends:
             return
-        message = siblings.EngineLoads(loads, distribute=False)
+        message = siblings.EngineLoads(loads, sends, distribute=False)
         for member in self._neighbours.rank_neighbours(_DISTRIBUTOR_SUBJECT):
             if member.name != self._vm_name:
                 self._neighbours.send_loads(member.address, message)
 
-    def _queue(self, loads: list[siblings.EngineLoad]) -> None:
-        for load in loads:
+    def _queue(self, message: siblings.EngineLoads) -> None:
+        for load in message.loads:
             known = self._pending.get(load.target)
             if known is None or known.measured_at < load.measured_at:
                 self._pending[load.target] = load
+        self._pending_sends += message.sends
         self._arrived.set()
 
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -122,7 +122,11 @@
             cache_every=0,
             shared=self._fleet.loads,
         )
-        self._fleet.loads.subscribe(self._load_follower.apply_report)
+        self._fleet.loads.subscribe(
+            self._load_follower.apply_report,
+            self._fleet_view.record_sibling_send,
+        )
+        self._fleet_view.subscribe_sends(self._fleet.loads.publish_send)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._front = self._build_front()
         self._caller_server = transport.HttpServer(
--- a/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
@@ -26,6 +26,7 @@
 from laburnumstep.siblings._messages import ClaimForward
 from laburnumstep.siblings._messages import EngineLoad
 from laburnumstep.siblings._messages import EngineLoads
+from laburnumstep.siblings._messages import EngineSend
 from laburnumstep.siblings._messages import SiblingMessage
 from laburnumstep.siblings._messages import TopicAnswer
 from laburnumstep.siblings._messages import TopicHistoryLost
@@ -49,6 +50,7 @@
     'DataValue',
     'EngineLoad',
     'EngineLoads',
+    'EngineSend',
     'EntryKey',
     'EntryKind',
     'EntryValue',
--- a/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
@@ -215,6 +215,15 @@
             )
             for load in message.loads
         ],
+        sends=[
+            pb.EngineSend(
+                target=send.target,
+                vm=send.vm,
+                age=now - send.sent_at,
+                prompt_tokens=send.prompt_tokens,
+            )
+            for send in message.sends
+        ],
         distribute=message.distribute,
     )
 
@@ -234,7 +243,13 @@
         )
         for load in encoded.loads
     ]
-    return _messages.EngineLoads(loads, encoded.distribute)
+    sends = [
+        _messages.EngineSend(
+            send.target, send.vm, now - max(0.0, send.age), send.prompt_tokens
+        )
+        for send in encoded.sends
+    ]
+    return _messages.EngineLoads(loads, sends, encoded.distribute)
 
 
 def encode_topic_read(
--- a/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
@@ -93,12 +93,28 @@
     None if it stays."""
 
 
+@attrs.frozen
+class EngineSend:
+    """Request that a VM has sent to an engine, too new for its reports."""
+
+    target: str
+    """Name of the engine."""
+    vm: str
+    """Name of the VM that sent the request."""
+    sent_at: float
+    """When it was sent, in epoch seconds of the local clock."""
+    prompt_tokens: int
+    """Length of the prompt, in tokens."""
+
+
 @attrs.frozen
 class EngineLoads:
-    """Transfers load reports of engines."""
+    """Transfers load reports of engines and sends to them."""
 
     loads: list[EngineLoad]
     """The reports."""
+    sends: list[EngineSend]
+    """The sends."""
     distribute: bool
     """Whether the receiver distributes them in its data centre."""
 
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -63,6 +63,7 @@
 from laburnumstep.targets._retry_decisions import Retry
 from laburnumstep.targets._retry_decisions import RetryDecision
 from laburnumstep.targets._sends import Send
+from laburnumstep.targets._sends import SiblingSend
 from laburnumstep.targets._service_calls import CallRunner
 from laburnumstep.targets._service_calls import ClaimStore
 from laburnumstep.targets._service_client import Answered
@@ -135,6 +136,7 @@
     'RetryDecision',
     'Send',
     'SharedReports',
+    'SiblingSend',
     'ServiceAnswer',
     'ServiceClient',
     'ServiceClients',
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -129,7 +129,7 @@
             return None
         cached = self.view.hints.match(name, self.request.prefixes)
         utilization = peak / max(1, state.memory)
-        waiting = max(0, load.net_sends)
+        waiting = max(0, load.net_sends) + load.sibling_sends
         if state.report is not None:
             waiting += state.report.waiting
         cost = (
--- a/packages/laburnumstep/src/laburnumstep/targets/_sends.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_sends.py
@@ -5,6 +5,16 @@
 import attrs
 
 
+@attrs.frozen
+class SiblingSend:
+    """Request that another VM has sent to a target."""
+
+    sent_at: float
+    """When it was sent, in epoch seconds."""
+    prompt_tokens: int
+    """Length of the prompt, in tokens."""
+
+
 @attrs.define(eq=False)
 class Send:
     """One request that this VM has sent to a target."""
--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -12,6 +12,8 @@
     from laburnumstep.targets import _reports
     from laburnumstep.targets import _sends
 
+MAX_SIBLING_SEND_SECONDS = 3.0
+"""How long another VM's send is counted without a newer report, in seconds."""
 REPORT_LAG_SECONDS = 30.0
 """Longest lag of a report that is corrected for ended sends, in seconds."""
 
@@ -31,6 +33,9 @@
     net_sends: int
     """Number of this VM's sends that began since the last report, minus
     those that ended since then."""
+    sibling_sends: int = 0
+    """Number of other VMs' sends that began since the last report; also
+    counted in `others`."""
 
     @property
     def requests(self) -> int:
@@ -61,6 +66,8 @@
     """Last report, if any."""
     sends: dict[str, _sends.Send] = attrs.field(factory=dict)
     """This VM's sends in progress, by identifier of the generation."""
+    sibling_sends: list[_sends.SiblingSend] = attrs.field(factory=list)
+    """Sends of other VMs that the last report does not count."""
     ended: list[_sends.Send] = attrs.field(factory=list)
     """Ended sends that the next report may still count."""
     draw: float = 0.0
@@ -112,6 +119,11 @@
         if report.measured_at < self.measured_at:
             return False
         self.report = report
+        self.sibling_sends = [
+            send
+            for send in self.sibling_sends
+            if send.sent_at >= report.measured_at
+        ]
         # The report already reflects the sends that ended before it was
         # measured. Subtracting them again would show capacity that does not
         # exist.
@@ -169,11 +181,33 @@
             if send.sent_at < measured_at:
                 ended += 1
                 counted += send.estimate_kv_at(measured_at, now)
+        siblings_sent, siblings_kv = self._count_sibling_sends(now)
         if self.report is None:
-            return TargetLoad(len(self.sends), own_kv, 0, 0.0, sent)
+            return TargetLoad(
+                len(self.sends),
+                own_kv,
+                siblings_sent,
+                siblings_kv,
+                sent,
+                siblings_sent,
+            )
         reported = self.report.running + self.report.waiting
         others = max(0, reported - (len(self.sends) - sent) - ended)
         others_kv = max(0.0, self.report.kv_used - counted)
         return TargetLoad(
-            len(self.sends), own_kv, others, others_kv, sent - ended
+            len(self.sends),
+            own_kv,
+            others + siblings_sent,
+            others_kv + siblings_kv,
+            sent - ended,
+            siblings_sent,
         )
+
+    def _count_sibling_sends(self, now: float) -> tuple[int, float]:
+        """Return the number of recent sibling sends and their memory."""
+        recent = [
+            send.prompt_tokens
+            for send in self.sibling_sends
+            if send.sent_at >= now - MAX_SIBLING_SEND_SECONDS
+        ]
+        return len(recent), float(sum(recent))
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -19,6 +19,7 @@
 """Weight of one ended send in the average time between tokens."""
 CapacityListener = typing.Callable[[typing.Iterable[str]], None]
 """Called with the pool keys of models and services that may have capacity."""
+SendListener = typing.Callable[[_sends.Send], None]
 _EMPTY_POOL = _pools.TargetPool()
 
 
@@ -40,6 +41,7 @@
         self._recovering: list[tuple[float, str]] = []
         self._leaving: set[str] = set()
         self._listeners: list[CapacityListener] = []
+        self._send_listeners: list[SendListener] = []
         self._known_vms = 1
         self._budget = core.LinkBudget()
         self._waiting: dict[str, int] = {}
@@ -73,6 +75,10 @@
         """Add a listener that is called when targets may have new capacity."""
         self._listeners.append(listener)
 
+    def subscribe_sends(self, listener: SendListener) -> None:
+        """Add a listener that is called with each send to an engine."""
+        self._send_listeners.append(listener)
+
     def set_known_vms(self, count: int) -> None:
         """Set the number of VMs that send to the same targets."""
         self._known_vms = max(1, count)
@@ -161,8 +167,19 @@
         state = self._states.get(target_name)
         if state is not None:
             state.sends[generation_id] = send
+            if isinstance(state.declared, core.EngineTarget):
+                for listener in self._send_listeners:
+                    listener(send)
         return send
 
+    def record_sibling_send(
+        self, target_name: str, send: _sends.SiblingSend
+    ) -> None:
+        """Count a send of another VM until a report counts it."""
+        state = self._states.get(target_name)
+        if state is not None and send.sent_at >= state.measured_at:
+            state.sibling_sends.append(send)
+
     def adopt(self, target_name: str, generation_id: str) -> _sends.Send:
         """Count a generation that another VM has sent as a send of this VM.
 
--- a/tests/laburnumstep/load_sharing.feature
+++ b/tests/laburnumstep/load_sharing.feature
@@ -37,6 +37,31 @@
     When the reader of engine-3 publishes a report, then an older one
     Then every other VM has the newer report
 
+  Scenario Outline: A send is announced once to every other VM
+    Given <vms> VMs and 30 engines in 6 data centres
+    When a VM sends a request with 700 tokens to engine-3
+    Then <receivers> VMs count one send of 700 tokens to engine-3
+
+    Examples:
+      | vms | receivers |
+      | 195 | 194       |
+      | 12  | 0         |
+
+  Scenario Outline: Sends of siblings are counted until a report counts them
+    Given an engine with a report of 1000 tokens measured 0.5 seconds ago
+    When siblings have sent 300 tokens <ago> seconds ago
+    And <event>
+    Then the engine has <used> tokens and <waiting> sends of siblings
+
+    Examples:
+      | ago | event                                   | used | waiting |
+      | 0.2 | nothing else happens                    | 1300 | 1       |
+      | 0.5 | nothing else happens                    | 1300 | 1       |
+      | 0.6 | nothing else happens                    | 1000 | 0       |
+      | 0.2 | a report of 1300 tokens is 0.1 s old    | 1300 | 0       |
+      | 0.2 | a report of 1000 tokens is 0.3 s old    | 1300 | 1       |
+      | 0.2 | no report arrives for 4 seconds         | 1000 | 0       |
+
   Scenario: A shared report postpones the reads of an engine
     Given a follower of an engine that another VM reads
     When a shared report arrives every second for 20 seconds
--- a/tests/laburnumstep/siblings/steps/server_steps.py
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -319,7 +319,8 @@
 def step_send_loads(context: typing.Any) -> None:
     now = 1000.0
     load = siblings.EngineLoad('engine-1', now - 0.5, 3, 1, 40, 90, now + 2.0)
-    message = siblings.EngineLoads([load], distribute=True)
+    send = siblings.EngineSend('engine-1', 'vm-1', now - 0.25, 700)
+    message = siblings.EngineLoads([load], [send], distribute=True)
     encoded = _codec.encode_message(message, now)
     context.received, _ = _codec.decode_message(
         pb.SiblingMessage.FromString(encoded.SerializeToString()),
@@ -335,6 +336,10 @@
     assert context.now - load.measured_at == 0.5, load
     assert (load.running, load.waiting) == (3, 1), load
     assert (load.kv_used, load.kv_total) == (40, 90), load
+    (send,) = context.received.sends
+    assert context.now - send.sent_at == 0.25, send
+    assert (send.target, send.vm) == ('engine-1', 'vm-1'), send
+    assert send.prompt_tokens == 700, send
 
 
 @behave.then('the engine is reclaimed after the same time')
--- a/tests/laburnumstep/steps/load_sharing_steps.py
+++ b/tests/laburnumstep/steps/load_sharing_steps.py
@@ -28,6 +28,7 @@
     data_centre: str
     sent: int = 0
     applied: dict[str, targets.LoadReport] = attrs.field(factory=dict)
+    sends: list[tuple[str, int]] = attrs.field(factory=list)
     sharing: load_sharing.LoadSharing = attrs.field(init=False)
 
     def rank_neighbours(
@@ -42,6 +43,9 @@
         self.sent += 1
         self.fleet.vms[address].sharing.receive(message)
 
+    def apply_send(self, target: str, send: targets.SiblingSend) -> None:
+        self.sends.append((target, send.prompt_tokens))
+
     def apply(self, target: str, report: targets.LoadReport) -> None:
         # Like the view of a VM, ignores a report older than the known one.
         known = self.applied.get(target)
@@ -73,7 +77,7 @@
             vm.sharing = load_sharing.LoadSharing(
                 vm.name, vm, self.engines.get, self.clock
             )
-            vm.sharing.subscribe(vm.apply)
+            vm.sharing.subscribe(vm.apply, vm.apply_send)
             self.vms[vm.name] = vm
 
     def rank(self, subject: str, data_centre: str) -> list[siblings.Member]:
@@ -359,3 +363,75 @@
 @behave.then('the follower has read the engine at least {count:d} times')
 def step_read_often(context: typing.Any, count: int) -> None:
     assert context.run.engine.reads >= count, context.run.engine.reads
+
+
+@behave.when('a VM sends a request with {tokens:d} tokens to engine-3')
+def step_send(context: typing.Any, tokens: int) -> None:
+    async def send() -> None:
+        fleet = context.fleet
+        sender = fleet.vms['vm-7']
+        sender.sharing.publish_send(
+            targets.Send(
+                'engine-3', 'g', 'w', 'm', tokens, 10.0, fleet.clock.now()
+            )
+        )
+        fleet.distribute()
+
+    context.portal.call(send)
+
+
+@behave.then('{count:d} VMs count one send of {tokens:d} tokens to engine-3')
+def step_counted(context: typing.Any, count: int, tokens: int) -> None:
+    counted = {
+        vm.name: vm.sends for vm in context.fleet.vms.values() if vm.sends
+    }
+    assert len(counted) == count, sorted(counted)
+    assert 'vm-7' not in counted
+    assert all(s == [('engine-3', tokens)] for s in counted.values()), counted
+
+
+@behave.given(
+    'an engine with a report of {tokens:d} tokens measured {age:g} seconds ago'
+)
+def step_engine(context: typing.Any, tokens: int, age: float) -> None:
+    context.clock = clocks.ObservedClock()
+    context.view = targets.FleetView(context.clock, 'lima-1')
+    context.view.apply_deployment(fleets.make_deployment(1))
+    context.view.record_report(
+        'engine-0',
+        fleets.make_report(context.clock.now() - age, 1, kv_used=tokens),
+    )
+
+
+@behave.when('siblings have sent {tokens:d} tokens {ago:g} seconds ago')
+def step_sibling(context: typing.Any, tokens: int, ago: float) -> None:
+    send = targets.SiblingSend(context.clock.now() - ago, tokens)
+    context.view.record_sibling_send('engine-0', send)
+
+
+@behave.when('nothing else happens')
+def step_nothing(context: typing.Any) -> None:
+    pass
+
+
+@behave.when('a report of {tokens:d} tokens is {age:g} s old')
+def step_report(context: typing.Any, tokens: int, age: float) -> None:
+    context.view.record_report(
+        'engine-0',
+        fleets.make_report(context.clock.now() - age, 1, kv_used=tokens),
+    )
+
+
+@behave.when('no report arrives for {seconds:d} seconds')
+def step_no_report(context: typing.Any, seconds: int) -> None:
+    context.clock.advance(seconds)
+
+
+@behave.then(
+    'the engine has {tokens:d} tokens and {count:d} sends of siblings'
+)
+def step_load(context: typing.Any, tokens: int, count: int) -> None:
+    state = context.view.find('engine-0')
+    load = state.estimate_load(context.clock.now())
+    assert load.kv_used == tokens, load
+    assert load.sibling_sends == count, load
