Continue a run from one copy while its engine still runs it

Cause: runs were lost when several of them left one engine. Each was copied twice, and the second copies waited on the engine's link behind the first copies of the others; 50 ms a run were kept free for them.

Change: the other engine goes on from the first copy, after the last delivered event, and computes the few tokens that the copy lacks. The run on the leaving engine is ended once the other one streams; if that one refuses, the run is copied to another engine.

--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -84,7 +84,6 @@
         request: relay.RelayRequest,
         source: core.Target,
         destination: core.Target,
-        stop: bool,
         deadline: float,
     ) -> relay.CopyResult:
         """Copy the memory of a run to another engine.
@@ -93,13 +92,12 @@
             request: The request that the run serves.
             source: The engine of the run.
             destination: The engine that receives the copy.
-            stop: Whether the run ends on its source with this copy.
             deadline: End of the request, in epoch seconds.
         """
         body = {
             'id': request.key,
             'target': destination.address,
-            'last': stop,
+            'last': False,
         }
         try:
             status, answer = await self._request_json(
@@ -112,10 +110,9 @@
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
             return relay.CopyFailed(str(error))
         handle = answer.get('handle') if isinstance(answer, dict) else None
-        reference = f'{source.address}/{handle}' if handle else None
-        if status == 200 and reference is not None:
-            return relay.Copied(reference)
-        return relay.CopyFailed(f'the engine answered {status}', reference)
+        if status == 200 and handle:
+            return relay.Copied(f'{source.address}/{handle}')
+        return relay.CopyFailed(f'the engine answered {status}')
 
     async def read_report(
         self, target: core.EngineTarget, deadline: float
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
@@ -1,9 +1,9 @@
 """Copies the memory of a running request to another engine.
 
-As in other live migrations, the memory is copied twice: first while the run
-continues (pre-copy); then the run is stopped and what it has added since is
-copied (stop-and-copy). The second copy is small, so the stream is interrupted
-only briefly.
+The run continues during the copy. The other engine then goes on after the
+last delivered event and computes the few tokens that the copy lacks. A second
+copy of these tokens would wait behind the copies of the leaving engine's other
+runs, which share its link.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 
 @attrs.frozen(eq=False)
 class PreparedCopy:
-    """The first copy of a run, made while the run continued."""
+    """A copy of a run, made while the run continued."""
 
     placement: _placements.RelayPlacement
     """Capacity reserved at the engine that holds the copy."""
@@ -66,17 +66,19 @@
         self._schedules = schedules
         self._clock = clock
 
-    async def precopy(
-        self, placement: _placements.RelayPlacement, is_running: IsRunning
+    async def copy(
+        self,
+        placement: _placements.RelayPlacement,
+        refused: frozenset[str],
+        is_running: IsRunning,
     ) -> PreparedCopy | None:
         """Copy the run without stopping it.
 
-        This copy takes tenths of a second. The run adds little in that time,
-        so the second copy interrupts the stream only briefly. Engines are
-        tried until one accepts the copy or the run ends.
+        Engines are tried until one accepts the copy or the run ends.
 
         Args:
             placement: Placement of the run.
+            refused: Engines that refused to continue the run.
             is_running: Returns whether the run is still at that placement.
 
         Returns:
@@ -86,7 +88,6 @@
             self._request, placement.target
         )
         await self._clock.sleep_until(start)
-        refused: frozenset[str] = frozenset()
         while is_running():
             destination = self._placer.choose_destination(
                 self._request, placement.target, refused
@@ -99,23 +100,13 @@
                     self._clock.now() + RETRY_SECONDS
                 )
                 continue
-            prepared = await self._precopy_to(placement, destination)
+            prepared = await self._copy_to(placement, destination)
             if prepared is not None:
                 return prepared
             refused |= {destination.name}
         return None
 
-    async def stop_and_copy(
-        self, placement: _placements.RelayPlacement, prepared: PreparedCopy
-    ) -> _ports.CopyResult:
-        """Stop the run and copy what it has added since the first copy."""
-        destination = prepared.placement.target
-        result = await self._copy(placement, destination, stop=True)
-        if isinstance(result, _ports.CopyFailed):
-            self._log_failure(placement, destination, result.reason)
-        return result
-
-    async def _precopy_to(
+    async def _copy_to(
         self,
         placement: _placements.RelayPlacement,
         destination: core.EngineTarget,
@@ -131,7 +122,12 @@
         )
         result: _ports.CopyResult = _ports.CopyFailed('cancelled')
         try:
-            result = await self._copy(placement, reserved.target, stop=False)
+            result = await self._port.copy_run(
+                self._request,
+                placement.target,
+                reserved.target,
+                self._clock.now() + COPY_SECONDS,
+            )
         finally:
             if isinstance(result, _ports.CopyFailed):
                 reserved.release(complete=False)
@@ -140,17 +136,6 @@
             return None
         return PreparedCopy(reserved, result.copy)
 
-    async def _copy(
-        self,
-        placement: _placements.RelayPlacement,
-        destination: core.Target,
-        stop: bool,
-    ) -> _ports.CopyResult:
-        deadline = self._clock.now() + COPY_SECONDS
-        return await self._port.copy_run(
-            self._request, placement.target, destination, stop, deadline
-        )
-
     def _log_failure(
         self,
         placement: _placements.RelayPlacement,
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
@@ -18,12 +18,9 @@
 
 LIST_TIMEOUT_SECONDS = 0.3
 """Timeout of the request for an engine's list of runs, in seconds."""
-COPY_TIME_FACTOR = 1.1
-"""Time scheduled for a copy, as a multiple of its estimate."""
-GAP_SECONDS = 0.05
-"""Gap between the copies of two runs, in seconds. A run is copied twice, and
-its second copy must enter the queue of the link before the next run's
-first."""
+COPY_TIME_FACTOR = 0.95
+"""Time scheduled for a copy, as a multiple of its estimate. Below 1, so that
+the next copy already waits in the queue of the link when one ends."""
 SCHEDULE_SECONDS = 10.0
 """How long a schedule is used, in seconds; a leaving engine has stopped by
 then."""
@@ -104,7 +101,7 @@
         for run in order_runs(runs):
             starts[run.key] = start
             seconds = self._placer.estimate_copy(source, run.tokens)
-            start += COPY_TIME_FACTOR * seconds + GAP_SECONDS
+            start += COPY_TIME_FACTOR * seconds
         return _Schedule(starts, start, now + SCHEDULE_SECONDS)
 
     def _drop_expired(self, now: float) -> None:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -202,8 +202,6 @@
 
     reason: str
     """What failed."""
-    copy: str | None = None
-    """Reference of the run at its source, if the source has stopped it."""
 
 
 CopyResult = Copied | CopyFailed
@@ -231,16 +229,16 @@
         request: RelayRequest,
         source: core.Target,
         destination: core.Target,
-        stop: bool,
         deadline: float,
     ) -> CopyResult:
         """Copy the memory of a run to another engine.
 
+        The run continues on its source.
+
         Args:
             request: The request that runs.
             source: Engine that runs it.
             destination: Engine that receives the copy.
-            stop: Whether the source stops the run before copying.
             deadline: Deadline of the copy, in epoch seconds.
         """
         ...
