Ask engines whether they leave while the store cannot be read

Change: while the entries cannot be read, the engines that run requests of this VM are asked every 0.4 s.

--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -121,6 +121,7 @@
             min_poll_seconds=REPORT_INTERVAL_SECONDS,
             cache_every=0,
             shared=self._fleet.loads,
+            is_urgent=self._may_leave_unannounced,
         )
         self._fleet.loads.subscribe(
             self._load_follower.apply_report,
@@ -327,6 +328,15 @@
             self._load_follower.apply_deployment(limited, self._tasks)
         self._server_client.close_removed(deployment.targets)
 
+    def _may_leave_unannounced(self, target: str) -> bool:
+        """Return whether only its reports can tell that an engine leaves.
+
+        This concerns engines that run requests of this VM while their
+        entries cannot be read.
+        """
+        state = self._fleet_view.find(target)
+        return not self._registry.reliable and bool(state and state.sends)
+
     def _evacuate(self, target: str) -> None:
         self._running_streams.evacuate(target)
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -32,9 +32,13 @@
 RECLAIM_REPEAT_SECONDS = 2.0
 """Shortest time between two calls for the reclaim of one engine, in seconds.
 Load reports that siblings distribute arrive several times a second."""
-MAX_WAIT_SECONDS = 1.0
+URGENT_POLL_SECONDS = 0.4
+"""Interval of the reports of an engine that may leave unannounced, in seconds.
+An engine that is reclaimed has about two seconds left."""
+MAX_WAIT_SECONDS = 0.5
 """Longest time until the interval of an engine is evaluated again, in
-seconds. It becomes shorter when this VM has to read for others."""
+seconds. It becomes shorter when this VM has to read for others, or when the
+engine may leave unannounced."""
 FAILED_SECONDS = 2.0
 """How long an engine that does not answer is ejected, in seconds."""
 
@@ -134,6 +138,8 @@
         cache_every: Number of load reports of an engine for each read of
             its cache events; 0 disables these reads.
         shared: Distributes reports to other VMs, if they are shared.
+        is_urgent: Returns whether an engine may leave unannounced while it
+            runs requests of this VM.
     """
 
     def __init__(
@@ -145,6 +151,7 @@
         min_poll_seconds: float = MIN_POLL_SECONDS,
         cache_every: int = CACHE_EVERY,
         shared: SharedReports | None = None,
+        is_urgent: typing.Callable[[str], bool] = lambda name: False,
     ) -> None:
         self._clients = clients
         self._view = view
@@ -153,6 +160,7 @@
         self._min_poll_seconds = min_poll_seconds
         self._cache_every = cache_every
         self._shared = shared
+        self._is_urgent = is_urgent
         self._engines: dict[str, _EngineTask] = {}
         self._reclaim_announced_at: dict[str, float] = {}
 
@@ -260,9 +268,12 @@
             interval = self._shared.find_interval(name)
         if interval is not None:
             return polled_at + interval
+        interval = self.poll_seconds
+        if self._is_urgent(name):
+            interval = min(interval, URGENT_POLL_SECONDS)
         state = self._view.find(name)
         measured_at = state.measured_at if state is not None else 0.0
-        return max(polled_at, measured_at) + self.poll_seconds
+        return max(polled_at, measured_at) + interval
 
     async def _wait_for_request(
         self, engine: _EngineTask, until: float
--- a/packages/laburnumstep/src/laburnumstep/targets/_registry.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_registry.py
@@ -62,6 +62,11 @@
         """Whether the registry has been read."""
         return self._loaded
 
+    @property
+    def reliable(self) -> bool:
+        """Whether the registry has been read without a recent failure."""
+        return self._clock.now() >= self._reliable_at
+
     @property
     def targets(self) -> dict[str, core.Target]:
         """Registered targets by name."""
@@ -145,7 +150,7 @@
             return False
         now = self._clock.now()
         entry.expires_at = now + EXPIRY_GRACE_SECONDS
-        kept = now < self._reliable_at and not entry.target.leaving
+        kept = not self.reliable and not entry.target.leaving
         _LOGGER.info(
             'entry removed; target=%s kept=%s', name, 'yes' if kept else 'no'
         )
--- a/tests/laburnumstep/targets/load_reports.feature
+++ b/tests/laburnumstep/targets/load_reports.feature
@@ -37,3 +37,15 @@
       | 1    | 5   | 0        | 1          | 2         |
       | 3    | 0   | 1        | 2          | 0         |
       | 0    | 4   | 0        | 0          | 3         |
+
+  Scenario Outline: Engines that may leave unannounced are asked often
+    Guards against runs that are lost because the entry of their engine,
+    which announces that it leaves, cannot be read.
+    Given a follower of an engine that <state>
+    When 10 seconds pass for the follower
+    Then the engine has answered <answers> times
+
+    Examples:
+      | state                     | answers  |
+      | is announced when leaving | 1 to 3   |
+      | may leave unannounced     | 20 to 26 |
--- a/tests/laburnumstep/targets/steps/load_reports_steps.py
+++ b/tests/laburnumstep/targets/steps/load_reports_steps.py
@@ -200,3 +200,41 @@
 def step_covered(context: typing.Any) -> None:
     sampled = {name for sample in context.samples for name in sample}
     assert sampled == context.names, context.names - sampled
+
+
+@behave.given('a follower of an engine that {state}')
+def step_follower_of(context: typing.Any, state: str) -> None:
+    async def create() -> None:
+        await create_follower(context, 0.0)
+        context.follower = targets.LoadFollower(
+            context.engines,
+            context.view,
+            context.clock,
+            lambda target, reclaim_at: None,
+            min_poll_seconds=4.0,
+            cache_every=0,
+            is_urgent=lambda name: state == 'may leave unannounced',
+        )
+
+    clocks.run_bounded(context, create)
+
+
+@behave.when('{seconds:d} seconds pass for the follower')
+def step_time_passes(context: typing.Any, seconds: int) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            context.follower.apply_deployment(context.deployment, tasks)
+            await context.clock.wait_for_sleeps(3)
+            for _ in range(seconds * 20):
+                context.clock.advance(0.05)
+                for _ in range(20):
+                    await anyio.lowlevel.checkpoint()
+            tasks.cancel_scope.cancel()
+
+    clocks.run_bounded(context, run)
+
+
+@behave.then('the engine has answered {least:d} to {most:d} times')
+def step_answered(context: typing.Any, least: int, most: int) -> None:
+    answers = context.engines.answers['engine-0']
+    assert least <= answers <= most, answers
