--- a/tests/laburnumstep/steps/topic_sharing_steps.py
+++ b/tests/laburnumstep/steps/topic_sharing_steps.py
@@ -10,6 +10,9 @@
 from support import clocks
 from support import topic_fleet
 
+PHASES = [number / 10 for number in range(16)]
+"""Beginnings of a fault within one read of the log, in seconds."""
+
 
 def find_numbers(text: str) -> list[int]:
     return [int(number) for number in re.findall(r'\d+', text)]
@@ -22,6 +25,8 @@
         self.clock = clocks.ObservedClock()
         self.count = count
         self.steps: list[typing.Any] = []
+        self.phase = 0.0
+        """Time by which faults begin later, in seconds."""
         self.fleet: topic_fleet.TopicFleet
 
     def add(self, step: typing.Any) -> None:
@@ -48,6 +53,9 @@
             names = every
         if part == 'nothing fails':
             continue
+        if part == 'each VM holds the next one for the reader':
+            fleet.rotated = True
+            continue
         if 'from the log' in part:
             fleet.log.cut.update(names)
         elif 'from every other one' in part:
@@ -75,7 +83,7 @@
 @behave.given('after 5 seconds {fault}')
 def step_fault(context: typing.Any, fault: str) -> None:
     async def fail(fleet: topic_fleet.TopicFleet) -> None:
-        await fleet.pass_time(5.0)
+        await fleet.pass_time(5.0 + context.script.phase)
         apply_fault(fleet, fault)
 
     context.script.add(fail)
@@ -144,14 +152,16 @@
 )
 def step_in_force(context: typing.Any, seconds: float, excused: str) -> None:
     context.script.add(lambda fleet: fleet.pass_time(seconds))
-    fleet = run_script(context)
-    excused_names = {fleet.ranked[n - 1] for n in find_numbers(excused)}
-    late = [
-        vm.name
-        for vm in fleet.vms.values()
-        if vm.name not in excused_names and vm.values[-1] != context.newest
-    ]
-    assert not late, late
+    for phase in PHASES:
+        context.script.phase = phase
+        fleet = run_script(context)
+        excused_names = {fleet.ranked[n - 1] for n in find_numbers(excused)}
+        late = [
+            vm.name
+            for vm in fleet.vms.values()
+            if vm.name not in excused_names and vm.values[-1] != context.newest
+        ]
+        assert not late, (phase, late)
 
 
 @behave.then('the change is in force on every VM')
@@ -170,3 +180,21 @@
     for vm in context.script.fleet.vms.values():
         versions = [int(value) for value in vm.values]
         assert versions == sorted(versions), (vm.name, versions)
+
+
+@behave.then('only VM {number:d} has read the log for the last 3 seconds')
+def step_one_reads(context: typing.Any, number: int) -> None:
+    counts: dict[str, dict[str, int]] = {}
+
+    async def count(fleet: topic_fleet.TopicFleet) -> None:
+        counts['before'] = dict(fleet.log.calls)
+        await fleet.pass_time(3.0)
+
+    context.script.add(count)
+    fleet = run_script(context)
+    readers = [
+        name
+        for name, calls in fleet.log.calls.items()
+        if calls > counts['before'].get(name, 0) and name not in fleet.log.cut
+    ]
+    assert readers == [fleet.ranked[number - 1]], readers
--- a/tests/laburnumstep/topic_sharing.feature
+++ b/tests/laburnumstep/topic_sharing.feature
@@ -32,6 +32,19 @@
       | VM 5 is cut from the log, VM 1 is cut from VM 5   | 5            |
       | VM 1, VM 2, VM 3, VM 4 are cut from the log       | 1, 2, 3, 4   |
       | VM 1, VM 2, VM 3, VM 4 are frozen                 | 1, 2, 3, 4   |
+      | each VM holds the next one for the reader         | none         |
+
+  Scenario Outline: Another VM reads for all in place of one that cannot
+    Given 8 VMs that follow a topic
+    And after 5 seconds <fault>
+    When 3 seconds pass
+    Then only VM 2 has read the log for the last 3 seconds
+
+    Examples:
+      | fault                    |
+      | VM 1 is frozen           |
+      | VM 1 has exited          |
+      | VM 1 is cut from the log |
 
   Scenario Outline: A change made during a fault is in force after it
     Given 8 VMs that follow a topic
--- a/tests/support/topic_fleet.py
+++ b/tests/support/topic_fleet.py
@@ -120,6 +120,8 @@
         self.cut: set[frozenset[str]] = set()
         self.frozen: set[str] = set()
         self.exited: set[str] = set()
+        self.rotated = False
+        """Whether each VM ranks the VM after it first."""
         names = [f'vm-{number}' for number in range(count)]
         self.ranked = core.rank_by_rendezvous(f'topic|{TOPIC}', names)
         for name in names:
@@ -151,12 +153,16 @@
             for _ in range(PASSES_A_STEP):
                 await anyio.lowlevel.checkpoint()
 
-    def list_members(self) -> list[siblings.Member]:
+    def list_members(self, viewer: str) -> list[siblings.Member]:
+        ranked = self.ranked
+        if self.rotated:
+            start = ranked.index(viewer) + 1
+            ranked = ranked[start:] + ranked[:start]
         return [
             siblings.Member(
                 name, name, 'lima-1', siblings.MemberState.LIVE, [name]
             )
-            for name in self.ranked
+            for name in ranked
         ]
 
     async def read_topic(
@@ -187,7 +193,7 @@
     def rank_neighbours(
         self, subject: str, data_centre: str = ''
     ) -> list[siblings.Member]:
-        return self.fleet.list_members()
+        return self.fleet.list_members(self.name)
 
     async def read_topic(
         self, address: str, request: siblings.TopicRead
