Replace candidates without capacity by other engines

Ruled out: more candidates (see the model of the queues), a dearer waiting prompt.

Change: candidates without capacity are replaced, in random order, by up to nine engines whose reports are recent, so that three engines with capacity are compared. Reports are not read for it.

--- a/packages/laburnumstep/src/laburnumstep/callers/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/__init__.py
@@ -17,8 +17,10 @@
 from laburnumstep.callers._limits import Refused
 from laburnumstep.callers._limits import WorkspaceLimits
 from laburnumstep.callers._relay_placer import LOCAL_CANDIDATES
+from laburnumstep.callers._relay_placer import LOCAL_SUBSTITUTES
 from laburnumstep.callers._relay_placer import RelayPlacer
 from laburnumstep.callers._relay_placer import REMOTE_CANDIDATES
+from laburnumstep.callers._relay_placer import REMOTE_SUBSTITUTES
 from laburnumstep.callers._shares import Demand
 from laburnumstep.callers._shares import Share
 from laburnumstep.callers._shares import ShareAllocator
@@ -35,8 +37,10 @@
     'EnginePlacer',
     'HandleSigner',
     'LOCAL_CANDIDATES',
+    'LOCAL_SUBSTITUTES',
     'LimitResult',
     'REMOTE_CANDIDATES',
+    'REMOTE_SUBSTITUTES',
     'Refused',
     'RelayPlacer',
     'RequestGate',
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -33,6 +33,12 @@
 """Number of engines in the local region compared for a request."""
 REMOTE_CANDIDATES = 1
 """Number of engines in remote regions compared for a request."""
+LOCAL_SUBSTITUTES = 6
+"""Number of engines in the local region that may replace candidates without
+capacity."""
+REMOTE_SUBSTITUTES = 3
+"""Number of engines in remote regions that may replace candidates without
+capacity."""
 MAX_REPORT_AGE_SECONDS = 0.9
 """Maximum age of a load report used for placement, in seconds. It must exceed
 0.5 s, since engines report values measured half a second earlier."""
@@ -302,9 +308,13 @@
         excluded: frozenset[str],
     ) -> _relay_placement.RelayPlacement:
         placement = _make_placement_request(request, prompt, excluded)
+        candidates = await self._find_candidates(prompt.model, excluded)
         placement = attrs.evolve(
             placement,
-            candidates=await self._find_candidates(prompt.model, excluded),
+            candidates=candidates,
+            substitutes=self._find_substitutes(
+                prompt.model, excluded.union(candidates)
+            ),
         )
         if not relay.is_short(request):
             placement = attrs.evolve(
@@ -359,6 +369,26 @@
         # is left out unless none reports.
         return tuple(fresh) or names
 
+    def _find_substitutes(
+        self, model: str, excluded: frozenset[str]
+    ) -> tuple[str, ...]:
+        """Sample engines whose reports are recent without being read now."""
+        names = targets.sample_engines(
+            self._state.view,
+            model,
+            excluded,
+            LOCAL_SUBSTITUTES,
+            REMOTE_SUBSTITUTES,
+            self._rng,
+        )
+        oldest = self._state.clock.now() - MAX_REPORT_AGE_SECONDS
+        return tuple(
+            name
+            for name in names
+            if (known := self._state.view.find(name)) is not None
+            and known.measured_at >= oldest
+        )
+
     def _begin(
         self, request: relay.RelayRequest, target: str
     ) -> _relay_placement.RelayPlacement:
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -93,6 +93,26 @@
         candidates.sort(key=lambda item: item.cost)
         return candidates
 
+    def rank_with_substitutes(
+        self, names: list[str], substitutes: typing.Iterable[str]
+    ) -> list[_Candidate]:
+        """Return as many candidates with capacity as names, best first.
+
+        Comparing the same number of engines whether or not some are full
+        keeps a request from the only one that is not.
+
+        Args:
+            names: Names of the candidates.
+            substitutes: Names of engines that replace those without capacity.
+        """
+        ranked = self.rank(names)
+        for name in substitutes:
+            if len(ranked) >= len(names):
+                break
+            ranked += self.rank([name])
+        ranked.sort(key=lambda item: item.cost)
+        return ranked
+
     def _score(self, name: str) -> _Candidate | None:
         """Return a target with its cost, or None if it cannot be chosen."""
         state = self.view.find(name)
@@ -232,7 +252,7 @@
     now = view.clock.now()
     ranker = _Ranker(view, request, lengths, policy, rng, expected, now)
     names = list(request.candidates) or _sample(view, request, rng)
-    ranked = ranker.rank(names)
+    ranked = ranker.rank_with_substitutes(names, request.substitutes)
     if not ranked:
         fallback = _sample_fallback(view, request, rng, names)
         if not names and not fallback:
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -30,6 +30,8 @@
     candidates: tuple[str, ...] = ()
     """Engines that are compared first, with new reports. If empty, placement
     samples the candidates."""
+    substitutes: tuple[str, ...] = ()
+    """Engines that take the place of candidates without capacity, in order."""
     avoided: frozenset[str] = frozenset()
     """Targets that are chosen only if all others have much less capacity."""
     memory_fraction: float | None = None
--- a/tests/laburnumstep/targets/placement_load.feature
+++ b/tests/laburnumstep/targets/placement_load.feature
@@ -38,3 +38,24 @@
     And each VM compares 30 engines
     When requests are placed for 25 seconds
     Then first tokens wait more than 1.3 times as long as with one placer
+
+  Scenario: Substitutes for full engines shorten the queues
+    Guards against requests that all join the one candidate with free memory,
+    although others that were not compared have shorter queues.
+    Given 76 VMs before 30 engines with 42 requests a second
+    And reports are 0.7 s old, and sends of siblings are known
+    And engines have 22000 tokens of memory
+    When requests are placed for 25 seconds with and without substitutes
+    Then the mean wait with substitutes is at most 0.95 of that without
+
+  Scenario Outline: A substitute is compared in place of a full candidate
+    Given engines "<engines>" as load in percent and waiting requests
+    When a request compares <candidates> of them and may take substitutes
+    Then it is placed on engine <chosen>
+
+    Examples:
+      | engines             | candidates | chosen |
+      | 99/0 99/0 20/6 20/0 | 3          | 3      |
+      | 30/0 30/0 20/6 20/0 | 3          | 0 or 1 |
+      | 99/0 99/0 99/0 20/4 | 3          | 3      |
+      | 99/0 20/1 99/0 20/0 | 4          | 3      |
--- a/tests/support/placement_load.py
+++ b/tests/support/placement_load.py
@@ -41,6 +41,7 @@
 class SimulatedEngine:
     """An engine with one queue of prompts."""
 
+    kv_tokens: int
     free_at: float = 0.0
     requests: list[SimulatedRequest] = attrs.field(factory=list)
 
@@ -75,7 +76,7 @@
             now,
             len(present) - waiting,
             int(used),
-            KV_TOKENS,
+            self.kv_tokens,
             waiting=waiting,
         )
 
@@ -90,6 +91,8 @@
         report_delay: Age of a report when a VM knows it, in seconds.
         knows_sends: Whether VMs know of the sends of other VMs.
         candidates: Number of engines that a VM compares.
+        substitutes: Number of engines that may replace full candidates.
+        kv_tokens: Memory of an engine, in tokens.
         seed: Seed of the arrivals and choices.
     """
 
@@ -101,6 +104,8 @@
         report_delay: float,
         knows_sends: bool,
         candidates: int,
+        substitutes: int = 0,
+        kv_tokens: int = KV_TOKENS,
         seed: int = 1,
     ) -> None:
         self._clock = core.ManualClock()
@@ -109,8 +114,10 @@
         self._report_delay = report_delay
         self._knows_sends = knows_sends
         self._candidates = candidates
+        self._substitutes = substitutes
         self._engines = {
-            f'engine-{number}': SimulatedEngine() for number in range(engines)
+            f'engine-{number}': SimulatedEngine(kv_tokens)
+            for number in range(engines)
         }
         deployment = fleets.make_deployment(engines)
         self._views = []
@@ -164,14 +171,21 @@
     ) -> str:
         view = self._views[index]
         self._update(index, view, now)
-        names = targets.sample_engines(
-            view, fleets.MODEL, frozenset(), self._candidates, 0, self._rng
+        sampled = targets.sample_engines(
+            view,
+            fleets.MODEL,
+            frozenset(),
+            self._candidates + self._substitutes,
+            0,
+            self._rng,
         )
+        names = sampled[: self._candidates]
         placed = targets.choose_engine(
             view,
             fleets.make_request(
                 prompt_tokens=request.prompt_tokens,
                 candidates=names,
+                substitutes=sampled[self._candidates :],
                 hinted_tokens=request.answer_seconds / TOKEN_SECONDS,
             ),
             self._lengths,
