Bound what a server in trouble can send without end

Of ten patterns at the transport one was open: responses with status 1xx kept the VM reading until the request's deadline. The body of a refusal was read up to 16 MB and until the deadline, and a whole answer up to 16 MB, copied anew with each chunk, in a VM of 128 MB.

Ruled out: heads, chunk sizes, extensions and trailers, which h11 bounds at 16 KB, and events, bounded at 256 KB; they have rows now.

Change: at most 16 informational responses; 4 MB for an answer; 64 KB and 0.2 s for the body of a refusal, after which the request goes to another server.

Not covered: a server that sends complete but meaningless events for ever; the request's deadline ends it.

--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -15,8 +15,14 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Limit for opening a connection, in seconds. The latency between regions
 is 12 ms."""
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Size limit of an answer that is read as a whole, in bytes."""
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+"""Size limit of an answer that is read as a whole, in bytes. Several servers
+in trouble may send bytes without end to a VM with 128 MB of memory."""
+MAX_REFUSAL_BYTES = 64 * 1024
+"""Size limit of the body of a refusal, which nobody reads, in bytes."""
+REFUSAL_TIMEOUT_SECONDS = 0.2
+"""Limit for reading the body of a refusal, in seconds. The connection is
+closed after it, and the request goes to another server."""
 DEFAULT_IDLE_SECONDS = 1.0
 """Idle timeout of a connection whose server states none, in seconds."""
 IDLE_MARGIN_SECONDS = 0.5
@@ -330,8 +336,11 @@
         connection: transport.HttpConnection,
         response: transport.ResponseHead,
     ) -> relay.Reply:
+        refusal_deadline = self._clock.now() + REFUSAL_TIMEOUT_SECONDS
         try:
-            await connection.read_body(MAX_RESPONSE_BYTES, attempt.deadline)
+            await connection.read_body(
+                MAX_REFUSAL_BYTES, min(attempt.deadline, refusal_deadline)
+            )
             self._release_connection(attempt.target, connection, response)
         except transport.ExchangeFailed:
             # The head already states that the request did not run, so it is
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -19,6 +19,10 @@
 if typing.TYPE_CHECKING:
     from laburnumstep import core
 
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Most responses with status 1xx before the final one. A peer in trouble may
+send them without end."""
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -143,7 +147,7 @@
         Raises:
             ExchangeFailed: No valid response was received.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._read_event(deadline)
             match event:
                 case h11.Response():
@@ -153,6 +157,9 @@
                     continue
                 case _:
                     raise _client.ExchangeFailed('no response was received')
+        raise _client.ExchangeFailed(
+            f'more than {MAX_INFORMATIONAL_RESPONSES} informational responses'
+        )
 
     async def read_chunk(self, deadline: float) -> bytes | None:
         """Return the next bytes of the body, or None at its end.
@@ -180,11 +187,11 @@
         Raises:
             ExchangeFailed: The body is incomplete or exceeds the limit.
         """
-        body = b''
+        body = bytearray()
         while True:
             chunk = await self.read_chunk(deadline)
             if chunk is None:
-                return body
+                return bytes(body)
             body += chunk
             if len(body) > limit:
                 raise _client.ExchangeFailed(
--- a/tests/laburnumstep/platform/front.feature
+++ b/tests/laburnumstep/platform/front.feature
@@ -62,6 +62,18 @@
     And the connection is closed
     And the server received 0 requests
 
+  Scenario Outline: A server that sends bytes without end harms no VM
+    Guards against answers in trouble that fill the memory of a VM.
+    Given the server answers <status> with "<header>: <value>" and bytes without end
+    When "POST /unsafe/1" is sent with ""
+    Then the answer has status <seen>
+    And the server has sent less than <limit> MB
+
+    Examples:
+      | status | header       | value | seen | limit |
+      | 200    | X-Any        | 1     | 502  | 12    |
+      | 503    | Not-Executed | 1     | 503  | 8     |
+
   Scenario Outline: Only valid answers of servers reach the caller
     Given the server answers <status> with "<header>: <value>"
     When "POST /unsafe/1" is sent with ""
--- a/tests/laburnumstep/platform/steps/front_steps.py
+++ b/tests/laburnumstep/platform/steps/front_steps.py
@@ -213,6 +213,23 @@
     context.harness.server.headers = {header: value}
 
 
+@behave.given(
+    'the server answers {status:d} with "{header}: {value}" and bytes without'
+    ' end'
+)
+def step_endless_answer(
+    context: typing.Any, status: int, header: str, value: str
+) -> None:
+    step_server_answer(context, status, header, value)
+    context.harness.server.endless = True
+
+
+@behave.then('the server has sent less than {limit:d} MB')
+def step_sent_bytes(context: typing.Any, limit: int) -> None:
+    sent = context.harness.server.sent_bytes
+    assert sent < limit * 1024 * 1024, sent
+
+
 @behave.given('the server does not answer')
 def step_unresponsive(context: typing.Any) -> None:
     context.harness.server.unresponsive = True
--- a/tests/laburnumstep/transport/exchange.feature
+++ b/tests/laburnumstep/transport/exchange.feature
@@ -24,6 +24,26 @@
       |                                                                   | closes     | a failure | not kept |
       |                                                                   | resets     | a failure | not kept |
 
+  Scenario Outline: Bytes without end are given up before the deadline
+    Guards against a peer in trouble that fills the memory of the VM or keeps
+    its processor busy until the deadline passes.
+    Given a peer that responds with "<begin>" and then "<repeated>" without end
+    When a request is sent to it on a clock that stands still
+    Then the exchange returns a failure
+
+    Examples:
+      | begin                                                 | repeated                          |
+      |                                                       | x                                 |
+      | HTTP/1.1 200 OK\r\n                                   | x-any: y\r\n                      |
+      | HTTP/1.1 200 OK\r\nx-any:                             | y                                 |
+      | HTTP/1.1 100 Continue\r\n\r\n                         | HTTP/1.1 100 Continue\r\n\r\n     |
+      | HTTP/1.1 200 OK\r\n\r\n                               | y                                 |
+      | HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n | y                                 |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n | 1\r\ny\r\n                        |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n | 1                                 |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a= | b                             |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n | x-any: y\r\n                 |
+
   Scenario: Connecting to a closed port fails
     Given an address without a listener
     Then connecting to it raises ConnectFailed
--- a/tests/laburnumstep/transport/steps/exchange_steps.py
+++ b/tests/laburnumstep/transport/steps/exchange_steps.py
@@ -20,6 +20,7 @@
 """`SO_LINGER` with a timeout of 0: closing the socket sends a reset."""
 _HEAD = transport.RequestHead(b'GET', b'/', [(b'Host', b'peer')])
 _MAX_BODY_BYTES = 1000
+_BLOCK_BYTES = 8192
 
 
 class FakePeer:
@@ -117,6 +118,51 @@
     assert context.connection.reusable
 
 
+class EndlessPeer(FakePeer):
+    """Responds with bytes that end only when the caller closes.
+
+    Args:
+        begin: First bytes.
+        repeated: Bytes that follow again and again.
+    """
+
+    def __init__(self, begin: bytes, repeated: bytes) -> None:
+        super().__init__(b'', 'closes')
+        self._begin = begin
+        self._repeated = repeated * (_BLOCK_BYTES // len(repeated))
+
+    async def _handle(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                await stream.receive()
+                if self._begin:
+                    await stream.send(self._begin)
+                while True:
+                    await stream.send(self._repeated)
+
+
+@behave.given(
+    'a peer that responds with "{begin}" and then "{repeated}" without end'
+)
+@behave.given('a peer that responds with "" and then "{repeated}" without end')
+def step_endless(context: typing.Any, repeated: str, begin: str = '') -> None:
+    first, again = (
+        text.encode().decode('unicode_escape').encode()
+        for text in (begin, repeated)
+    )
+    context.address = hooks.enter_context(
+        context, EndlessPeer(first, again).serve()
+    )
+
+
+@behave.when('a request is sent to it on a clock that stands still')
+def step_exchange_endless(context: typing.Any) -> None:
+    context.clock = core.ManualClock()
+    clocks.run_bounded(context, exchange, context)
+
+
 @behave.given('an address without a listener')
 def step_closed_port(context: typing.Any) -> None:
     context.clock = core.SystemClock()
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -9,6 +9,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import h11
 from starlette import applications
 from starlette import requests
@@ -119,6 +120,10 @@
         self.headers: dict[str, str] = {}
         self.content = b'answer'
         self.unresponsive = False
+        self.endless = False
+        """Whether the body of an answer is far longer than any limit."""
+        self.sent_bytes = 0
+        """Bytes of endless bodies that were taken from this server."""
         self.caller_disconnected = anyio.Event()
         self.app = applications.Starlette(
             routes=[
@@ -141,8 +146,22 @@
             **self.headers,
         }
         headers = {name: value for name, value in headers.items() if value}
+        if self.endless:
+            return responses.StreamingResponse(
+                self._generate(), self.status, headers
+            )
         return responses.Response(self.content, self.status, headers)
 
+    async def _generate(self) -> typing.AsyncIterator[bytes]:
+        block = bytes(64 * 1024)
+        # A bound for the case that the caller's close goes unnoticed.
+        for _ in range(1024):
+            self.sent_bytes += len(block)
+            yield block
+            # Writes to a closed connection do not suspend; this lets the
+            # response notice the close.
+            await anyio.lowlevel.checkpoint()
+
 
 def make_configuration(version: int = 1, **changes: typing.Any) -> Document:
     """Return a configuration with a safe, an unsafe and a public route.
