Split membership's callbacks and the sampling of candidates from their users

The callbacks and the candidates are modules of their own now, and membership counts the VMs that share a limit, with scenarios. Behaviour is unchanged.

--- a/packages/laburnumstep/src/laburnumstep/callers/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/__init__.py
@@ -7,6 +7,10 @@
 from laburnumstep.callers._admission_queue import Admitted
 from laburnumstep.callers._admission_queue import Shed
 from laburnumstep.callers._app import CallersApp
+from laburnumstep.callers._candidates import LOCAL_CANDIDATES
+from laburnumstep.callers._candidates import LOCAL_SUBSTITUTES
+from laburnumstep.callers._candidates import REMOTE_CANDIDATES
+from laburnumstep.callers._candidates import REMOTE_SUBSTITUTES
 from laburnumstep.callers._engine_placer import EnginePlacer
 from laburnumstep.callers._engine_placer import RoutingState
 from laburnumstep.callers._gate import RequestGate
@@ -16,11 +20,7 @@
 from laburnumstep.callers._limits import LimitResult
 from laburnumstep.callers._limits import Refused
 from laburnumstep.callers._limits import WorkspaceLimits
-from laburnumstep.callers._relay_placer import LOCAL_CANDIDATES
-from laburnumstep.callers._relay_placer import LOCAL_SUBSTITUTES
 from laburnumstep.callers._relay_placer import RelayPlacer
-from laburnumstep.callers._relay_placer import REMOTE_CANDIDATES
-from laburnumstep.callers._relay_placer import REMOTE_SUBSTITUTES
 from laburnumstep.callers._shares import Demand
 from laburnumstep.callers._shares import Share
 from laburnumstep.callers._shares import ShareAllocator
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -8,6 +8,7 @@
 import attrs
 
 from laburnumstep.callers import _admission_queue
+from laburnumstep.callers import _candidates
 from laburnumstep.callers import _relay_placement
 from laburnumstep import core
 from laburnumstep import targets
@@ -29,31 +30,6 @@
 
 _LOGGER = core.get_logger('callers')
 
-LOCAL_CANDIDATES = 2
-"""Number of engines in the local region compared for a request."""
-REMOTE_CANDIDATES = 1
-"""Number of engines in remote regions compared for a request."""
-LOCAL_SUBSTITUTES = 6
-"""Number of engines in the local region that may replace candidates without
-capacity."""
-REMOTE_SUBSTITUTES = 3
-"""Number of engines in remote regions that may replace candidates without
-capacity."""
-MAX_REPORT_AGE_SECONDS = 0.9
-"""Maximum age of a load report used for placement, in seconds. It must exceed
-0.5 s, since engines report values measured half a second earlier."""
-MAX_REFRESH_SECONDS = 0.1
-"""Maximum wait for new reports before a request is placed, in seconds. Engines
-of remote regions answer within 30 ms."""
-
-RefreshReports = typing.Callable[
-    [list[str], float, float], typing.Awaitable[None]
-]
-"""Reads new load reports of the named engines.
-
-The first time is the oldest acceptable measurement, the second the deadline
-of the reads, both in epoch seconds.
-"""
 MakeBudget = typing.Callable[[], targets.RetryBudget]
 
 
@@ -74,15 +50,17 @@
         admission: _admission.Admission,
         make_budget: MakeBudget,
         weights: core.PolicyWeights,
-        refresh: RefreshReports,
+        refresh: _candidates.RefreshReports,
     ) -> None:
         self._state = state
         self._admission = admission
         self._make_budget = make_budget
         self._weights = weights
-        self._refresh = refresh
         self._budgets: dict[str, targets.RetryBudget] = {}
         self._rng = random.Random()
+        self._sampler = _candidates.CandidateSampler(
+            state.view, state.clock, refresh, self._rng
+        )
 
     async def place(
         self, request: relay.RelayRequest, excluded: frozenset[str]
@@ -308,11 +286,11 @@
         excluded: frozenset[str],
     ) -> _relay_placement.RelayPlacement:
         placement = _make_placement_request(request, prompt, excluded)
-        candidates = await self._find_candidates(prompt.model, excluded)
+        candidates = await self._sampler.sample(prompt.model, excluded)
         placement = attrs.evolve(
             placement,
             candidates=candidates,
-            substitutes=self._find_substitutes(
+            substitutes=self._sampler.sample_substitutes(
                 prompt.model, excluded.union(candidates)
             ),
         )
@@ -336,59 +314,6 @@
             case _:
                 typing.assert_never(result)
 
-    async def _find_candidates(
-        self, model: str, excluded: frozenset[str]
-    ) -> tuple[str, ...]:
-        """Sample a few engines and return those with recent load reports.
-
-        A VM of a large deployment places a request only every few seconds.
-        Reading the reports of a few engines on demand costs less than
-        polling all engines, and the reports are newer.
-        """
-        names = targets.sample_engines(
-            self._state.view,
-            model,
-            excluded,
-            LOCAL_CANDIDATES,
-            REMOTE_CANDIDATES,
-            self._rng,
-        )
-        now = self._state.clock.now()
-        await self._refresh(
-            list(names),
-            now - MAX_REPORT_AGE_SECONDS,
-            now + MAX_REFRESH_SECONDS,
-        )
-        fresh = [
-            name
-            for name in names
-            if (known := self._state.view.find(name)) is not None
-            and known.measured_at >= now - MAX_REPORT_AGE_SECONDS
-        ]
-        # An engine that does not report in time is overloaded or down, so it
-        # is left out unless none reports.
-        return tuple(fresh) or names
-
-    def _find_substitutes(
-        self, model: str, excluded: frozenset[str]
-    ) -> tuple[str, ...]:
-        """Sample engines whose reports are recent without being read now."""
-        names = targets.sample_engines(
-            self._state.view,
-            model,
-            excluded,
-            LOCAL_SUBSTITUTES,
-            REMOTE_SUBSTITUTES,
-            self._rng,
-        )
-        oldest = self._state.clock.now() - MAX_REPORT_AGE_SECONDS
-        return tuple(
-            name
-            for name in names
-            if (known := self._state.view.find(name)) is not None
-            and known.measured_at >= oldest
-        )
-
     def _begin(
         self, request: relay.RelayRequest, target: str
     ) -> _relay_placement.RelayPlacement:
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -47,7 +47,6 @@
         self._settings = settings
         self._clock = clock
         self._topics: dict[str, topic_sharing.SharedTopic] = {}
-        self._largest_count = 1
         self._membership = siblings.Membership(
             siblings.Identity(settings.name, settings.data_centre),
             siblings.GrpcLinks(settings.siblings_address, SIBLING_KEY, clock),
@@ -78,16 +77,8 @@
         return self._membership.address
 
     def count_vms(self) -> int:
-        """Return the number of VMs that share the limits of the deployment.
-
-        A VM that has lost its siblings keeps the largest number it knew, and
-        one that has never heard of any assumes `DEFAULT_VMS`.
-        """
-        count = len(self._membership.members)
-        self._largest_count = max(self._largest_count, count)
-        if count > 1:
-            return count
-        return self._largest_count if self._largest_count > 1 else DEFAULT_VMS
+        """Return the number of VMs that share the limits of the deployment."""
+        return self._membership.count_sharing_vms(DEFAULT_VMS)
 
     def share_topic(
         self, name: str, find_fingerprint: log.Fingerprint
--- a/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
@@ -4,6 +4,7 @@
 configurations and the forwarding of claim records.
 """
 
+from laburnumstep.siblings._callbacks import MembershipCallbacks
 from laburnumstep.siblings._connection import fetch_configuration
 from laburnumstep.siblings._connection import SiblingConnection
 from laburnumstep.siblings._connection import SiblingUnavailable
@@ -22,7 +23,6 @@
 from laburnumstep.siblings._members import Member
 from laburnumstep.siblings._members import MemberState
 from laburnumstep.siblings._membership import Membership
-from laburnumstep.siblings._membership import MembershipCallbacks
 from laburnumstep.siblings._messages import ClaimForward
 from laburnumstep.siblings._messages import EngineLoad
 from laburnumstep.siblings._messages import EngineLoads
--- a/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
@@ -6,13 +6,12 @@
 from __future__ import annotations
 
 import random
-import typing
 
 import anyio
 import anyio.abc
-import attrs
 
 from laburnumstep import core
+from laburnumstep.siblings import _callbacks
 from laburnumstep.siblings import _configurations
 from laburnumstep.siblings import _entries
 from laburnumstep.siblings import _gossip
@@ -29,9 +28,6 @@
 from laburnumstep.siblings import _targets
 from laburnumstep import vmlist
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 PUSH_FANOUT = 3
 """Number of siblings to which a fresh entry is pushed."""
 MIN_PUSH_INTERVAL_SECONDS = 0.02
@@ -45,45 +41,6 @@
 """Most siblings that this VM watches, failed ones included."""
 _LOG = core.get_logger('siblings')
 
-ClaimHandler = typing.Callable[
-    [_messages.ClaimForward],
-    'collections.abc.Awaitable[core.DocumentObject]',
-]
-
-
-TopicHandler = typing.Callable[
-    [_messages.TopicRead],
-    'collections.abc.Awaitable[_messages.TopicAnswer]',
-]
-LoadsHandler = typing.Callable[[_messages.EngineLoads], None]
-
-
-async def _refuse_topic_read(
-    request: _messages.TopicRead,
-) -> _messages.TopicAnswer:
-    """Answer as a VM that follows no topic."""
-    return _messages.TopicUnavailable()
-
-
-def _ignore_loads(message: _messages.EngineLoads) -> None:
-    """Ignore load reports, as a VM that reads them all itself."""
-
-
-@attrs.frozen
-class MembershipCallbacks:
-    """Functions of the VM that membership calls."""
-
-    read_configuration: _configurations.ReadConfiguration
-    """Returns the configuration in force on this VM, or None."""
-    adopt: _configurations.AdoptConfiguration
-    """Applies a configuration of a sibling; returns whether it is in force."""
-    claim: ClaimHandler
-    """Handles claim records for the owner of their partition."""
-    read_topic: TopicHandler = _refuse_topic_read
-    """Returns records of a topic that this VM follows."""
-    receive_loads: LoadsHandler = _ignore_loads
-    """Receives load reports that a sibling read."""
-
 
 class Membership:
     """Determines which VMs are live and which targets accept new work.
@@ -103,13 +60,14 @@
         identity: _presence.Identity,
         links: _links.SiblingLinks,
         seeds: list[str],
-        callbacks: MembershipCallbacks,
+        callbacks: _callbacks.MembershipCallbacks,
         clock: core.Clock,
         metrics: core.Metrics,
         randomness: random.Random,
     ) -> None:
         self._name = identity.name
         self._data_centre = identity.data_centre
+        self._largest_count = 1
         self._links = links
         self._seeds = seeds
         self._callbacks = callbacks
@@ -168,6 +126,21 @@
         """
         return self._roster.choose_owner(subject)
 
+    def count_sharing_vms(self, assumed: int) -> int:
+        """Return the number of VMs that share the limits of the deployment.
+
+        A VM that has lost its siblings returns the largest number that it
+        has known, so that its part of a limit does not grow.
+
+        Args:
+            assumed: Returned if no sibling has ever been heard of.
+        """
+        count = len(self.members)
+        self._largest_count = max(self._largest_count, count)
+        if count > 1:
+            return count
+        return self._largest_count if self._largest_count > 1 else assumed
+
     def rank_neighbours(
         self, subject: str, data_centre: str = ''
     ) -> list[_members.Member]:
--- a/tests/laburnumstep/siblings/membership.feature
+++ b/tests/laburnumstep/siblings/membership.feature
@@ -151,3 +151,23 @@
     And each message is delivered 3 times
     When vm-1 announces that "engine-1" is leaving
     Then at most 8 VMs push the entry
+
+  Scenario Outline: Limits are divided by the VMs that share them
+    Guards against VMs that each take the whole of a common limit, or larger
+    parts of it after they have lost one another.
+    Given <count> VMs that know each other
+    When <seconds> s pass for the VMs
+    Then vm-0 divides limits by <divisor>, where 200 VMs are assumed
+
+    Examples:
+      | count | seconds | divisor |
+      | 1     | 5       | 200     |
+      | 2     | 5       | 2       |
+      | 8     | 5       | 8       |
+
+  Scenario: A VM that has lost all siblings keeps its part of a limit
+    Given 8 VMs that know each other
+    And vm-0 divides limits by 8, where 200 VMs are assumed
+    When vm-1, vm-2, vm-3, vm-4, vm-5, vm-6, vm-7 end
+    And 400 s pass for the VMs
+    Then vm-0 divides limits by 8, where 200 VMs are assumed
--- a/tests/laburnumstep/siblings/steps/fleet_steps.py
+++ b/tests/laburnumstep/siblings/steps/fleet_steps.py
@@ -461,3 +461,17 @@
     sent = {a: t.messages for a, t in context.fleet.network.traffic.items()}
     assert all(messages <= 3 for messages in sent.values()), sent
     assert len(sent) <= count, sent
+
+
+@behave.given(
+    '{name:S} divides limits by {divisor:d}, where {assumed:d} VMs are assumed'
+)
+@behave.then(
+    '{name:S} divides limits by {divisor:d}, where {assumed:d} VMs are assumed'
+)
+def step_divisor(
+    context: typing.Any, name: str, divisor: int, assumed: int
+) -> None:
+    membership = context.fleet.vms[name].membership
+    found = membership.count_sharing_vms(assumed)
+    assert found == divisor, found
