Drop sends of siblings that no report will count

Cause: found in reading: the sends of other VMs to an engine that does not report were kept without a bound (60 after a minute in the new scenario). Change: those too old to count are dropped when another one arrives.

--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -203,6 +203,23 @@
             siblings_sent,
         )
 
+    def add_sibling_send(self, send: _sends.SiblingSend) -> None:
+        """Count a send of another VM until a report counts it.
+
+        Sends that are too old to count are dropped, so that their number
+        stays bounded while no report arrives.
+
+        Args:
+            send: The send.
+        """
+        if send.sent_at < self.measured_at:
+            return
+        oldest = send.sent_at - MAX_SIBLING_SEND_SECONDS
+        self.sibling_sends = [
+            item for item in self.sibling_sends if item.sent_at >= oldest
+        ]
+        self.sibling_sends.append(send)
+
     def _count_sibling_sends(self, now: float) -> tuple[int, float]:
         """Return the number of recent sibling sends and their memory."""
         recent = [
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -177,8 +177,8 @@
     ) -> None:
         """Count a send of another VM until a report counts it."""
         state = self._states.get(target_name)
-        if state is not None and send.sent_at >= state.measured_at:
-            state.sibling_sends.append(send)
+        if state is not None:
+            state.add_sibling_send(send)
 
     def adopt(self, target_name: str, generation_id: str) -> _sends.Send:
         """Count a generation that another VM has sent as a send of this VM.
--- a/tests/laburnumstep/load_sharing.feature
+++ b/tests/laburnumstep/load_sharing.feature
@@ -62,6 +62,12 @@
       | 0.2 | a report of 1000 tokens is 0.3 s old    | 1300 | 1       |
       | 0.2 | no report arrives for 4 seconds         | 1000 | 0       |
 
+  Scenario: Sends of siblings are dropped if no report arrives
+    Guards against memory that grows while an engine does not report.
+    Given an engine with a report of 1000 tokens measured 0.5 seconds ago
+    When siblings send 300 tokens every second for 60 seconds
+    Then at most 4 sends of siblings are kept
+
   Scenario: A shared report postpones the reads of an engine
     Given a follower of an engine that another VM reads
     When a shared report arrives every second for 20 seconds
--- a/tests/laburnumstep/steps/load_sharing_steps.py
+++ b/tests/laburnumstep/steps/load_sharing_steps.py
@@ -435,3 +435,19 @@
     load = state.estimate_load(context.clock.now())
     assert load.kv_used == tokens, load
     assert load.sibling_sends == count, load
+
+
+@behave.when(
+    'siblings send {tokens:d} tokens every second for {seconds:d} seconds'
+)
+def step_many_sends(context: typing.Any, tokens: int, seconds: int) -> None:
+    for _ in range(seconds):
+        context.clock.advance(1.0)
+        send = targets.SiblingSend(context.clock.now(), tokens)
+        context.view.record_sibling_send('engine-0', send)
+
+
+@behave.then('at most {count:d} sends of siblings are kept')
+def step_kept(context: typing.Any, count: int) -> None:
+    kept = context.view.find('engine-0').sibling_sends
+    assert len(kept) <= count, len(kept)
