Give up an engine that does not continue a run after two seconds

Cause: found in reading: while a stream waited for the engine that should continue its run, the events of the leaving engine were not read. An engine that had crashed silently held the stream until the request's deadline.

Ruled out: a shorter deadline of the attempt, because the engine would stop the run at it.

Change: a continued run is waited for at most 2 s; then the stream goes on with the leaving engine and the run is copied elsewhere. The scenario timed out before the change.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -24,6 +24,10 @@
 FIRST_EVENT_TIMEOUT_SECONDS = 6.0
 """Timeout of the first event of a stream that another engine can continue, in
 seconds."""
+CONTINUE_TIMEOUT_SECONDS = 2.0
+"""Timeout of the answer of an engine that continues a run, in seconds. It is
+admitted first and computes few tokens; callers disconnect after longer
+pauses."""
 SHORT_ANSWER_TOKENS = 96
 """Length, in tokens, up to which an answer ends before a leaving engine stops.
 Runs of such answers are not copied."""
@@ -202,7 +206,7 @@
         self._attempts += 1
         reply: _ports.Reply = _ports.Lost('cancelled')
         try:
-            reply = await self._port.send(attempt)
+            reply = await self._send(attempt)
         finally:
             if not isinstance(reply, _ports.Streaming):
                 placement.release(complete=False)
@@ -226,6 +230,24 @@
             placement.record_failure(crashed=False)
         return reply
 
+    async def _send(self, attempt: _ports.Attempt) -> _ports.Reply:
+        """Send an attempt; give up one that continues a run after a while.
+
+        Events of the leaving engine are not read meanwhile, and an engine
+        that has crashed may never answer.
+        """
+        if not isinstance(attempt.start, _ports.ContinuedRun):
+            return await self._port.send(attempt)
+        until = self._clock.now() + CONTINUE_TIMEOUT_SECONDS
+        reply: _ports.Reply = _ports.Lost('the engine did not continue it')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                core.cancel_at, self._clock, until, tasks.cancel_scope
+            )
+            reply = await self._port.send(attempt)
+            tasks.cancel_scope.cancel()
+        return reply
+
     def _choose_backup(
         self, target: core.Target, start: _ports.Start
     ) -> core.EngineTarget | None:
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -282,6 +282,11 @@
     assert context.open_sources == [0, 1], context.open_sources
 
 
+@behave.given('"{name}" does not answer for {seconds:d} seconds')
+def step_hangs(context: typing.Any, name: str, seconds: int) -> None:
+    context.port.on_hang[name] = lambda: context.clock.advance(seconds)
+
+
 @behave.given('"{name}" refuses the copy')
 def step_refuses_copy(context: typing.Any, name: str) -> None:
     context.port.copy_results[name] = relay.CopyFailed('no capacity')
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -39,6 +39,18 @@
     And the request was sent to targets "a,b,c"
     And every run was closed and every placement released
 
+  Scenario: An engine that does not continue a run delays it for two seconds
+    Guards against a stream that waits for a crashed engine until its deadline
+    although its run still goes on.
+    Given a single stream of events 1 to 8
+    And "a" leaves after events 1 to 3 and goes on to event 6
+    And "b" does not answer for 3 seconds
+    And "c" streams events 7 to 8 and ends
+    When the request is relayed
+    Then the caller received each event once, in order, and the end
+    And "c" started from copy a/copy at event 6
+    And every run was closed and every placement released
+
   Scenario: A run whose copies are all refused continues on its engine
     Given a single stream of events 1 to 4
     And "a" leaves after events 1 to 3, and events 4 to 4 follow
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -4,6 +4,7 @@
 
 import typing
 
+import anyio
 import anyio.lowlevel
 import attrs
 
@@ -243,12 +244,17 @@
         self.copy_results: dict[str, relay.CopyResult] = {}
         self.runs: list[relay.EngineRun] = []
         self.list_calls = 0
+        self.on_hang: dict[str, typing.Callable[[], None]] = {}
+        """Called instead of an answer, by name of the target."""
         self.on_send: typing.Callable[[relay.Attempt], None] | None = None
 
     async def send(self, attempt: relay.Attempt) -> relay.Reply:
         self.attempts.append(attempt)
         if self.on_send is not None:
             self.on_send(attempt)
+        if attempt.target.name in self.on_hang:
+            self.on_hang[attempt.target.name]()
+            await anyio.sleep_forever()
         return self.replies[attempt.target.name].pop(0)
 
     async def copy_run(
