Evaluate the intervals of load reports 20 times a second in all

By the profile of a VM in a fleet of 76, 270 cancel scopes a second were entered: each engine's task looked twice a second whether it has to read for others.

Ruled out: starts (0.52 and 0.53 s of processor time for the imports before and after gRPC) and the application of shared reports.

Change: the pause between two looks grows with the number of engines, from 0.5 s on.

--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -35,10 +35,13 @@
 URGENT_POLL_SECONDS = 0.4
 """Interval of the reports of an engine that may leave unannounced, in seconds.
 An engine that is reclaimed has about two seconds left."""
-MAX_WAIT_SECONDS = 0.5
-"""Longest time until the interval of an engine is evaluated again, in
-seconds. It becomes shorter when this VM has to read for others, or when the
-engine may leave unannounced."""
+MIN_WAIT_SECONDS = 0.5
+"""Shortest time until the interval of an engine is evaluated again, in
+seconds. The interval becomes shorter when this VM has to read for others, or
+when the engine may leave unannounced."""
+WAIT_SECONDS_PER_ENGINE = 0.05
+"""Time between two evaluations of the interval of any engine, in seconds. Each
+costs about 0.2 ms of processor time."""
 FAILED_SECONDS = 2.0
 """How long an engine that does not answer is ejected, in seconds."""
 
@@ -257,9 +260,10 @@
             due = self._compute_due_time(name, polled_at)
             if due <= now:
                 return
-            await self._wait_for_request(
-                engine, min(due, now + MAX_WAIT_SECONDS)
+            wait_seconds = max(
+                MIN_WAIT_SECONDS, WAIT_SECONDS_PER_ENGINE * len(self._engines)
             )
+            await self._wait_for_request(engine, min(due, now + wait_seconds))
 
     def _compute_due_time(self, name: str, polled_at: float) -> float:
         """Return when an engine is polled next, in epoch seconds."""
