Encode a batch of load reports once for all VMs that get it

Cause: found in a last reading: the distributor of a data centre split and encoded the same message for each VM, 320 times a second at 32 VMs.

Change: a message is sent to a list of addresses and encoded once. An unused property of the fleet is removed. Behaviour is unchanged; the tests keep their assertions, and their fakes take a list of addresses.

Figures: none taken at the size of a fleet.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/siblings/_network.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/siblings/_network.py
@@ -172,10 +172,11 @@
         self._network.send(self._address, address, message)
 
     def send_datagram(
-        self, address: str, message: siblings.EngineLoads
+        self, addresses: list[str], message: siblings.EngineLoads
     ) -> None:
-        """Queue a message for a sibling."""
-        self._network.send(self._address, address, message)
+        """Queue a message for siblings."""
+        for address in addresses:
+            self._network.send(self._address, address, message)
 
     def drop(self, address: str) -> None:
         """Do nothing: the network keeps no connections."""
--- a/packages/laburnumstep/src/laburnumstep/load_sharing.py
+++ b/packages/laburnumstep/src/laburnumstep/load_sharing.py
@@ -44,8 +44,10 @@
         """Return the data centres of the known VMs."""
         ...
 
-    def send_loads(self, address: str, message: siblings.EngineLoads) -> None:
-        """Send load reports to a sibling without waiting."""
+    def send_loads(
+        self, addresses: list[str], message: siblings.EngineLoads
+    ) -> None:
+        """Send load reports to siblings without waiting."""
         ...
 
 
@@ -140,6 +142,7 @@
     ) -> None:
         """Send reports and sends to the distributor of each data centre."""
         message = siblings.EngineLoads(loads, sends, distribute=True)
+        addresses = []
         for data_centre in self._neighbours.list_data_centres():
             ranked = self._neighbours.rank_neighbours(
                 _DISTRIBUTOR_SUBJECT, data_centre
@@ -147,7 +150,8 @@
             if ranked and ranked[0].name == self._vm_name:
                 self._queue(message)
             elif ranked:
-                self._neighbours.send_loads(ranked[0].address, message)
+                addresses.append(ranked[0].address)
+        self._neighbours.send_loads(addresses, message)
 
     def receive(self, message: siblings.EngineLoads) -> None:
         """Apply what a sibling announces and distribute it if it asks to."""
@@ -181,9 +185,11 @@
         if not loads and not sends:
             return
         message = siblings.EngineLoads(loads, sends, distribute=False)
-        for member in self._neighbours.rank_neighbours(_DISTRIBUTOR_SUBJECT):
-            if member.name != self._vm_name:
-                self._neighbours.send_loads(member.address, message)
+        ranked = self._neighbours.rank_neighbours(_DISTRIBUTOR_SUBJECT)
+        self._neighbours.send_loads(
+            [item.address for item in ranked if item.name != self._vm_name],
+            message,
+        )
 
     def _queue(self, message: siblings.EngineLoads) -> None:
         for load in message.loads:
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -71,11 +71,6 @@
         """Exchange of load reports with the siblings."""
         return self._loads
 
-    @property
-    def address(self) -> str:
-        """IP address and port at which siblings reach this VM."""
-        return self._membership.address
-
     def count_vms(self) -> int:
         """Return the number of VMs that share the limits of the deployment."""
         return self._membership.count_sharing_vms(DEFAULT_VMS)
--- a/packages/laburnumstep/src/laburnumstep/siblings/_datagrams.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_datagrams.py
@@ -41,20 +41,24 @@
             tuple[str, bytes]
         ](MAX_QUEUED_DATAGRAMS)
 
-    def send(self, address: str, message: _messages.EngineLoads) -> None:
-        """Queue a message; delivery is not guaranteed.
+    def send(
+        self, addresses: list[str], message: _messages.EngineLoads
+    ) -> None:
+        """Queue a message for siblings; delivery is not guaranteed.
+
+        It is encoded once for all of them.
 
         Args:
-            address: IP address and port of the sibling.
+            addresses: IP address and port of each sibling.
             message: The message; it is split if it does not fit into one
                 datagram.
         """
         for part in split_loads(message):
             encoded = _codec.encode_message(part, self._clock.now())
+            data = encoded.SerializeToString()
             try:
-                self._sender.send_nowait(
-                    (address, encoded.SerializeToString())
-                )
+                for address in addresses:
+                    self._sender.send_nowait((address, data))
             except anyio.WouldBlock:
                 return
 
--- a/packages/laburnumstep/src/laburnumstep/siblings/_links.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_links.py
@@ -57,9 +57,9 @@
         ...
 
     def send_datagram(
-        self, address: str, message: _messages.EngineLoads
+        self, addresses: list[str], message: _messages.EngineLoads
     ) -> None:
-        """Send a message that is soon out of date, without a connection."""
+        """Send a message that is soon out of date, without connections."""
         ...
 
     def drop(self, address: str) -> None:
@@ -205,10 +205,10 @@
         connection.send(message)
 
     def send_datagram(
-        self, address: str, message: _messages.EngineLoads
+        self, addresses: list[str], message: _messages.EngineLoads
     ) -> None:
-        """Send a message that is soon out of date, without a connection."""
-        self._datagrams.send(address, message)
+        """Send a message that is soon out of date, without connections."""
+        self._datagrams.send(addresses, message)
 
     async def _run_connection(
         self, connection: _connection.SiblingConnection
--- a/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
@@ -172,9 +172,11 @@
         """
         return await self._links.read_topic(address, request)
 
-    def send_loads(self, address: str, message: _messages.EngineLoads) -> None:
-        """Send load reports to a sibling without waiting."""
-        self._links.send_datagram(address, message)
+    def send_loads(
+        self, addresses: list[str], message: _messages.EngineLoads
+    ) -> None:
+        """Send load reports to siblings without waiting."""
+        self._links.send_datagram(addresses, message)
 
     def is_leaving(self, name: str) -> bool:
         """Return whether a target is leaving and gets no new work."""
--- a/tests/laburnumstep/siblings/steps/server_steps.py
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -377,7 +377,7 @@
         await tasks.start(receiver.run, handler)
         await tasks.start(sender.run, RecordingHandler())
         await send_disturbance(receiver.address, before)
-        sender.send_datagram(receiver.address, make_loads(loads, sends))
+        sender.send_datagram([receiver.address], make_loads(loads, sends))
         with anyio.fail_after(10):
             while count_received(handler) < loads + sends:
                 await anyio.lowlevel.checkpoint()
--- a/tests/laburnumstep/steps/load_sharing_steps.py
+++ b/tests/laburnumstep/steps/load_sharing_steps.py
@@ -39,9 +39,12 @@
     def list_data_centres(self) -> list[str]:
         return sorted({vm.data_centre for vm in self.fleet.vms.values()})
 
-    def send_loads(self, address: str, message: siblings.EngineLoads) -> None:
-        self.sent += 1
-        self.fleet.vms[address].sharing.receive(message)
+    def send_loads(
+        self, addresses: list[str], message: siblings.EngineLoads
+    ) -> None:
+        for address in addresses:
+            self.sent += 1
+            self.fleet.vms[address].sharing.receive(message)
 
     def apply_send(self, target: str, send: targets.SiblingSend) -> None:
         self.sends.append((target, send.prompt_tokens))
