Log which requests a target had not survived when it crashed

Operators could not tell which of the requests on a crashed engine explain its crash: 'stream broke' names one request and not its prompt, and a request that is lost before the head of its answer has no line about the engine.

The crash monitor keeps the requests that each target was about to begin or has just begun. When a target closes a connection without an answer, it opens a connection of its own: a process that has ended refuses it, a faulty target or link does not. One line names the target, the outcome and the traits of the suspects. Nothing is refused yet.

--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -43,6 +43,8 @@
     """Limits of workspaces."""
     clients: targets.EngineClients
     """Clients of the engines."""
+    crashes: targets.CrashMonitor
+    """Observes crashes of targets."""
     metrics: core.Metrics
     """Receives counts of decisions and failures."""
 
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placement.py
@@ -20,6 +20,7 @@
         state: State of this VM for routing decisions.
         send: The dispatch, already counted in the load of the target.
         target: The target.
+        traits: Traits of the request.
     """
 
     def __init__(
@@ -27,10 +28,12 @@
         state: _engine_placer.RoutingState,
         send: targets.Send,
         target: core.Target,
+        traits: targets.Traits,
     ) -> None:
         self._state = state
         self._send = send
         self._target = target
+        state.crashes.running.add(target.name, send.generation_id, traits)
 
     @property
     def target(self) -> core.Target:
@@ -46,6 +49,9 @@
         """
         self._state.view.record_tokens(self._send, count)
         self._state.view.record_received(self._send, size)
+        self._state.crashes.running.record_progress(
+            self._target.name, self._send.generation_id
+        )
 
     def record_failure(self, crashed: bool) -> None:
         """Eject a failed target for `EJECTION_SECONDS`.
@@ -58,6 +64,10 @@
         until = self._state.clock.now() + EJECTION_SECONDS
         self._state.view.set_failed(self._target.name, until)
 
+    def record_break(self) -> None:
+        """Let the crash monitor find out whether the target has crashed."""
+        self._state.crashes.observe_break(self._target.name)
+
     def release(self, complete: bool) -> None:
         """Release the capacity used on the target; repeated calls do nothing.
 
@@ -68,6 +78,9 @@
         if self._send.ended_at is not None:
             return
         self._state.view.end(self._send)
+        self._state.crashes.running.remove(
+            self._target.name, self._send.generation_id, complete
+        )
         if complete and self._send.model:
             self._state.lengths.observe(
                 self._send.workspace, self._send.model, self._send.tokens
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -308,7 +308,7 @@
         )
         match result:
             case _admission_queue.Admitted(send=send):
-                return self._make_placement(send)
+                return self._make_placement(request, send)
             case _admission_queue.Shed(resend_at=resend_at):
                 raise _refuse(request, 'no engine has capacity', resend_at)
             case _:
@@ -328,10 +328,10 @@
             prompt.max_tokens if prompt is not None else None,
             hinted_tokens=prompt.hinted_tokens if prompt is not None else None,
         )
-        return self._make_placement(send)
+        return self._make_placement(request, send)
 
     def _make_placement(
-        self, send: targets.Send
+        self, request: relay.RelayRequest, send: targets.Send
     ) -> _relay_placement.RelayPlacement:
         state = self._state.view.find(send.target)
         if state is None:
@@ -339,7 +339,7 @@
                 f'target {send.target} is not in the fleet view'
             )
         return _relay_placement.RelayPlacement(
-            self._state, send, state.declared
+            self._state, send, state.declared, request.traits
         )
 
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_events.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_events.py
@@ -47,7 +47,7 @@
             try:
                 chunk = await self._connection.read_chunk(deadline)
             except transport.ExchangeFailed as error:
-                raise relay.StreamBroken(str(error)) from error
+                raise relay.StreamBroken(str(error), error.closed) from error
             if chunk is None:
                 self._finish()
                 return None
@@ -67,7 +67,7 @@
     def _finish(self) -> None:
         if self._incomplete:
             raise relay.StreamBroken(
-                'the stream ended in the middle of an event'
+                'the stream ended in the middle of an event', closed=True
             )
         self._ended = True
         self._release()
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -80,7 +80,7 @@
             intact = not isinstance(reply, relay.Lost)
             return reply
         except transport.ExchangeFailed as error:
-            return relay.Lost(str(error))
+            return relay.Lost(str(error), error.closed)
         finally:
             if not intact:
                 connection.close()
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -84,6 +84,12 @@
         self._admission = callers.Admission(
             clock, self._fleet_view, length_estimator, metrics=self._metrics
         )
+        self._crashes = targets.CrashMonitor(
+            lambda report: None,
+            targets.make_refusal_check(self._fleet_view, clock),
+            clock,
+            self._metrics,
+        )
         self._routing_state = callers.RoutingState(
             clock,
             self._fleet_view,
@@ -92,6 +98,7 @@
             targets.CrashSuspects(clock=clock),
             callers.WorkspaceLimits(clock),
             targets.EngineClients(),
+            self._crashes,
             self._metrics,
         )
         self._active_routes = callers.ActiveRoutes()
@@ -184,6 +191,7 @@
             for follower in self._build_followers():
                 tasks.start_soon(follower.run)
             tasks.start_soon(self._registry.run)
+            tasks.start_soon(self._crashes.run)
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._fleet.loads.run)
             tasks.start_soon(self._caller_server.run)
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -4,6 +4,9 @@
 from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
+from laburnumstep.targets._crash_monitor import CrashMonitor
+from laburnumstep.targets._crash_monitor import make_refusal_check
+from laburnumstep.targets._crashes import CrashReport
 from laburnumstep.targets._engine_client import EngineClient
 from laburnumstep.targets._engine_client import new_generation_id
 from laburnumstep.targets._engine_client import StreamBroken
@@ -77,8 +80,9 @@
 from laburnumstep.targets._subset import limit_engines
 from laburnumstep.targets._suspects import Crash
 from laburnumstep.targets._suspects import CrashSuspects
-from laburnumstep.targets._suspects import fingerprint_call
-from laburnumstep.targets._suspects import fingerprint_generation
+from laburnumstep.targets._traits import fingerprint_call
+from laburnumstep.targets._traits import fingerprint_generation
+from laburnumstep.targets._traits import Traits
 from laburnumstep.targets._view import FleetView
 
 __all__ = [
@@ -90,6 +94,8 @@
     'CallRunner',
     'ClaimStore',
     'Crash',
+    'CrashMonitor',
+    'CrashReport',
     'CrashSuspects',
     'EngineClient',
     'EngineClients',
@@ -146,6 +152,7 @@
     'StreamPosition',
     'TargetRegistry',
     'TargetState',
+    'Traits',
     'TokenBatch',
     'WeightSource',
     'WrongGeneration',
@@ -160,6 +167,7 @@
     'fingerprint_generation',
     'limit_engines',
     'list_unfinished',
+    'make_refusal_check',
     'new_generation_id',
     'sample_engines',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
@@ -13,7 +13,7 @@
 from laburnumstep import log
 from laburnumstep.targets import _bounds
 from laburnumstep.targets import _service_client
-from laburnumstep.targets import _suspects
+from laburnumstep.targets import _traits
 
 _LOGGER = core.get_logger('targets')
 _DIGEST_CHARACTERS = 12
@@ -130,7 +130,7 @@
         operation: core.Operation,
         targets: list[core.ServiceTarget],
     ) -> core.CallResult:
-        request = _suspects.fingerprint_call(call)[:_DIGEST_CHARACTERS]
+        request = _traits.fingerprint_call(call)[:_DIGEST_CHARACTERS]
         answer = await self._claims.claim(
             call.key, call.workspace, call.deadline, request
         )
--- a/packages/laburnumstep/src/laburnumstep/targets/_suspects.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_suspects.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import json
-
 import attrs
 
 from laburnumstep import core
@@ -113,23 +110,3 @@
         for target in self._crashes[fingerprint]:
             self._crashes[fingerprint][target] = until
         return True
-
-
-def fingerprint_generation(generation: core.Generation) -> str:
-    """Return the fingerprint of a generation within its workspace."""
-    return _digest(generation.workspace, generation.model, generation.prompt)
-
-
-def fingerprint_call(call: core.ServiceCall) -> str:
-    """Return the fingerprint of a service call within its workspace."""
-    payload = json.dumps(call.payload, sort_keys=True)
-    return _digest(call.workspace, call.service, call.operation, payload)
-
-
-def _digest(*parts: str) -> str:
-    digest = hashlib.blake2b(digest_size=16)
-    for part in parts:
-        data = part.encode()
-        # The length prefix distinguishes ('ab', 'c') from ('a', 'bc').
-        digest.update(len(data).to_bytes(8, 'big') + data)
-    return digest.hexdigest()
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
@@ -139,8 +139,7 @@
         try:
             reply = await self._port.send(attempt)
             complete = isinstance(reply, _ports.Answered)
-            if isinstance(reply, _ports.NotReached):
-                placement.record_failure(crashed=False)
+            record_failure(placement, reply)
         finally:
             placement.release(complete)
         return reply
@@ -164,6 +163,17 @@
         return self._placer.decide_retry(request, failed)
 
 
+def record_failure(
+    placement: _placements.RelayPlacement, reply: _ports.Reply
+) -> None:
+    """Record what a reply says about the state of its target."""
+    match reply:
+        case _ports.NotReached():
+            placement.record_failure(crashed=False)
+        case _ports.Lost(closed=True):
+            placement.record_break()
+
+
 def is_repeatable(kind: core.RouteKind) -> bool:
     """Return whether requests of a route may run more than once."""
     match kind:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
@@ -50,6 +50,10 @@
         """
         ...
 
+    def record_break(self) -> None:
+        """Record that the target closed the connection without an answer."""
+        ...
+
     def release(self, complete: bool) -> None:
         """Release the target's capacity.
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 import attrs
 
+from laburnumstep.targets import _traits
 from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
@@ -25,7 +27,8 @@
     max_tokens: int
     """Upper bound of the answer's length, in tokens."""
     prefixes: list[str]
-    """Identifiers of prefixes shared with other prompts, shortest first."""
+    """Identifiers of the parts of the prompt, in order. All but the last are
+    shared with other prompts."""
     hinted_tokens: float | None = None
     """Answer length that the caller expects, in tokens, if given."""
 
@@ -61,6 +64,27 @@
     position: bytes | None = None
     """Last event that the caller received in an earlier attempt."""
 
+    @functools.cached_property
+    def traits(self) -> _traits.Traits:
+        """What a crash of its target may be blamed on.
+
+        The last part of a prompt belongs to the request alone, so it is
+        covered by the digest of the whole request.
+        """
+        whole = _traits.WholeRequest(
+            _traits.digest_fields(
+                self.workspace.encode(),
+                self.service.encode(),
+                self.method,
+                self.target,
+                self.body,
+            )
+        )
+        if self.prompt is None:
+            return frozenset([whole])
+        parts = self.prompt.prefixes[:-1]
+        return _traits.list_part_traits(self.prompt.model, parts) | {whole}
+
 
 @attrs.frozen
 class NewRun:
@@ -150,6 +174,8 @@
 
     reason: str
     """What failed."""
+    closed: bool = False
+    """Whether the target closed or reset the connection."""
 
 
 Reply = Answered | Streaming | NotRun | NotReached | Lost
@@ -168,7 +194,16 @@
 
 
 class StreamBroken(Exception):
-    """A stream ended before its end marker arrived."""
+    """A stream ended before its end marker arrived.
+
+    Args:
+        message: What failed.
+        closed: Whether the target closed or reset the connection.
+    """
+
+    def __init__(self, message: str, closed: bool = False) -> None:
+        super().__init__(message)
+        self.closed = closed
 
 
 class EventSource(typing.Protocol):
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -144,7 +144,7 @@
             try:
                 events = await self._read_events()
             except _ports.StreamBroken as error:
-                await self._recover(str(error))
+                await self._recover(error)
                 continue
             if events is None:
                 await self._begin_response()
@@ -207,6 +207,7 @@
         reply: _ports.Reply = _ports.Lost('cancelled')
         try:
             reply = await self._send(attempt)
+            _calls.record_failure(placement, reply)
         finally:
             if not isinstance(reply, _ports.Streaming):
                 placement.release(complete=False)
@@ -226,8 +227,6 @@
             self._migration_requested = not self._placer.is_usable(
                 placement.target.name
             )
-        elif isinstance(reply, _ports.NotReached):
-            placement.record_failure(crashed=False)
         return reply
 
     async def _send(self, attempt: _ports.Attempt) -> _ports.Reply:
@@ -379,13 +378,17 @@
             return False
         return await self._continue_from(prepared.placement, reference, reason)
 
-    async def _recover(self, reason: str) -> None:
+    async def _recover(self, error: _ports.StreamBroken) -> None:
         """Continue the stream on another engine after its engine failed.
 
+        Args:
+            error: How the stream ended.
+
         Raises:
             CodedError: The stream cannot be continued.
         """
         placement, backup = self._placement, self._backup
+        reason = str(error)
         if placement is not None:
             now = self._clock.now()
             _LOGGER.info(
@@ -398,6 +401,8 @@
                 reason,
             )
             placement.record_failure(crashed=True)
+            if error.closed:
+                placement.record_break()
             self._excluded |= {placement.target.name}
         prepared, self._prepared_copy = self._prepared_copy, None
         self.close()
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -4,6 +4,7 @@
 from laburnumstep.transport._bodies import read_body
 from laburnumstep.transport._bodies import wait_for_disconnect
 from laburnumstep.transport._client import ConnectFailed
+from laburnumstep.transport._client import ConnectRefused
 from laburnumstep.transport._client import EXCHANGE_ERRORS
 from laburnumstep.transport._client import ExchangeFailed
 from laburnumstep.transport._client import JsonClient
@@ -12,6 +13,7 @@
 from laburnumstep.transport._errors import encode_error
 from laburnumstep.transport._exchange import Headers
 from laburnumstep.transport._exchange import HttpConnection
+from laburnumstep.transport._exchange import is_refusing
 from laburnumstep.transport._exchange import RequestHead
 from laburnumstep.transport._exchange import ResponseHead
 from laburnumstep.transport._pool import ConnectionPool
@@ -20,6 +22,7 @@
 
 __all__ = [
     'ConnectFailed',
+    'ConnectRefused',
     'ConnectionPool',
     'EXCHANGE_ERRORS',
     'ExchangeFailed',
@@ -32,6 +35,7 @@
     'RequestHead',
     'ResponseHead',
     'encode_error',
+    'is_refusing',
     'read_body',
     'serve_app',
     'timeouts_until',
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -33,8 +33,21 @@
     """Connecting failed; the peer cannot have received the request."""
 
 
+class ConnectRefused(ConnectFailed):
+    """The peer's machine refused the connection: nothing listens there."""
+
+
 class ExchangeFailed(Exception):
-    """The exchange failed; the peer may have processed the request."""
+    """The exchange failed; the peer may have processed the request.
+
+    Args:
+        message: What failed.
+        closed: Whether the peer closed or reset the connection.
+    """
+
+    def __init__(self, message: str, closed: bool = False) -> None:
+        super().__init__(message)
+        self.closed = closed
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -71,6 +71,7 @@
         self._stream = stream
         self._clock = clock
         self._protocol = h11.Connection(h11.CLIENT)
+        self._closed_by_peer = False
 
     @classmethod
     async def open(
@@ -91,6 +92,8 @@
                 stream = await _sockets.TcpStream.connect(address)
         except (OSError, TimeoutError, ValueError) as error:
             message = f'{address}: {type(error).__name__}: {error}'
+            if isinstance(error, ConnectionRefusedError):
+                raise _client.ConnectRefused(message) from error
             raise _client.ConnectFailed(message) from error
         return cls(stream, clock)
 
@@ -137,7 +140,7 @@
         except h11.LocalProtocolError as error:
             raise ValueError(f'the request is malformed: {error}') from error
         except (OSError, TimeoutError) as error:
-            raise _wrap_error(
+            raise self._wrap_error(
                 'the request was not sent completely', error
             ) from error
 
@@ -210,11 +213,24 @@
                     return event
                 with anyio.fail_after(self._compute_timeout(deadline)):
                     data = await self._stream.receive()
+                self._closed_by_peer = not data
                 self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
-            raise _wrap_error('the response is malformed', error) from error
+            raise self._wrap_error(
+                'the response is malformed', error
+            ) from error
         except (OSError, TimeoutError) as error:
-            raise _wrap_error('the response is incomplete', error) from error
+            raise self._wrap_error(
+                'the response is incomplete', error
+            ) from error
+
+    def _wrap_error(
+        self, summary: str, error: Exception
+    ) -> _client.ExchangeFailed:
+        closed = self._closed_by_peer or isinstance(error, ConnectionError)
+        return _client.ExchangeFailed(
+            f'{summary}: {type(error).__name__}: {error}', closed
+        )
 
     def _start_next_cycle(self) -> None:
         trailing_data, closed = self._protocol.trailing_data
@@ -229,7 +245,22 @@
         return max(0.0, deadline - self._clock.now())
 
 
-def _wrap_error(summary: str, error: Exception) -> _client.ExchangeFailed:
-    return _client.ExchangeFailed(
-        f'{summary}: {type(error).__name__}: {error}'
-    )
+async def is_refusing(
+    address: str, clock: core.Clock, deadline: float
+) -> bool:
+    """Return whether a peer refuses connections.
+
+    Args:
+        address: IP address and port.
+        clock: Measures the deadline.
+        deadline: When to give up, in epoch seconds. A peer that does not
+            answer until then is not refusing.
+    """
+    try:
+        connection = await HttpConnection.open(address, clock, deadline)
+    except _client.ConnectRefused:
+        return True
+    except _client.ConnectFailed:
+        return False
+    connection.close()
+    return False
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -210,14 +210,21 @@
 
     def _build_state(self) -> callers.RoutingState:
         clock = self._clock
+        view = targets.FleetView(clock, self._settings.vm.data_centre)
         return callers.RoutingState(
             clock,
-            targets.FleetView(clock, self._settings.vm.data_centre),
+            view,
             targets.LengthEstimator(),
             targets.RetryBudget(),
             targets.CrashSuspects(clock=clock),
             callers.WorkspaceLimits(clock),
             targets.EngineClients(),
+            targets.CrashMonitor(
+                lambda report: None,
+                targets.make_refusal_check(view, clock),
+                clock,
+                self._metrics,
+            ),
             self._metrics,
         )
 
--- a/tests/laburnumstep/targets/steps/generation_steps.py
+++ b/tests/laburnumstep/targets/steps/generation_steps.py
@@ -196,6 +196,12 @@
         targets.CrashSuspects(clock=context.clock),
         callers.WorkspaceLimits(context.clock),
         context.clients,
+        targets.CrashMonitor(
+            lambda report: None,
+            targets.make_refusal_check(view, context.clock),
+            context.clock,
+            core.Metrics(None, 'test'),
+        ),
         core.Metrics(None, 'test'),
     )
     placer = callers.EnginePlacer(
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -146,6 +146,9 @@
     def record_failure(self, crashed: bool) -> None:
         self.losses += 1
 
+    def record_break(self) -> None:
+        pass
+
     def release(self, complete: bool) -> None:
         self.releases += 1
 
