Add a failing test for prompt parts that crash engines

Guards against requests with one part in common that crash one engine after the other. Eight such requests crash eight of nine engines; no more than five may crash.

--- /dev/null
+++ b/tests/laburnumstep/platform/steps/crashes_steps.py
@@ -0,0 +1,101 @@
+"""Steps for requests that crash engines on the platform."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import anyio.lowlevel
+import behave
+
+from support import clocks
+from support import crashing_engine
+from support import hooks
+from support import platform_harness
+
+
+@behave.given(
+    'a VM on the platform with {count:d} engines that crash on the part'
+    ' "{part}"'
+)
+def step_engines(context: typing.Any, count: int, part: str) -> None:
+    context.harness = context.portal.call(make_harness, count, part)
+    hooks.enter_context(context, context.harness.run())
+    context.portal.call(
+        context.harness.store.append_record,
+        'keyed.op',
+        'config',
+        platform_harness.make_configuration(),
+    )
+    context.sent = 0
+    clocks.run_bounded(context, wait_for_answer, context.harness)
+
+
+async def make_harness(
+    count: int, part: str
+) -> platform_harness.PlatformHarness:
+    return platform_harness.PlatformHarness(
+        [
+            crashing_engine.CrashingEngine(f'e-{number}', part)
+            for number in range(count)
+        ]
+    )
+
+
+async def wait_for_answer(
+    harness: platform_harness.PlatformHarness,
+) -> None:
+    """Wait until the VM knows its routes and an engine."""
+    data = encode_prompt(0, 'start')
+    while (
+        await platform_harness.send_raw(harness.address, data)
+    ).status != 200:
+        await anyio.lowlevel.checkpoint()
+
+
+def encode_prompt(number: int, parts: str) -> bytes:
+    """Return a request whose last part is its own."""
+    return platform_harness.encode_request(
+        f'/plan/{number}',
+        body=b'%d' % number,
+        Attempt_Id=f'attempt-{number}',
+        Model='m',
+        Token_Usage='100,50',
+        Prompt_Prefix=','.join(
+            f'{part}:10' for part in [*parts.split(','), f'own{number}']
+        ),
+    )
+
+
+async def send_prompt(
+    harness: platform_harness.PlatformHarness, number: int, parts: str
+) -> int | None:
+    """Send a request; return its status, or None if it breaks off."""
+    data = encode_prompt(number, parts)
+    try:
+        answer = await platform_harness.send_raw(harness.address, data)
+    except anyio.EndOfStream:
+        return None
+    return answer.status
+
+
+@behave.when(
+    '{count:d} requests with parts "{parts}" and another last part are sent'
+)
+def step_send(context: typing.Any, count: int, parts: str) -> None:
+    context.statuses = []
+    for _ in range(count):
+        context.sent += 1
+        context.statuses.append(
+            clocks.run_bounded(
+                context, send_prompt, context.harness, context.sent, parts
+            )
+        )
+
+
+@behave.then('at most {limit:d} engines have crashed')
+def step_crashes(context: typing.Any, limit: int) -> None:
+    crashed = [
+        engine.name for engine in context.harness.engines if engine.crashed
+    ]
+    assert len(crashed) <= limit, (crashed, context.statuses)
--- /dev/null
+++ b/tests/support/crashing_engine.py
@@ -0,0 +1,148 @@
+"""Engine whose process ends when it begins certain prompts."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import anyio
+import anyio.abc
+import h11
+
+EVENTS = 3
+"""Number of events in an answer."""
+
+_STREAM_HEADERS = [
+    ('Content-Type', 'text/event-stream'),
+    ('Response-Stamp', 'mac'),
+    ('Transfer-Encoding', 'chunked'),
+]
+_REPORT = {
+    'queued': 0,
+    'running': 0,
+    'kvUsed': 0,
+    'kvTotal': 30_000,
+    'runs': [],
+}
+
+
+class CrashingEngine:
+    """Streams short answers and crashes on a prompt part.
+
+    A crashed engine has closed all connections and refuses new ones.
+
+    Args:
+        name: Name of the engine.
+        deadly_part: Part of a prompt on which it crashes.
+    """
+
+    def __init__(self, name: str, deadly_part: str) -> None:
+        self.name = name
+        self.address = ''
+        self.crashed = False
+        self.answered: list[str] = []
+        """Prompts that were answered completely."""
+        self.held = anyio.Event()
+        """Set when an answer is held back."""
+        self._deadly_part = deadly_part
+        self._scope = anyio.CancelScope()
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until the engine crashes."""
+        self._listener = listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1'
+        )
+        host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
+        self.address = f'{host}:{port}'
+        with self._scope:
+            async with listener:
+                task_status.started()
+                await listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            protocol = h11.Connection(h11.SERVER)
+            try:
+                while True:
+                    request = await _read_request(protocol, stream)
+                    if request is None:
+                        return
+                    await self._answer(protocol, stream, request)
+                    protocol.start_next_cycle()
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                return
+
+    async def _answer(
+        self,
+        protocol: h11.Connection,
+        stream: anyio.abc.SocketStream,
+        request: h11.Request,
+    ) -> None:
+        headers = {k.decode(): v.decode() for k, v in request.headers}
+        if request.target == b'/v1/report':
+            await _send(protocol, stream, _make_report())
+            return
+        head = [*_STREAM_HEADERS, ('Attempt-Id', headers['attempt-id'])]
+        await _send(
+            protocol,
+            stream,
+            [h11.Response(status_code=200, headers=head)],
+        )
+        prompt = headers['prompt-prefix']
+        if self._deadly_part in prompt:
+            self.crashed = True
+            # Closed first, so that connections are refused once the caller
+            # sees the end of its own.
+            await self._listener.aclose()
+            self._scope.cancel()
+            await anyio.sleep_forever()
+        if 'held' in prompt:
+            self.held.set()
+            await anyio.sleep_forever()
+        events = [
+            h11.Data(data=b'id: %d\ndata: x\n\n' % number)
+            for number in range(1, EVENTS + 1)
+        ]
+        await _send(protocol, stream, [*events, h11.EndOfMessage()])
+        self.answered.append(prompt)
+
+
+async def _read_request(
+    protocol: h11.Connection, stream: anyio.abc.SocketStream
+) -> h11.Request | None:
+    request = None
+    while True:
+        match protocol.next_event():
+            case h11.Request() as event:
+                request = event
+            case h11.EndOfMessage():
+                return request
+            case h11.ConnectionClosed():
+                return None
+            case h11.Data():
+                pass
+            case _:
+                protocol.receive_data(await stream.receive())
+
+
+async def _send(
+    protocol: h11.Connection,
+    stream: anyio.abc.SocketStream,
+    events: list[typing.Any],
+) -> None:
+    for event in events:
+        await stream.send(protocol.send(event) or b'')
+
+
+def _make_report() -> list[typing.Any]:
+    body = json.dumps(_REPORT).encode()
+    headers = [('Content-Length', str(len(body)))]
+    return [
+        h11.Response(status_code=200, headers=headers),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    ]
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -20,6 +20,7 @@
 from laburnumstep import platform
 from laburnumstep.platform import _settings
 from laburnumstep import transport
+from support import crashing_engine
 
 HOST = 'app.example'
 KEY = 'key-1'
@@ -192,8 +193,16 @@
             make_route('safe', 'safe', attempts=2),
             make_route('unsafe', 'unsafe'),
             make_route('open', 'safe', skipAuth=True),
+            make_route('plan', 'streaming', service='llm'),
+        ],
+        'services': [
+            {'name': 'app', 'healthPath': '/health'},
+            {
+                'name': 'llm',
+                'healthPath': '/health',
+                'engine': {'kvCapacityTokens': 30_000},
+            },
         ],
-        'services': [{'name': 'app', 'healthPath': '/health'}],
         'limits': {'maxBodyBytes': 1000, 'idleTimeoutMs': 15000},
         'tenants': [{'name': 'port', 'apiKeys': [KEY], 'priority': 1}],
         **changes,
@@ -221,11 +230,18 @@
 
 
 class PlatformHarness:
-    """Runs a store, a server and a VM of the platform on loopback."""
+    """Runs a store, a server and a VM of the platform on loopback.
 
-    def __init__(self) -> None:
+    Args:
+        engines: Engines that run and are registered as well.
+    """
+
+    def __init__(
+        self, engines: typing.Sequence[crashing_engine.CrashingEngine] = ()
+    ) -> None:
         self.store = FakeStore()
         self.server = FakeServer('i-1')
+        self.engines = engines
         self.address = ''
         self.ready_address = ''
         self.metrics_address = ''
@@ -247,6 +263,15 @@
             self.store.append_record(
                 'keyed.servers', 'i-1', make_entry(server.address)
             )
+            for engine in self.engines:
+                await tasks.start(engine.run)
+                self.store.append_record(
+                    'keyed.servers',
+                    engine.name,
+                    make_entry(
+                        engine.address, service='llm', models=[{'name': 'm'}]
+                    ),
+                )
             vm = platform.PlatformVM(
                 make_settings(store.address), core.SteadyClock()
             )
