Refuse requests that have in common what crashes engines

Cause: crashes were counted for whole requests only, and only by the product's own front. A counter for a request never rises when each request is new; and what one VM saw of a crash, the others did not know.

CrashSuspects is replaced by evidence that all VMs share. Each confirmed crash is reported with the traits (prompt parts and the request as a whole) of the requests that the target had not survived. What suspects of at least two incidents have in common is the culprit; requests that have all of it are refused at once on both fronts, as not run and without a time to come back. A trait that any target survives is cleared, crashes that a culprit explains do not count for others, targets that crash together are one incident, and traits survived lately need four incidents. A refusal ends after 30 minutes, twice as long with each further crash; then one request, on one VM, tries it. Retries wait until it is known whether the target has crashed.

Why it works: a deadly part is in each crash and never survives, while sound parts differ from crash to crash or are survived elsewhere; refusing the whole common set spares the sound requests that share the caller and the other parts.

--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -7,6 +7,7 @@
 import attrs
 
 from laburnumstep.callers import _admission_queue
+from laburnumstep.callers import _crash_refusals
 from laburnumstep import core
 from laburnumstep import operators
 from laburnumstep import targets
@@ -37,8 +38,8 @@
     """Length estimates of answers."""
     budget: targets.RetryBudget
     """Budget for retries."""
-    suspects: targets.CrashSuspects
-    """Crash suspects among requests."""
+    ledger: targets.CrashLedger
+    """Evidence about requests that crash targets."""
     limits: _limits.WorkspaceLimits
     """Limits of workspaces."""
     clients: targets.EngineClients
@@ -56,7 +57,6 @@
         state: State of this VM for routing decisions.
         admission: Queues generations until an engine has capacity.
         record: Records decisions for operators.
-        report_crash: Reports a crash to sibling VMs.
     """
 
     def __init__(
@@ -64,12 +64,10 @@
         state: RoutingState,
         admission: _admission.Admission,
         record: typing.Callable[[operators.Decision], None],
-        report_crash: typing.Callable[[targets.Crash], None],
     ) -> None:
         self._state = state
         self._admission = admission
         self._record = record
-        self._running = RunningRequests(state, report_crash)
 
     async def place(
         self, request: core.Generation, excluded: frozenset[str]
@@ -83,24 +81,17 @@
         Raises:
             CodedError: The request is shed, or no engine serves it.
         """
-        fingerprint = targets.fingerprint_generation(request)
-        if self._state.suspects.is_refused(fingerprint):
-            self._state.metrics.count('routing.crash_refused')
-            raise core.CodedError(
-                core.ErrorCode.REQUEST_CRASHES_TARGETS,
-                'each target that ran this request has crashed',
-            )
+        traits = targets.list_generation_traits(request)
+        _crash_refusals.check(self._state, str(request.key), traits)
         if not excluded:
             self._state.budget.record_request(self._state.clock.now())
         result = await self._admission.admit(
-            self._make_admission_request(request, excluded, fingerprint)
+            self._make_admission_request(request, excluded, traits)
         )
         match result:
             case _admission_queue.Admitted():
                 self._record_decision(request, result.placed)
-                return EnginePlacement(
-                    self._state, result.send, fingerprint, self._running
-                )
+                return EnginePlacement(self._state, result.send, traits)
             case _admission_queue.Shed(code, resend_at):
                 self._state.metrics.count('routing.shed')
                 raise core.CodedError(
@@ -131,13 +122,13 @@
                 resend_at=self._state.clock.now(),
             )
         send = self._state.view.adopt(target, generation)
-        return EnginePlacement(self._state, send, '', self._running)
+        return EnginePlacement(self._state, send, frozenset())
 
     def decide_retry(
         self, request: core.Generation, failed: targets.FailedRun
     ) -> targets.RetryDecision:
         """Decide whether a request whose engine failed is retried."""
-        fingerprint = targets.fingerprint_generation(request)
+        traits = targets.list_generation_traits(request)
         attempt = targets.FailedAttempt(
             target=failed.target,
             excluded=failed.excluded,
@@ -145,7 +136,7 @@
             outcome=failed.outcome,
             repeatable=True,
             delivered=failed.delivered,
-            refused=self._state.suspects.is_refused(fingerprint),
+            refused=self._state.ledger.find_culprit(traits) is not None,
         )
         now = self._state.clock.now()
         decision = targets.decide_retry(attempt, self._state.budget, now)
@@ -157,7 +148,7 @@
         self,
         request: core.Generation,
         excluded: frozenset[str],
-        fingerprint: str,
+        traits: targets.Traits,
     ) -> _admission_queue.AdmissionRequest:
         placement = targets.PlacementRequest(
             request=str(request.key),
@@ -167,7 +158,7 @@
             prefixes=targets.digest_prefixes(request.prompt),
             priority=request.priority,
             excluded=excluded,
-            suspect=self._state.suspects.is_suspect(fingerprint),
+            suspect=self._state.ledger.is_suspect(traits),
         )
         return _admission_queue.AdmissionRequest(
             placement=placement,
@@ -191,80 +182,26 @@
         )
 
 
-class RunningRequests:
-    """Requests in progress by engine, to attribute crashes to requests.
-
-    Args:
-        state: State of this VM for routing decisions.
-        report_crash: Reports a crash to sibling VMs.
-    """
-
-    def __init__(
-        self,
-        state: RoutingState,
-        report_crash: typing.Callable[[targets.Crash], None],
-    ) -> None:
-        self._state = state
-        self._report_crash = report_crash
-        self._by_target: dict[str, dict[str, str]] = {}
-
-    def add(self, target: str, generation: str, fingerprint: str) -> None:
-        """Add a request that an engine runs."""
-        self._by_target.setdefault(target, {})[generation] = fingerprint
-
-    def remove(self, target: str, generation: str) -> None:
-        """Remove a request that has ended."""
-        running = self._by_target.get(target, {})
-        running.pop(generation, None)
-        if not running:
-            self._by_target.pop(target, None)
-
-    def record_crash(self, target: str, generation: str) -> None:
-        """Record a crash of an engine for all requests that it ran.
-
-        The first request that observes the crash records it for all of
-        them. Later calls for the same crash do nothing: if one request was
-        already a suspect, it explains the crash, and the others must not
-        become suspects one by one.
-
-        Args:
-            target: Name of the engine.
-            generation: Generation that observed the crash.
-        """
-        running = self._by_target.get(target, {})
-        if generation not in running:
-            return
-        del self._by_target[target]
-        self._state.metrics.count('targets.crashes')
-        for crash in self._state.suspects.record_target_crash(
-            target, list(running.values())
-        ):
-            self._report_crash(crash)
-
-
 class EnginePlacement:
     """A generation on an engine, as `targets.GenerationPlacement`.
 
     Args:
         state: State of this VM for routing decisions.
         send: The dispatch, already counted in the load of the engine.
-        fingerprint: Fingerprint of the request; empty if not known.
-        running: Requests in progress by engine.
+        traits: Traits of the request; empty if not known.
     """
 
     def __init__(
         self,
         state: RoutingState,
         send: targets.Send,
-        fingerprint: str,
-        running: RunningRequests,
+        traits: targets.Traits,
     ) -> None:
         self._state = state
         self._send = send
-        self._fingerprint = fingerprint
-        self._running = running
-        if fingerprint:
-            running.add(send.target, send.generation_id, fingerprint)
+        self._running = state.crashes.running
+        if traits:
+            self._running.add(send.target, send.generation_id, traits)
         self._client = state.clients.get(send.target)
 
     @property
@@ -293,6 +230,7 @@
         view.record_tokens(self._send, count)
         view.record_received(self._send, size)
         self._state.limits.record_tokens(self._send.workspace, count)
+        self._running.record_progress(self.target, self.generation)
 
     def record_preemption(self) -> None:
         """Count and log a preemption."""
@@ -312,7 +250,8 @@
         until = self._state.clock.now() + EJECTION_SECONDS
         self._state.view.set_failed(self.target, until)
         if crashed:
-            self._running.record_crash(self.target, self.generation)
+            self._state.metrics.count('targets.crashes')
+            self._state.crashes.record_crash(self.target)
 
     def release(self, complete: bool) -> None:
         """Release the capacity used on the engine.
@@ -322,9 +261,8 @@
                 added to the observed lengths.
         """
         self._state.view.end(self._send)
-        self._running.remove(self.target, self.generation)
+        self._running.remove(self.target, self.generation, complete)
         if complete and self._send.model:
             self._state.lengths.observe(
                 self._send.workspace, self._send.model, self._send.tokens
             )
-            self._state.suspects.record_completion(self._fingerprint)
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -9,6 +9,7 @@
 
 from laburnumstep.callers import _admission_queue
 from laburnumstep.callers import _candidates
+from laburnumstep.callers import _crash_refusals
 from laburnumstep.callers import _relay_placement
 from laburnumstep import core
 from laburnumstep import targets
@@ -74,6 +75,7 @@
         Raises:
             CodedError: The request is shed, or no target serves it.
         """
+        _crash_refusals.check(self._state, request.key, request.traits)
         if not excluded:
             self._get_budget(request).record_request(self._state.clock.now())
         if request.prompt is None:
@@ -143,10 +145,17 @@
         state = self._state.view.find(target)
         return state is not None and state.is_usable(self._state.clock.now())
 
-    def decide_retry(
+    async def decide_retry(
         self, request: relay.RelayRequest, failed: relay.FailedSend
     ) -> targets.RetryDecision:
-        """Decide whether a failed request is retried on another target."""
+        """Decide whether a failed request is retried on another target.
+
+        Waits until it is known whether the target has crashed, so that a
+        request which crashes targets does not reach further ones meanwhile.
+        """
+        await self._state.crashes.wait_confirmed(
+            failed.excluded | {failed.target}
+        )
         attempt = targets.FailedAttempt(
             target=failed.target,
             excluded=failed.excluded,
@@ -154,7 +163,8 @@
             outcome=failed.outcome,
             repeatable=relay.is_repeatable(request.route.kind),
             delivered=0,
-            refused=False,
+            refused=self._state.ledger.find_culprit(request.traits)
+            is not None,
         )
         now = self._state.clock.now()
         budget = self._get_budget(request)
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -7,6 +7,7 @@
 import typing
 
 from laburnumstep import core
+from laburnumstep import crash_exchange
 from laburnumstep import load_sharing
 from laburnumstep import log
 from laburnumstep.platform import _store
@@ -99,6 +100,14 @@
         self._topics[name] = topic
         return topic
 
+    def share_crashes(self, ledger: targets.CrashLedger) -> None:
+        """Exchange the evidence of a crash ledger with the siblings."""
+        crash_exchange.CrashExchange(ledger, self._membership)
+
+    def owns(self, subject: str) -> bool:
+        """Return whether this VM is the one that decides about a subject."""
+        return self._membership.choose_owner(subject) == self._settings.name
+
     def announce_stopping(self) -> None:
         """Announce to the siblings that this VM accepts no new work."""
         self._membership.announce_stopping()
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -258,7 +258,7 @@
             return
         retry_after = None
         status = _choose_status(error)
-        if status == 503:
+        if status == 503 and error.resend:
             resend_at = error.resend_at or self._clock.now()
             retry_after = max(
                 MIN_RETRY_AFTER_SECONDS, resend_at - self._clock.now()
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -84,8 +84,13 @@
         self._admission = callers.Admission(
             clock, self._fleet_view, length_estimator, metrics=self._metrics
         )
+        self._crash_ledger = targets.CrashLedger(
+            clock,
+            self._metrics,
+            lambda subject: self._fleet.owns(subject),
+        )
         self._crashes = targets.CrashMonitor(
-            lambda report: None,
+            self._crash_ledger,
             targets.make_refusal_check(self._fleet_view, clock),
             clock,
             self._metrics,
@@ -95,7 +100,7 @@
             self._fleet_view,
             length_estimator,
             targets.RetryBudget(),
-            targets.CrashSuspects(clock=clock),
+            self._crash_ledger,
             callers.WorkspaceLimits(clock),
             targets.EngineClients(),
             self._crashes,
@@ -120,6 +125,7 @@
         self._fleet = _fleet.Fleet(
             settings, clock, self._metrics, self._registry
         )
+        self._fleet.share_crashes(self._crash_ledger)
         self._load_follower = targets.LoadFollower(
             _reports.ReportClients(self._server_client, self._registry),
             self._fleet_view,
--- a/packages/laburnumstep/src/laburnumstep/routing_gossip.py
+++ b/packages/laburnumstep/src/laburnumstep/routing_gossip.py
@@ -1,8 +1,8 @@
 """Exchanges routing state with sibling VMs.
 
-Crash suspects are pushed at once. Sketches of observed lengths spread by
-anti-entropy. Live VMs and the availability of targets, which membership
-learns from siblings, are applied to routing.
+Sketches of observed lengths spread by anti-entropy. Live VMs and the
+availability of targets, which membership learns from siblings, are applied to
+routing.
 """
 
 from __future__ import annotations
@@ -61,7 +61,6 @@
         kinds = siblings.EntryKind
         membership.subscribe(kinds.TARGET, lambda entry: self.refresh())
         membership.subscribe(kinds.VM, lambda entry: self.refresh())
-        membership.subscribe(kinds.CRASH, self._handle_crash)
         membership.subscribe(kinds.LENGTHS, self._handle_lengths)
 
     async def run(self) -> None:
@@ -107,16 +106,6 @@
             self._membership.announce_target_leaving(target, 'reclaim', until)
             self.refresh()
 
-    def announce_crash(self, crash: targets.Crash) -> None:
-        """Announce to all VMs that a request crashed a target."""
-        data = json.dumps([crash.fingerprint, crash.target]).encode()
-        self._membership.publish(
-            siblings.EntryKind.CRASH,
-            f'{crash.fingerprint}@{crash.target}',
-            data,
-            crash.expires_at,
-        )
-
     def _apply_leaving(self, leaving: set[str]) -> None:
         for name in leaving - self._leaving:
             _LOGGER.info(
@@ -142,18 +131,6 @@
                 expires_at,
             )
 
-    def _handle_crash(self, entry: siblings.GossipEntry) -> None:
-        match entry.value:
-            case siblings.DataValue(data):
-                try:
-                    fingerprint, target = json.loads(data)
-                except ValueError as error:
-                    _LOGGER.warning('malformed crash: %s', error)
-                    return
-                self._state.suspects.merge(
-                    targets.Crash(fingerprint, target, entry.expires_at)
-                )
-
     def _handle_lengths(self, entry: siblings.GossipEntry) -> None:
         if entry.origin == self._vm_name:
             return
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -4,8 +4,15 @@
 from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
+from laburnumstep.targets._crash_codec import decode_evidence
+from laburnumstep.targets._crash_codec import encode_evidence
+from laburnumstep.targets._crash_ledger import CrashLedger
+from laburnumstep.targets._crash_ledger import Culprit
+from laburnumstep.targets._crash_ledger import EVIDENCE_SECONDS
 from laburnumstep.targets._crash_monitor import CrashMonitor
 from laburnumstep.targets._crash_monitor import make_refusal_check
+from laburnumstep.targets._crashes import Clearance
+from laburnumstep.targets._crashes import CrashEvidence
 from laburnumstep.targets._crashes import CrashReport
 from laburnumstep.targets._engine_client import EngineClient
 from laburnumstep.targets._engine_client import new_generation_id
@@ -78,11 +85,16 @@
 from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
 from laburnumstep.targets._subset import limit_engines
-from laburnumstep.targets._suspects import Crash
-from laburnumstep.targets._suspects import CrashSuspects
+from laburnumstep.targets._traits import describe_traits
+from laburnumstep.targets._traits import digest_fields
 from laburnumstep.targets._traits import fingerprint_call
 from laburnumstep.targets._traits import fingerprint_generation
+from laburnumstep.targets._traits import list_generation_traits
+from laburnumstep.targets._traits import list_part_traits
+from laburnumstep.targets._traits import PromptPart
+from laburnumstep.targets._traits import Trait
 from laburnumstep.targets._traits import Traits
+from laburnumstep.targets._traits import WholeRequest
 from laburnumstep.targets._view import FleetView
 
 __all__ = [
@@ -93,10 +105,13 @@
     'CacheEventKind',
     'CallRunner',
     'ClaimStore',
-    'Crash',
+    'Clearance',
+    'CrashEvidence',
+    'CrashLedger',
     'CrashMonitor',
     'CrashReport',
-    'CrashSuspects',
+    'Culprit',
+    'EVIDENCE_SECONDS',
     'EngineClient',
     'EngineClients',
     'EventDecoder',
@@ -135,37 +150,46 @@
     'PlacementResult',
     'Preempted',
     'PrefixHints',
+    'PromptPart',
     'ReadPacer',
     'ReplyLost',
     'Retry',
     'RetryBudget',
     'RetryDecision',
     'Send',
-    'SharedReports',
-    'SiblingSend',
     'ServiceAnswer',
     'ServiceClient',
     'ServiceClients',
+    'SharedReports',
+    'SiblingSend',
     'StaleFence',
     'StreamBroken',
     'StreamGap',
     'StreamPosition',
     'TargetRegistry',
     'TargetState',
-    'Traits',
     'TokenBatch',
+    'Trait',
+    'Traits',
     'WeightSource',
+    'WholeRequest',
     'WrongGeneration',
     'choose_engine',
     'choose_service',
     'compare_models',
     'decide_retry',
+    'decode_evidence',
     'decode_lengths',
+    'describe_traits',
+    'digest_fields',
     'digest_prefixes',
+    'encode_evidence',
     'encode_lengths',
     'fingerprint_call',
     'fingerprint_generation',
     'limit_engines',
+    'list_generation_traits',
+    'list_part_traits',
     'list_unfinished',
     'make_refusal_check',
     'new_generation_id',
--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_monitor.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_monitor.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import attrs
 
 from laburnumstep import core
 from laburnumstep.targets import _crashes
@@ -14,11 +15,18 @@
 from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
+    from laburnumstep.targets import _crash_ledger
     from laburnumstep.targets import _view
 
 CONFIRMATION_SECONDS = 0.5
 """How long a target has to accept or refuse a connection after it has broken
 one off, in seconds."""
+MAX_REPORTED_REQUESTS = 16
+"""Most requests in one crash report. A report is one gossip entry of at most
+4 KB."""
+MAX_REPORTED_TRAITS = 16
+"""Most traits of one request in a crash report; those that a target has
+survived least recently are kept."""
 RECHECK_SECONDS = 0.1
 """Time after which a target that accepts connections is asked again, in
 seconds."""
@@ -30,6 +38,16 @@
 deadline of the answer in epoch seconds."""
 
 
+@attrs.define(eq=False)
+class _PendingCrash:
+    """A target that broke off an exchange and may have crashed."""
+
+    target: str
+    broken_at: float
+    suspects: list[_running_requests.RunningRequest]
+    confirmed: anyio.Event = attrs.field(factory=anyio.Event)
+
+
 class CrashMonitor:
     """Observes broken exchanges and reports the crashes among them.
 
@@ -38,7 +56,7 @@
     connections as well.
 
     Args:
-        record: Receives the reports.
+        ledger: Receives the reports.
         is_refusing: Asks whether a target refuses connections.
         clock: Clock of the reports.
         metrics: Counts the crashes.
@@ -46,21 +64,21 @@
 
     def __init__(
         self,
-        record: typing.Callable[[_crashes.CrashReport], None],
+        ledger: _crash_ledger.CrashLedger,
         is_refusing: IsRefusing,
         clock: core.Clock,
         metrics: core.Metrics,
     ) -> None:
-        self._record = record
+        self._ledger = ledger
         self._is_refusing = is_refusing
         self._clock = clock
         self._metrics = metrics
         self._running = _running_requests.RunningRequests(
-            clock, lambda traits: None
+            clock, ledger.record_survival
         )
-        self._suspects: dict[str, list[_running_requests.RunningRequest]] = {}
+        self._pending: dict[str, _PendingCrash] = {}
         self._sender, self._broken = anyio.create_memory_object_stream[
-            tuple[str, float]
+            _PendingCrash
         ](math.inf)
 
     @property
@@ -77,12 +95,30 @@
         suspects = self._running.pop_suspects(target)
         if not suspects:
             return
-        known = self._suspects.get(target)
-        if known is not None:
-            known += suspects
+        pending = self._pending.get(target)
+        if pending is not None:
+            pending.suspects += suspects
             return
-        self._suspects[target] = suspects
-        self._sender.send_nowait((target, self._clock.now()))
+        pending = _PendingCrash(target, self._clock.now(), suspects)
+        self._pending[target] = pending
+        self._sender.send_nowait(pending)
+
+    def record_crash(self, target: str) -> None:
+        """Report a crash of a target that is known to have crashed."""
+        suspects = self._running.pop_suspects(target)
+        if suspects:
+            self._report(_PendingCrash(target, self._clock.now(), suspects))
+
+    async def wait_confirmed(self, names: typing.Iterable[str]) -> None:
+        """Wait until it is known whether targets have crashed.
+
+        Args:
+            names: Names of the targets.
+        """
+        for name in names:
+            pending = self._pending.get(name)
+            if pending is not None:
+                await pending.confirmed.wait()
 
     async def run(self) -> None:
         """Confirm crashes until cancelled.
@@ -91,40 +127,62 @@
         lost power answers nothing.
         """
         async with anyio.create_task_group() as tasks:
-            async for target, broken_at in self._broken:
-                tasks.start_soon(self.confirm, target, broken_at)
-
-    async def confirm(self, target: str, broken_at: float) -> None:
-        """Report a crash if the target refuses connections.
+            async for pending in self._broken:
+                tasks.start_soon(self._confirm, pending)
 
-        Args:
-            target: Name of the target.
-            broken_at: When it broke off an exchange, in epoch seconds.
-        """
+    async def _confirm(self, pending: _PendingCrash) -> None:
+        """Report a crash if the target refuses connections."""
+        target = pending.target
         deadline = self._clock.now() + CONFIRMATION_SECONDS
         refusing = await self._is_refusing(target, deadline)
         if not refusing:
             # A process that ends may close its connections first.
-            await self._clock.sleep_until(broken_at + RECHECK_SECONDS)
+            recheck_at = pending.broken_at + RECHECK_SECONDS
+            await self._clock.sleep_until(recheck_at)
             refusing = await self._is_refusing(target, deadline)
-        suspects = self._suspects.pop(target, [])
+        del self._pending[target]
+        if refusing:
+            self._report(pending)
+        else:
+            _LOGGER.info(
+                'exchange broken off without a crash; target=%s', target
+            )
+        pending.confirmed.set()
+
+    def _report(self, crash: _PendingCrash) -> None:
         _LOGGER.info(
-            'exchange broken off; target=%s crashed=%s suspects=%s age_ms=%d',
-            target,
-            refusing,
-            ' '.join(_traits.describe_traits(i.traits) for i in suspects),
-            (self._clock.now() - broken_at) * 1000,
+            'target crashed; target=%s suspects=%s age_ms=%d',
+            crash.target,
+            ' '.join(
+                _traits.describe_traits(i.traits) for i in crash.suspects
+            ),
+            (self._clock.now() - crash.broken_at) * 1000,
         )
-        if refusing:
-            self._metrics.count('targets.crashes_confirmed')
-            self._record(
-                _crashes.CrashReport(
-                    target,
-                    broken_at,
-                    max(item.sent_at for item in suspects),
-                    tuple(item.traits for item in suspects),
-                )
+        self._metrics.count('targets.crashes_confirmed')
+        self._ledger.record(
+            _crashes.CrashReport(
+                crash.target,
+                crash.broken_at,
+                max(item.sent_at for item in crash.suspects),
+                tuple(
+                    self._limit(item.traits)
+                    for item in crash.suspects[:MAX_REPORTED_REQUESTS]
+                ),
             )
+        )
+
+    def _limit(self, traits: _traits.Traits) -> _traits.Traits:
+        """Return the traits of a request that are most likely to matter."""
+        if len(traits) <= MAX_REPORTED_TRAITS:
+            return traits
+        by_survival = sorted(
+            traits,
+            key=lambda item: (
+                self._ledger.get_survived_at(item),
+                _traits.encode_trait(item),
+            ),
+        )
+        return frozenset(by_survival[:MAX_REPORTED_TRAITS])
 
 
 def make_refusal_check(view: _view.FleetView, clock: core.Clock) -> IsRefusing:
--- a/packages/laburnumstep/src/laburnumstep/targets/_crashes.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crashes.py
@@ -20,3 +20,17 @@
     requests: tuple[_traits.Traits, ...]
     """Traits of the requests that the target was about to begin or had just
     begun."""
+
+
+@attrs.frozen
+class Clearance:
+    """A target began a request with this trait and survived it."""
+
+    trait: _traits.Trait
+    """The trait."""
+    cleared_at: float
+    """When it was observed, in epoch seconds. Crashes before this time have
+    another cause."""
+
+
+CrashEvidence = CrashReport | Clearance
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
@@ -110,7 +110,7 @@
                 if not (is_failure and may_retry):
                     await sink.answer(reply)
                     return
-            decision = self._decide_retry(
+            decision = await self._decide_retry(
                 request, placement, excluded, reply, progress
             )
             match decision:
@@ -144,7 +144,7 @@
             placement.release(complete)
         return reply
 
-    def _decide_retry(
+    async def _decide_retry(
         self,
         request: _ports.RelayRequest,
         placement: _placements.RelayPlacement,
@@ -160,7 +160,7 @@
         failed = _placements.FailedSend(
             placement.target.name, excluded, get_outcome(reply)
         )
-        return self._placer.decide_retry(request, failed)
+        return await self._placer.decide_retry(request, failed)
 
 
 def record_failure(
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
@@ -126,7 +126,7 @@
         """Return whether a target accepts new work."""
         ...
 
-    def decide_retry(
+    async def decide_retry(
         self, request: _ports.RelayRequest, failed: FailedSend
     ) -> _retry_decisions.RetryDecision:
         """Decide whether to send a failed request to another target."""
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -178,7 +178,9 @@
                     if reply.status < 500 or last or not repeatable:
                         await self._sink.answer(reply)
                         return False
-            self._exclude_failed(placement, reply, sends >= _calls.MAX_SENDS)
+            await self._exclude_failed(
+                placement, reply, sends >= _calls.MAX_SENDS
+            )
 
     def _choose_start(self) -> _ports.Start:
         if self._position is None:
@@ -465,7 +467,7 @@
         reply: _ports.Reply = _ports.Lost(reason)
         placement = None
         while True:
-            self._exclude_failed(
+            await self._exclude_failed(
                 placement, reply, self._attempts >= MAX_ATTEMPTS
             )
             placement = await self._placer.place(self._request, self._excluded)
@@ -473,7 +475,7 @@
             if isinstance(reply, _ports.Streaming):
                 return
 
-    def _exclude_failed(
+    async def _exclude_failed(
         self,
         placement: _placements.RelayPlacement | None,
         reply: _ports.Reply,
@@ -489,7 +491,7 @@
             self._excluded,
             _calls.get_outcome(reply),
         )
-        decision = self._placer.decide_retry(self._request, failed)
+        decision = await self._placer.decide_retry(self._request, failed)
         if last and isinstance(decision, _retry_decisions.Retry):
             decision = _calls.make_give_up(reply)
         match decision:
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -11,6 +11,7 @@
 from laburnumstep import callers
 from laburnumstep import claim_forwarding
 from laburnumstep import core
+from laburnumstep import crash_exchange
 from laburnumstep import log
 from laburnumstep import operations
 from laburnumstep import operators
@@ -58,6 +59,7 @@
             self._state.clients, clock
         )
         self._membership = self._build_membership()
+        crash_exchange.CrashExchange(self._state.ledger, self._membership)
         self._operations = operations.VMOperations(
             settings.vm, self._follower, self._membership, self._gate, clock
         )
@@ -101,7 +103,6 @@
             self._state,
             self._admission,
             self._decisions.record,
-            self._gossip.announce_crash,
         )
         self._runner = targets.GenerationRunner(
             self._placer, clock, self._abandoned
@@ -211,16 +212,17 @@
     def _build_state(self) -> callers.RoutingState:
         clock = self._clock
         view = targets.FleetView(clock, self._settings.vm.data_centre)
+        ledger = targets.CrashLedger(clock, self._metrics, self._owns)
         return callers.RoutingState(
             clock,
             view,
             targets.LengthEstimator(),
             targets.RetryBudget(),
-            targets.CrashSuspects(clock=clock),
+            ledger,
             callers.WorkspaceLimits(clock),
             targets.EngineClients(),
             targets.CrashMonitor(
-                lambda report: None,
+                ledger,
                 targets.make_refusal_check(view, clock),
                 clock,
                 self._metrics,
@@ -228,6 +230,10 @@
             self._metrics,
         )
 
+    def _owns(self, subject: str) -> bool:
+        owner = self._membership.choose_owner(subject)
+        return owner == self._settings.vm.name
+
     def _build_claims(self) -> log.ClaimStore:
         name = self._settings.vm.name
         forwarder = claim_forwarding.SiblingClaims(
