Prefer parts to retried requests as the cause of crashes

Cause: a request that is sent to two engines explains two crashes alone, and the more specific explanation was kept until the part explained two more. A request is now preferred to its parts only as long as they explain no more crashes than it does.

The new scenario failed before (the third request was accepted).

--- a/packages/laburnumstep/src/laburnumstep/targets/_culprits.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_culprits.py
@@ -31,9 +31,12 @@
 A rack or a data centre that fails crashes its targets together, whatever they
 run."""
 GENERALISATION_MARGIN = 2
-"""Additional incidents for which a culprit with fewer traits is preferred to
-one with more traits. Refusing more traits than necessary lets some further
-requests through; refusing fewer would refuse sound requests."""
+"""Additional incidents for which a culprit with fewer parts is preferred to
+one with more parts. Naming more parts than necessary lets some further
+requests through; naming fewer would refuse sound requests."""
+REQUEST_MARGIN = 1
+"""Additional incidents for which parts are preferred to a single request. A
+request that is retried explains several crashes by itself."""
 
 
 @attrs.frozen
@@ -192,8 +195,15 @@
             traits
             for traits in counts
             if traits > best
-            and counts[best] < counts[traits] + GENERALISATION_MARGIN
+            and counts[best] < counts[traits] + _get_margin(traits - best)
         ]
         if not more_specific:
             return best
         best = max(more_specific, key=rank)
+
+
+def _get_margin(additional: _traits.Traits) -> int:
+    """Return how many more incidents a set without these traits needs."""
+    if any(isinstance(trait, _traits.WholeRequest) for trait in additional):
+        return REQUEST_MARGIN
+    return GENERALISATION_MARGIN
--- a/tests/laburnumstep/targets/crashes.feature
+++ b/tests/laburnumstep/targets/crashes.feature
@@ -2,7 +2,7 @@
   Guards against parts of prompts that crash one target after the other, and
   against sound requests that are refused because they were on a target that
   crashed for another reason. A request is written as its parts; "a b / a c"
-  are two requests on one target.
+  are two requests on one target, "#1" is the whole request.
 
   Scenario: Requests with a part that crashes targets are refused after two
     Given target "e1" crashes at 1 s with "f g dead / f2 g2"
@@ -48,6 +48,17 @@
     And target "e2" crashes at 1.1 s with "f dead" sent at 1.05 s
     Then requests "f dead" are refused
 
+  # Guards against further requests with a deadly part that are let through
+  # because each request, sent to two targets, explains two crashes.
+  Scenario: A part explains more than the retries of single requests
+    Given target "e1" crashes at 1 s with "f dead #1"
+    And target "e2" crashes at 2 s with "f dead #1"
+    Then requests "f dead #1" are refused
+    And requests "f dead #2, f #3" are accepted
+    When target "e3" crashes at 3 s with "f dead #2"
+    Then requests "f dead #1, f dead #2, f dead #3" are refused
+    And requests "f #4" are accepted
+
   Scenario: Several VMs report one crash
     Given target "e1" crashes at 1 s with "f dead"
     And target "e1" crashes at 2 s with "f dead / h"
--- a/tests/laburnumstep/targets/steps/crashes_steps.py
+++ b/tests/laburnumstep/targets/steps/crashes_steps.py
@@ -16,8 +16,12 @@
 MODEL = 'm'
 
 
-def make_traits(parts: str) -> targets.Traits:
-    return targets.list_part_traits(MODEL, parts.split())
+def make_traits(text: str) -> targets.Traits:
+    names = text.split()
+    parts = [name for name in names if not name.startswith('#')]
+    return targets.list_part_traits(MODEL, parts) | {
+        targets.WholeRequest(name) for name in names if name not in parts
+    }
 
 
 def get_ledger(context: typing.Any) -> targets.CrashLedger:
