Check whose refusal an answer is before it means not run

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of a request that the server ran, or it ran on a second server as well.

Cause: the client looked at 'not executed' before it compared the identifier in the answer with that of the request. Requests that may not be repeated have a connection of their own, so this concerned safe calls and resumable streams, and the caller's 503. A refusal with another identifier is a lost answer now; one without an identifier counts only as the first answer on a connection, as servers refuse malformed requests without one.

--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -313,11 +313,16 @@
         connection: transport.HttpConnection,
         response: transport.ResponseHead,
     ) -> relay.Reply:
-        if response.find(_headers.NOT_EXECUTED) is not None:
+        refused = response.find(_headers.NOT_EXECUTED) is not None
+        echoed = response.find(_headers.REQUEST_ID)
+        # Only the first answer on a connection cannot be a repetition of an
+        # earlier one, so only there may a refusal lack the ID.
+        if echoed is None and refused and not connection.was_reused:
             return await self._read_refusal(attempt, connection, response)
-        echoed = response.find(_headers.REQUEST_ID) or b''
-        if echoed.decode('latin-1') != attempt.request.key:
+        if (echoed or b'').decode('latin-1') != attempt.request.key:
             return relay.Lost('the answer has the ID of another request')
+        if refused:
+            return await self._read_refusal(attempt, connection, response)
         if response.find(b'content-encoding') is not None:
             return relay.Lost('the answer has a content encoding')
         succeeded = response.status < _MULTIPLE_CHOICES
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -72,6 +72,7 @@
         self._clock = clock
         self._protocol = h11.Connection(h11.CLIENT)
         self._closed_by_peer = False
+        self._requests = 0
 
     @classmethod
     async def open(
@@ -97,6 +98,11 @@
             raise _client.ConnectFailed(message) from error
         return cls(stream, clock)
 
+    @property
+    def was_reused(self) -> bool:
+        """Whether the connection has carried more than one request."""
+        return self._requests > 1
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request.
@@ -124,6 +130,7 @@
             ExchangeFailed: The peer may have received the request.
             ValueError: The request is malformed.
         """
+        self._requests += 1
         headers = list(head.headers)
         if body or head.method not in (b'GET', b'HEAD', b'DELETE'):
             headers.append((b'Content-Length', b'%d' % len(body)))
--- /dev/null
+++ b/tests/laburnumstep/platform/answers.feature
@@ -0,0 +1,61 @@
+Feature: Only an answer that is whole and its own reaches a caller
+  Guards against answers that a faulty server breaks off, repeats or adds, and
+  against refusals that say "not run" of a request that has run.
+
+  # Guards against an answer that breaks off and is passed on as complete.
+  Scenario Outline: An answer that ends early is lost
+    Given a server that sends "<bytes>" and <ending>
+    When a "<kind>" request is sent to it
+    Then the reply is <reply>
+
+    Examples: heads
+      | kind | bytes                                     | ending | reply    |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}Content-Len  | closes | Lost     |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}             | closes | Lost     |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}             | resets | Lost     |
+      | safe | HTTP/1.1 200 OK                           | closes | Lost     |
+      | safe | HTTP/1.1 200                              | closes | Lost     |
+      | plan | HTTP/1.1 200 OK\r\n{own}{mac}{sse}        | closes | Lost     |
+      | safe | HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n  | closes | Lost     |
+      | safe | {endless}                                 | waits  | Lost     |
+
+    Examples: bodies
+      | kind | bytes                                                       | ending | reply    |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}Content-Length: 4\r\n\r\nabcd  | closes | Answered |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}Content-Length: 4\r\n\r\nabc   | closes | Lost     |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}\r\nabcd                       | closes | Answered |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}\r\nabcd                       | resets | Lost     |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}{chunked}\r\n4\r\nabcd\r\n0\r\n\r\n | closes | Answered |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}{chunked}\r\n4\r\nabcd\r\n     | closes | Lost     |
+      | safe | HTTP/1.1 200 OK\r\n{own}{mac}{chunked}\r\n4\r\nab           | closes | Lost     |
+
+    Examples: streams
+      | kind | bytes                                                            | ending | reply      |
+      | plan | HTTP/1.1 200 OK\r\n{own}{mac}{sse}\r\nid: 1\n\nid: 2\n\n         | closes | events 1,2 and the end |
+      | plan | HTTP/1.1 200 OK\r\n{own}{mac}{sse}\r\nid: 1\n\nid: 2\n           | closes | events 1 and a break   |
+      | plan | HTTP/1.1 200 OK\r\n{own}{mac}{sse}{chunked}\r\n7\r\nid: 1\n\n\r\n | closes | events 1 and a break   |
+      | plan | HTTP/1.1 200 OK\r\n{own}{mac}{sse}{chunked}\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n | closes | events 1 and the end |
+
+  # Guards against "not run" for a request that the server has run, because it
+  # wrote the refusal of an earlier request once more.
+  Scenario Outline: A refusal of another request does not say that this one has not run
+    Given a server that first refuses a request and then sends "<bytes>"
+    When two "safe" requests are sent over one connection
+    Then the reply is <reply>
+
+    Examples:
+      | bytes                                                                     | reply  |
+      | HTTP/1.1 503 Busy\r\n{first}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n  | Lost   |
+      | HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n         | Lost   |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n    | NotRun |
+
+  Scenario Outline: The first answer on a connection needs no identifier to refuse
+    Given a server that sends "<bytes>" and waits
+    When a "safe" request is sent to it
+    Then the reply is <reply>
+
+    Examples:
+      | bytes                                                                       | reply  |
+      | HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n           | NotRun |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n      | NotRun |
+      | HTTP/1.1 503 Busy\r\n{other}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n    | Lost   |
--- a/tests/laburnumstep/platform/steps/crashes_steps.py
+++ b/tests/laburnumstep/platform/steps/crashes_steps.py
@@ -53,10 +53,10 @@
         await anyio.lowlevel.checkpoint()
 
 
-def encode_prompt(number: int, parts: str) -> bytes:
+def encode_prompt(number: int, parts: str, path: str = '') -> bytes:
     """Return a request whose last part is its own."""
     return platform_harness.encode_request(
-        f'/plan/{number}',
+        path or f'/plan/{number}',
         body=b'%d' % number,
         Attempt_Id=f'attempt-{number}',
         Model='m',
@@ -106,3 +106,33 @@
 @behave.then('the last request got status {status:d}')
 def step_last_status(context: typing.Any, status: int) -> None:
     assert context.answers[-1].status == status, context.answers
+
+
+async def read_to_end(address: str, data: bytes) -> bytes:
+    """Send a request and return all bytes until the connection closes."""
+    host, _, port = address.rpartition(':')
+    received = b''
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(data)
+        try:
+            while True:
+                received += await stream.receive()
+        except anyio.EndOfStream:
+            return received
+
+
+@behave.when('a request to "{path}" with parts "{parts}" is sent')
+def step_send_to(context: typing.Any, path: str, parts: str) -> None:
+    data = encode_prompt(1, parts, path)
+    context.received = clocks.run_bounded(
+        context, read_to_end, context.harness.address, data
+    )
+
+
+@behave.then('the caller received the head and event 1 and no end')
+def step_incomplete(context: typing.Any) -> None:
+    head, _, body = context.received.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200 '), head
+    assert b'transfer-encoding: chunked' in head.lower(), head
+    event = b'id: 1\ndata: x\n\n'
+    assert body == b'%x\r\n%b\r\n' % (len(event), event), body
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -112,6 +112,25 @@
     Then the caller received each event once, in order, and the end
     And "b" started from event 3
 
+  # Guards against the text of an error in the middle of a caller's stream.
+  Scenario Outline: An answer that does not stream does not continue a stream
+    Given a resumable stream of events 1 to 5
+    And "a" streams events 1 to 3 and breaks off
+    And target "b" replies <reply>
+    And target "c" replies <reply>
+    When the request is relayed
+    Then the caller received events 1 to 3 without the end
+    And every run was closed and every placement released
+
+    Examples:
+      | reply       |
+      | status 200  |
+      | status 400  |
+      | status 500  |
+      | not run     |
+      | not reached |
+      | lost        |
+
   Scenario: A resumable stream without an event starts again from the beginning
     Given a resumable stream of events 1 to 5
     And "a" breaks off before its first event
--- a/tests/support/crashing_engine.py
+++ b/tests/support/crashing_engine.py
@@ -11,6 +11,8 @@
 
 EVENTS = 3
 """Number of events in an answer."""
+LATE_PART = 'late'
+"""Part of a prompt on which every engine crashes after its first event."""
 
 _STREAM_HEADERS = [
     ('Content-Type', 'text/event-stream'),
@@ -42,8 +44,6 @@
         self.crashed = False
         self.answered: list[str] = []
         """Prompts that were answered completely."""
-        self.held = anyio.Event()
-        """Set when an answer is held back."""
         self._deadly_part = deadly_part
         self._listening = anyio.CancelScope()
 
@@ -99,13 +99,14 @@
             self.crashed = True
             self._listening.cancel()
             await anyio.sleep_forever()
-        if 'held' in prompt:
-            self.held.set()
-            await anyio.sleep_forever()
         events = [
             h11.Data(data=b'id: %d\ndata: x\n\n' % number)
             for number in range(1, EVENTS + 1)
         ]
+        if LATE_PART in prompt:
+            await _send(protocol, stream, events[:1])
+            self._listening.cancel()
+            await anyio.sleep_forever()
         await _send(protocol, stream, [*events, h11.EndOfMessage()])
         self.answered.append(prompt)
 
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -194,6 +194,9 @@
             make_route('unsafe', 'unsafe'),
             make_route('open', 'safe', skipAuth=True),
             make_route('plan', 'streaming', service='llm'),
+            make_route(
+                'resume', 'streaming', service='llm', streamResumption=True
+            ),
         ],
         'services': [
             {'name': 'app', 'healthPath': '/health'},
