Test which lost answers the crash monitor is told of

Guards against crashes under calls and streams that are not observed, and against connections opened for answers that only came too late.

--- a/tests/laburnumstep/targets/crashes.feature
+++ b/tests/laburnumstep/targets/crashes.feature
@@ -28,6 +28,15 @@
     Then requests "f1 dead, f8 dead" are refused
     And requests "f1, f2, f3" are accepted
 
+  # Guards against refusing all requests of a caller one of whose sound
+  # requests was on a target that crashed for another reason.
+  Scenario: Parts in one more crash do not outweigh the deadly part
+    Given target "e1" crashes at 1 s with "f g dead"
+    And target "e2" crashes at 3 s with "f g dead"
+    And target "e3" crashes at 5 s with "f g x"
+    Then requests "f g dead, f g dead y" are refused
+    And requests "f g, f g x, f g y" are accepted
+
   Scenario: Two parts that crash targets are both refused
     Given target "e1" crashes at 1 s with "f1 bad"
     And target "e2" crashes at 2 s with "f2 dead"
--- a/tests/laburnumstep/targets/relay/calls.feature
+++ b/tests/laburnumstep/targets/relay/calls.feature
@@ -33,6 +33,26 @@
       | once | 2        | not run     | status 200  | a,b   | status 200                         |
       | once | 2        | not reached | not run     | a,b   | error no_target not_run            |
 
+  # Guards against crashes that the crash monitor is not told of, and against
+  # connections that it opens although no target has closed one.
+  Scenario Outline: A target that closes the connection may have crashed
+    Given a <kind> request with 2 attempts
+    And target "a" replies <reply>
+    And target "b" replies status 200
+    When the request is relayed
+    Then <breaks> placements recorded a break
+
+    Examples:
+      | kind       | reply         | breaks |
+      | idempotent | lost          | 0      |
+      | idempotent | lost, closed  | 1      |
+      | once       | lost, closed  | 1      |
+      | resumable  | lost, closed  | 1      |
+      | single     | lost, closed  | 1      |
+      | idempotent | status 500    | 0      |
+      | idempotent | not run       | 0      |
+      | idempotent | not reached   | 0      |
+
   Scenario: A request that fails past its deadline is reported as exceeding it
     Given a once request with 1 attempts
     And target "a" replies lost
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -37,7 +37,9 @@
         case ['status', status]:
             return relay.Answered(int(status), [], b'body')
         case ['lost']:
-            return relay.Lost('reset')
+            return relay.Lost('timeout')
+        case ['lost,', 'closed']:
+            return relay.Lost('reset', closed=True)
         case ['not', 'run']:
             return relay.NotRun('full')
         case ['not', 'reached']:
@@ -117,6 +119,12 @@
     assert waits == [first, second], waits
 
 
+@behave.then('{count:d} placements recorded a break')
+def step_breaks_recorded(context: typing.Any, count: int) -> None:
+    breaks = [placement.breaks for placement in context.placer.placements]
+    assert sum(breaks) == count, breaks
+
+
 @behave.then('each placement was released once')
 def step_released(context: typing.Any) -> None:
     released = [placement.releases for placement in context.placer.placements]
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -138,6 +138,7 @@
 
     target: core.Target
     losses: int = 0
+    breaks: int = 0
     releases: int = 0
 
     def record_tokens(self, count: int, size: int) -> None:
@@ -147,7 +148,8 @@
         self.losses += 1
 
     def record_break(self) -> None:
-        pass
+        assert not self.releases, 'its requests are no longer suspects'
+        self.breaks += 1
 
     def release(self, complete: bool) -> None:
         self.releases += 1
