Let operators list, clear and add what is refused for crashing targets

An operator could see only log lines of a culprit, and could neither end a wrong refusal before its deadline nor refuse a known part before it crashes anything.

Operators' orders are evidence like crashes: they travel in the gossip and are in force on all VMs, the last one counts, and an ordered refusal ends at its time. The interface of the product's own VMs serves /v1/culprits, the command line has 'culprits'.

Tests: an order through two VMs and a restart, 8 malformed orders, 7 uses of the command.

--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_options.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_options.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from laburnumstep import targets
 from laburnumstep_operator import _checks
 from laburnumstep_operator import _output
 
@@ -72,6 +73,45 @@
         ' repeated. Not needed with --logs.',
     ),
 ]
+
+
+def parse_trait(text: str) -> str:
+    """Return a trait from the command line unchanged.
+
+    Raises:
+        typer.BadParameter: If it does not have the form `part:MODEL:ID` or
+            `request:DIGEST`.
+    """
+    try:
+        targets.parse_trait(text)
+    except ValueError as error:
+        raise typer.BadParameter(
+            f'{text!r} must be part:MODEL:ID or request:DIGEST'
+        ) from error
+    return text
+
+
+RefusedTraits = typing.Annotated[
+    list[str],
+    typer.Option(
+        '--refuse',
+        parser=parse_trait,
+        metavar='TRAIT',
+        default_factory=list,
+        help='Refuse requests with this trait, as it stands in the logs; may'
+        ' be repeated for requests that have all of them.',
+    ),
+]
+ClearedTraits = typing.Annotated[
+    list[str],
+    typer.Option(
+        '--clear',
+        parser=parse_trait,
+        metavar='TRAIT',
+        default_factory=list,
+        help='Accept requests with this trait again; may be repeated.',
+    ),
+]
 LogFolder = typing.Annotated[
     str,
     typer.Option(
--- a/packages/laburnumstep-operator/src/laburnumstep_operator/_vm_commands.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/_vm_commands.py
@@ -17,6 +17,9 @@
 from laburnumstep_operator import logs as log_files
 from laburnumstep_operator import vms
 
+DEFAULT_REFUSAL_SECONDS = 3600.0
+"""How long an operator's refusal lasts if it is not given, in seconds."""
+
 
 def status(
     at: _options.VMAddresses,
@@ -184,6 +187,74 @@
     )
 
 
+def culprits(
+    at: _options.VMAddresses,
+    refuse: _options.RefusedTraits,
+    clear: _options.ClearedTraits,
+    seconds: typing.Annotated[
+        float, typer.Option(min=1, help='How long to refuse, in seconds.')
+    ] = DEFAULT_REFUSAL_SECONDS,
+    key: _options.Key = '',
+    key_file: _options.KeyFile = '',
+    timeout: _options.Timeout = 5.0,
+    as_json: _options.Json = False,
+) -> None:
+    """Show, add or clear what is refused because it crashes targets.
+
+    A request is refused if it has all traits of a culprit. Without --refuse
+    and --clear, each VM shows its culprits, the crashes that they explain and
+    when the refusal ends. An order is sent to one VM after the other until
+    one accepts it; that VM announces it to its siblings.
+
+    Exits 0 if all VMs answered, or one accepted the order, otherwise 1.
+
+    Example: laburnumstep-operator culprits --clear part:gang-plan:8bb043f7bc2
+    --at 10.0.1.7:9000 --key-file operators.key
+    """
+    secret = _options.read_key(key, key_file, as_json)
+    if refuse and clear:
+        _options.exit_with_usage_error(
+            as_json, 'set either --refuse or --clear'
+        )
+    deadline = time.time() + timeout
+    if refuse or clear:
+        order: core.DocumentObject = {'clear': clear}
+        if refuse:
+            until = time.time() + seconds
+            order = {'refuse': refuse, 'until': until}
+        answers = anyio.run(vms.order_culprits, at, secret, order, deadline)
+        found = [a for a in answers[-1:] if isinstance(a, vms.Answered)]
+    else:
+        answers = anyio.run(vms.fetch_culprits, at, secret, deadline)
+        found = [a for a in answers if isinstance(a, vms.Answered)]
+        if len(found) < len(answers):
+            found = []
+    if not found:
+        _exit_with_failures(answers, as_json, 'the culprits are not known')
+    lines = []
+    for answer in found:
+        lines.append(f'refused by the VM at {answer.address}:')
+        listed = answer.body.get('culprits')
+        lines += [
+            f'  {line}'
+            for item in (listed if isinstance(listed, list) else [])
+            for line in _describe_culprit(item)
+        ]
+    _output.print_result(
+        as_json, {'vms': [_encode_answer(answer) for answer in found]}, lines
+    )
+
+
+def _describe_culprit(item: core.DocumentObject) -> list[str]:
+    now = time.time()
+    return [
+        f'traits: {" ".join(item["traits"])}',
+        f'  crashes: {item["crashes"]}, the last'
+        f' {now - item["last_crash_at"]:.0f} s ago;'
+        f' refused for {item["refused_until"] - now:.0f} s',
+    ]
+
+
 def _encode_answer(answer: vms.VMAnswer) -> core.DocumentObject:
     match answer:
         case vms.Answered(address=address, body=body):
--- a/packages/laburnumstep-operator/src/laburnumstep_operator/cli.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/cli.py
@@ -33,6 +33,7 @@
 app.command()(_vm_commands.status)
 app.command()(_vm_commands.explain)
 app.command()(_vm_commands.drain)
+app.command()(_vm_commands.culprits)
 
 
 def main() -> None:
--- a/packages/laburnumstep-operator/src/laburnumstep_operator/vms/_client.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/vms/_client.py
@@ -88,6 +88,25 @@
         """
         return await self._request('POST', '/v1/drain', deadline, {kind: name})
 
+    async def fetch_culprits(self, deadline: float) -> VMAnswer:
+        """Fetch what the VM refuses because it crashes targets.
+
+        Args:
+            deadline: When to give up, in epoch seconds.
+        """
+        return await self._request('GET', '/v1/culprits', deadline)
+
+    async def order_culprits(
+        self, order: core.DocumentObject, deadline: float
+    ) -> VMAnswer:
+        """Order what is refused, or no longer refused.
+
+        Args:
+            order: The order, as a JSON object.
+            deadline: When to give up, in epoch seconds.
+        """
+        return await self._request('POST', '/v1/culprits', deadline, order)
+
     async def close(self) -> None:
         """Close the connections to the VM."""
         await self._http.close()
--- a/packages/laburnumstep-operator/src/laburnumstep_operator/vms/_queries.py
+++ b/packages/laburnumstep-operator/src/laburnumstep_operator/vms/_queries.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from laburnumstep import core
 from laburnumstep_operator.vms import _client
 
 _Request = typing.Callable[
@@ -77,11 +78,61 @@
         The answers of the VMs that were tried, in the order of the
         addresses.
     """
+    return await _request_in_turn(
+        addresses, key, lambda client: client.drain(kind, name, deadline)
+    )
+
+
+async def fetch_culprits(
+    addresses: list[str], key: str, deadline: float
+) -> list[_client.VMAnswer]:
+    """Fetch what the VMs refuse because it crashes targets.
+
+    Args:
+        addresses: IP address and port of each VM.
+        key: The operators' key.
+        deadline: When to give up, in epoch seconds.
+
+    Returns:
+        The answers, in the order of the addresses.
+    """
+    return await _request_all(
+        addresses, key, lambda client: client.fetch_culprits(deadline)
+    )
+
+
+async def order_culprits(
+    addresses: list[str],
+    key: str,
+    order: core.DocumentObject,
+    deadline: float,
+) -> list[_client.VMAnswer]:
+    """Send an order about culprits to VMs in turn until one accepts it.
+
+    The VM that accepts the order announces it to its siblings.
+
+    Args:
+        addresses: IP address and port of each VM.
+        key: The operators' key.
+        order: The order, as a JSON object.
+        deadline: When to give up on all VMs, in epoch seconds.
+
+    Returns:
+        The answers of the VMs that were tried, in the order of the
+        addresses.
+    """
+    return await _request_in_turn(
+        addresses, key, lambda client: client.order_culprits(order, deadline)
+    )
+
+
+async def _request_in_turn(
+    addresses: list[str], key: str, send: _Request
+) -> list[_client.VMAnswer]:
+    """Send a request to one VM after the other until one answers it."""
     answers: list[_client.VMAnswer] = []
     for address in addresses:
-        answers += await _request_all(
-            [address], key, lambda client: client.drain(kind, name, deadline)
-        )
+        answers += await _request_all([address], key, send)
         if isinstance(answers[-1], _client.Answered):
             break
     return answers
--- a/packages/laburnumstep/src/laburnumstep/crash_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/crash_exchange.py
@@ -75,6 +75,12 @@
                     targets.encode_evidence(evidence),
                     cleared_at + targets.EVIDENCE_SECONDS,
                 )
+            case targets.OperatorRefusal(traits, _, ordered_at):
+                self._send(
+                    f'refusal {targets.digest_traits(traits)}',
+                    targets.encode_evidence(evidence),
+                    ordered_at + targets.EVIDENCE_SECONDS,
+                )
             case _:
                 typing.assert_never(evidence)
 
--- a/packages/laburnumstep/src/laburnumstep/operators/_app.py
+++ b/packages/laburnumstep/src/laburnumstep/operators/_app.py
@@ -14,6 +14,7 @@
 from laburnumstep.operators import _codec
 from laburnumstep.operators import _decisions
 from laburnumstep.operators import _records
+from laburnumstep import targets
 from laburnumstep import transport
 
 _LOG = core.get_logger('operators')
@@ -32,6 +33,7 @@
         status: Source of the status of this VM.
         decisions: Log of recent routing decisions.
         drains: Executes drain orders.
+        culprits: What is refused because it crashes targets.
     """
 
     def __init__(
@@ -40,11 +42,13 @@
         status: _records.StatusSource,
         decisions: _decisions.DecisionLog,
         drains: _records.DrainHandler,
+        culprits: _records.CulpritSource,
     ) -> None:
         self._key = key
         self._status = status
         self._decisions = decisions
         self._drains = drains
+        self._culprits = culprits
         self.app = applications.Starlette(
             routes=[
                 routing.Route(
@@ -56,6 +60,12 @@
                     methods=['GET'],
                 ),
                 routing.Route('/v1/drain', self._drain, methods=['POST']),
+                routing.Route(
+                    '/v1/culprits', self._read_culprits, methods=['GET']
+                ),
+                routing.Route(
+                    '/v1/culprits', self._order_culprits, methods=['POST']
+                ),
             ],
             exception_handlers={core.CodedError: _encode_error},
         )
@@ -91,6 +101,32 @@
                 typing.assert_never(order)
         return responses.JSONResponse(_codec.encode_order(order), 202)
 
+    async def _read_culprits(
+        self, request: requests.Request
+    ) -> responses.Response:
+        self._check_key(request)
+        encoded = [_codec.encode_culprit(i) for i in self._culprits.culprits]
+        return responses.JSONResponse({'culprits': encoded})
+
+    async def _order_culprits(
+        self, request: requests.Request
+    ) -> responses.Response:
+        self._check_key(request)
+        body = await transport.read_body(request)
+        order = _codec.decode_culprit_order(body)
+        described = targets.describe_traits(order.traits)
+        match order:
+            case _records.RefuseTraits(traits, until):
+                self._culprits.refuse(traits, until)
+                _LOG.info('refusal ordered; traits=%s', described)
+            case _records.ClearTraits(traits):
+                self._culprits.clear(traits)
+                _LOG.info('clearance ordered; traits=%s', described)
+            case _:
+                typing.assert_never(order)
+        encoded = [_codec.encode_culprit(i) for i in self._culprits.culprits]
+        return responses.JSONResponse({'culprits': encoded}, 202)
+
     def _check_key(self, request: requests.Request) -> None:
         headers = request.headers.getlist('authorization')
         expected = f'Bearer {self._key}'.encode()
--- a/packages/laburnumstep/src/laburnumstep/operators/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/operators/_codec.py
@@ -6,6 +6,7 @@
 
 from laburnumstep import core
 from laburnumstep.operators import _records
+from laburnumstep import targets
 
 if typing.TYPE_CHECKING:
     from laburnumstep.operators import _decisions
@@ -13,6 +14,8 @@
 
 MAX_NAME_LENGTH = 256
 """Maximum length of a name in an order, in characters."""
+MAX_TRAITS = 16
+"""Maximum number of traits in an order."""
 
 
 def encode_status(status: _records.VMStatus) -> core.DocumentObject:
@@ -89,6 +92,48 @@
     return _records.DrainVM(name)
 
 
+def encode_culprit(culprit: targets.Culprit) -> core.DocumentObject:
+    """Return what is refused, with its evidence, as a JSON object."""
+    return {
+        'traits': targets.describe_traits(culprit.traits).split(','),
+        'crashes': culprit.crashes,
+        'last_crash_at': culprit.last_crash_at,
+        'refused_until': culprit.refused_until,
+    }
+
+
+def decode_culprit_order(body: bytes) -> _records.CulpritOrder:
+    """Decode an order about traits.
+
+    Raises:
+        CodedError: `bad_request` if the body is not a valid order.
+    """
+    try:
+        data = core.load_json(body, 'body')
+    except core.FindingsError as error:
+        raise _bad_request(str(error)) from error
+    match data:
+        case {'refuse': list(texts), 'until': float(until) | int(until)} if (
+            len(data) == 2
+        ):
+            return _records.RefuseTraits(_parse_traits(texts), float(until))
+        case {'clear': list(texts)} if len(data) == 1:
+            return _records.ClearTraits(_parse_traits(texts))
+        case _:
+            raise _bad_request(
+                'the body must have "clear", or "refuse" and "until"'
+            )
+
+
+def _parse_traits(texts: list[typing.Any]) -> targets.Traits:
+    if not 0 < len(texts) <= MAX_TRAITS:
+        raise _bad_request(f'1 to {MAX_TRAITS} traits must be given')
+    try:
+        return frozenset(targets.parse_trait(str(text)) for text in texts)
+    except ValueError as error:
+        raise _bad_request(str(error)) from error
+
+
 def encode_order(order: _records.DrainOrder) -> core.DocumentObject:
     """Return a drain order as a JSON object."""
     match order:
--- a/packages/laburnumstep/src/laburnumstep/operators/_records.py
+++ b/packages/laburnumstep/src/laburnumstep/operators/_records.py
@@ -8,6 +8,7 @@
 
 if typing.TYPE_CHECKING:
     from laburnumstep import siblings
+    from laburnumstep import targets
 
 
 @attrs.frozen
@@ -51,6 +52,44 @@
 DrainOrder = DrainTarget | DrainVM
 
 
+@attrs.frozen
+class RefuseTraits:
+    """Order to refuse requests that have all of some traits."""
+
+    traits: targets.Traits
+    """The traits."""
+    until: float
+    """When the refusal ends, in epoch seconds."""
+
+
+@attrs.frozen
+class ClearTraits:
+    """Order to accept requests with these traits again."""
+
+    traits: targets.Traits
+    """The traits."""
+
+
+CulpritOrder = RefuseTraits | ClearTraits
+
+
+class CulpritSource(typing.Protocol):
+    """What is refused because it crashes targets."""
+
+    @property
+    def culprits(self) -> list[targets.Culprit]:
+        """The traits that are refused, with their evidence."""
+        ...
+
+    def refuse(self, traits: targets.Traits, until: float) -> None:
+        """Refuse requests with these traits until a time."""
+        ...
+
+    def clear(self, traits: targets.Traits) -> None:
+        """Accept requests with these traits."""
+        ...
+
+
 class StatusSource(typing.Protocol):
     """Source of the status of this VM."""
 
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -14,6 +14,7 @@
 from laburnumstep.targets._crashes import Clearance
 from laburnumstep.targets._crashes import CrashEvidence
 from laburnumstep.targets._crashes import CrashReport
+from laburnumstep.targets._crashes import OperatorRefusal
 from laburnumstep.targets._engine_client import EngineClient
 from laburnumstep.targets._engine_client import new_generation_id
 from laburnumstep.targets._engine_client import StreamBroken
@@ -85,12 +86,16 @@
 from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
 from laburnumstep.targets._subset import limit_engines
+from laburnumstep.targets._traits import decode_trait
 from laburnumstep.targets._traits import describe_traits
 from laburnumstep.targets._traits import digest_fields
+from laburnumstep.targets._traits import digest_traits
+from laburnumstep.targets._traits import encode_trait
 from laburnumstep.targets._traits import fingerprint_call
 from laburnumstep.targets._traits import fingerprint_generation
 from laburnumstep.targets._traits import list_generation_traits
 from laburnumstep.targets._traits import list_part_traits
+from laburnumstep.targets._traits import parse_trait
 from laburnumstep.targets._traits import PromptPart
 from laburnumstep.targets._traits import Trait
 from laburnumstep.targets._traits import Traits
@@ -139,6 +144,7 @@
     'NoTarget',
     'NotReached',
     'NotStarted',
+    'OperatorRefusal',
     'Order',
     'OrderAnswer',
     'OrderClient',
@@ -180,11 +186,14 @@
     'decide_retry',
     'decode_evidence',
     'decode_lengths',
+    'decode_trait',
     'describe_traits',
     'digest_fields',
     'digest_prefixes',
+    'digest_traits',
     'encode_evidence',
     'encode_lengths',
+    'encode_trait',
     'fingerprint_call',
     'fingerprint_generation',
     'limit_engines',
@@ -193,5 +202,6 @@
     'list_unfinished',
     'make_refusal_check',
     'new_generation_id',
+    'parse_trait',
     'sample_engines',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_codec.py
@@ -37,6 +37,12 @@
                 'trait': _traits.encode_trait(trait),
                 'cleared_at': cleared_at,
             }
+        case _crashes.OperatorRefusal():
+            return {
+                'refused': [_traits.encode_trait(i) for i in evidence.traits],
+                'refused_until': evidence.refused_until,
+                'ordered_at': evidence.ordered_at,
+            }
         case _:
             typing.assert_never(evidence)
 
@@ -68,6 +74,16 @@
         }:
             trait = _traits.decode_trait(encoded_trait)
             return _crashes.Clearance(trait, float(cleared_at))
+        case {
+            'refused': list(encoded),
+            'refused_until': float(refused_until) | int(refused_until),
+            'ordered_at': float(ordered_at) | int(ordered_at),
+        }:
+            return _crashes.OperatorRefusal(
+                frozenset(_traits.decode_trait(item) for item in encoded),
+                float(refused_until),
+                float(ordered_at),
+            )
         case other:
             raise ValueError(f'no evidence: {other!r:.80}')
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
@@ -41,9 +41,9 @@
     traits: _traits.Traits
     """The traits; only requests that have all of them are refused."""
     crashes: int
-    """Number of crashes that they explain."""
+    """Number of crashes that they explain; 0 if an operator refuses them."""
     last_crash_at: float
-    """Time of the last crash, in epoch seconds."""
+    """Time of the last crash or of the order, in epoch seconds."""
     refused_until: float
     """When a request is let through again to try it, in epoch seconds."""
 
@@ -72,6 +72,7 @@
         self._cleared: dict[_traits.Trait, float] = {}
         self._survived: dict[_traits.Trait, float] = {}
         self._open: set[_traits.Trait] = set()
+        self._refusals: dict[_traits.Traits, _crashes.OperatorRefusal] = {}
         self._culprits: list[Culprit] = []
         self._is_outdated = False
         self._probe_at: dict[_traits.Traits, float] = {}
@@ -81,7 +82,13 @@
     def culprits(self) -> list[Culprit]:
         """What is refused, or is tried from time to time."""
         self._update()
-        return list(self._culprits)
+        now = self._clock.now()
+        ordered = [
+            _make_ordered_culprit(order)
+            for order in self._refusals.values()
+            if order.refused_until > now
+        ]
+        return ordered + self._culprits
 
     def subscribe(self, listener: Listener) -> None:
         """Call a listener with the evidence that this VM observes."""
@@ -109,10 +116,38 @@
                     'trait cleared; trait=%s',
                     _traits.describe_traits([trait]),
                 )
+            case _crashes.OperatorRefusal(traits):
+                known_order = self._refusals.get(traits)
+                if (
+                    known_order is None
+                    or known_order.ordered_at <= evidence.ordered_at
+                ):
+                    self._refusals[traits] = evidence
             case _:
                 typing.assert_never(evidence)
         self._is_outdated = True
 
+    def refuse(self, traits: _traits.Traits, until: float) -> None:
+        """Refuse requests with these traits by an operator's order.
+
+        Args:
+            traits: Requests that have all of them are refused.
+            until: When the refusal ends, in epoch seconds.
+        """
+        now = self._clock.now()
+        self.record(_crashes.OperatorRefusal(traits, until, now))
+
+    def clear(self, traits: _traits.Traits) -> None:
+        """Accept requests with these traits by an operator's order.
+
+        The crashes so far no longer count against them.
+        """
+        now = self._clock.now()
+        for trait in traits:
+            self.record(_crashes.Clearance(trait, now))
+        if traits in self._refusals:
+            self.record(_crashes.OperatorRefusal(traits, now, now))
+
     def record_survival(self, traits: _traits.Traits) -> None:
         """Record that a target has survived a request with these traits."""
         now = self._clock.now()
@@ -150,6 +185,10 @@
         None if there is nothing.
         """
         self._update()
+        now = self._clock.now()
+        for traits_refused, order in self._refusals.items():
+            if traits_refused <= traits and order.refused_until > now:
+                return _make_ordered_culprit(order)
         for culprit in self._culprits:
             if culprit.traits <= traits:
                 return culprit
@@ -256,3 +295,7 @@
         for culprit in self._culprits:
             found |= culprit.traits
         return found
+
+
+def _make_ordered_culprit(order: _crashes.OperatorRefusal) -> Culprit:
+    return Culprit(order.traits, 0, order.ordered_at, order.refused_until)
--- a/packages/laburnumstep/src/laburnumstep/targets/_crashes.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crashes.py
@@ -33,4 +33,16 @@
     another cause."""
 
 
-CrashEvidence = CrashReport | Clearance
+@attrs.frozen
+class OperatorRefusal:
+    """An operator's order to refuse requests, or to refuse them no longer."""
+
+    traits: _traits.Traits
+    """Requests that have all of these traits are refused."""
+    refused_until: float
+    """When the refusal ends, in epoch seconds."""
+    ordered_at: float
+    """When it was ordered, in epoch seconds; the last order is in force."""
+
+
+CrashEvidence = CrashReport | Clearance | OperatorRefusal
--- a/packages/laburnumstep/src/laburnumstep/targets/_traits.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_traits.py
@@ -109,6 +109,29 @@
             raise ValueError(f'no trait: {data!r:.80}')
 
 
+def parse_trait(text: str) -> Trait:
+    """Return the trait that a text as in a log line describes.
+
+    Raises:
+        ValueError: The text describes no trait.
+    """
+    kind, _, rest = text.partition(':')
+    # The name of a model may contain colons; identifiers of parts do not.
+    model, _, part = rest.rpartition(':')
+    match kind:
+        case 'part' if model and part:
+            return PromptPart(model, part)
+        case 'request' if rest:
+            return WholeRequest(rest)
+        case _:
+            raise ValueError(f'no trait: {text:.80}')
+
+
+def digest_traits(traits: Traits) -> str:
+    """Return a digest that is equal for equal sets of traits."""
+    return digest_fields(describe_traits(traits).encode())
+
+
 def describe_traits(traits: typing.Iterable[Trait]) -> str:
     """Return traits as text for a log line, in a stable order."""
     return ','.join(sorted(':'.join(encode_trait(item)) for item in traits))
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -316,6 +316,7 @@
             self._operations,
             self._decisions,
             self._operations,
+            self._state.ledger,
         )
 
     def _build_callers_app(self) -> callers.CallersApp:
--- a/tests/laburnumstep/operators/operators.feature
+++ b/tests/laburnumstep/operators/operators.feature
@@ -58,6 +58,32 @@
       | not JSON                             | 400    |
       | 1048577 bytes                        | 400    |
 
+  Scenario: An operator refuses a part, and clears what the VM has blamed
+    Given the VM has blamed parts "f, dead" of model "m"
+    When an operator orders '{"refuse": ["part:m:x"], "until": 9999999999}'
+    Then the response status is 202
+    And the culprits are "part:m:x; part:m:dead,part:m:f"
+    When an operator orders '{"clear": ["part:m:dead"]}'
+    Then the culprits are "part:m:x; part:m:f"
+    When an operator orders '{"clear": ["part:m:x"]}'
+    Then the culprits are "part:m:f"
+
+  Scenario Outline: A malformed order about culprits has no effect
+    When an operator orders '<body>'
+    Then the response status is 400
+    And the culprits are ""
+
+    Examples:
+      | body                                                    |
+      | {"refuse": ["part:m:x"]}                                |
+      | {"refuse": ["part:m"], "until": 9999999999}             |
+      | {"refuse": [], "until": 9999999999}                     |
+      | {"refuse": ["part:m:x"], "until": "tomorrow"}           |
+      | {"refuse": ["part:m:x"], "until": 9999999999, "x": 1}   |
+      | {"clear": "part:m:x"}                                   |
+      | {"clear": [7]}                                          |
+      | []                                                      |
+
   Scenario: A VM is drained
     When a drain is ordered with body '{"vm": "vm-1"}'
     Then the response status is 202
@@ -71,3 +97,4 @@
       | path              |
       | /v1/status        |
       | /v1/decisions/abc |
+      | /v1/culprits      |
--- a/tests/laburnumstep/operators/steps/operators_steps.py
+++ b/tests/laburnumstep/operators/steps/operators_steps.py
@@ -11,6 +11,7 @@
 from laburnumstep import core
 from laburnumstep import operators
 from laburnumstep import siblings
+from laburnumstep import targets
 from laburnumstep import transport
 from support import hooks
 
@@ -47,8 +48,13 @@
 def step_interface(context: typing.Any, count: int) -> None:
     context.vm = FakeVM()
     context.decisions = operators.DecisionLog(count)
+    context.ledger = targets.CrashLedger(core.ManualClock())
     app = operators.OperatorsApp(
-        'operators-test-key', context.vm, context.decisions, context.vm
+        'operators-test-key',
+        context.vm,
+        context.decisions,
+        context.vm,
+        context.ledger,
     )
     context.server = hooks.enter_context(context, transport.serve_app(app.app))
 
@@ -161,3 +167,29 @@
 @behave.when('"{path}" is read without the key')
 def step_read_without_key(context: typing.Any, path: str) -> None:
     send(context, 'GET', path, authorization='none')
+
+
+@behave.given('the VM has blamed parts "{parts}" of model "{model}"')
+def step_blamed(context: typing.Any, parts: str, model: str) -> None:
+    now = core.ManualClock().now()
+    traits = targets.list_part_traits(model, parts.split(', '))
+    for number in range(2):
+        crashed_at = now - 10 * number - 5
+        context.ledger.record(
+            targets.CrashReport(
+                f'engine-{number}', crashed_at, crashed_at - 1, (traits,)
+            )
+        )
+
+
+@behave.when("an operator orders '{body}'")
+def step_order_culprits(context: typing.Any, body: str) -> None:
+    send(context, 'POST', '/v1/culprits', body.encode())
+
+
+@behave.then('the culprits are "{expected}"')
+@behave.then('the culprits are ""')
+def step_culprits(context: typing.Any, expected: str = '') -> None:
+    send(context, 'GET', '/v1/culprits')
+    found = [','.join(item['traits']) for item in context.body['culprits']]
+    assert '; '.join(found) == expected, found
--- a/tests/laburnumstep/targets/crashes.feature
+++ b/tests/laburnumstep/targets/crashes.feature
@@ -121,6 +121,19 @@
     When VM "b" sees a target survive "f dead"
     Then VMs "a, b" accept "f dead"
 
+  Scenario: An operator's order is in force on all VMs
+    Given VMs "a" and "b" that exchange evidence
+    When an operator of VM "a" refuses "dead" for 60 seconds
+    Then VMs "a, b" refuse "f dead"
+    And VMs "a, b" accept "f"
+    When VM "b" starts again
+    Then VMs "a, b" refuse "dead"
+    When an operator of VM "b" clears "dead"
+    Then VMs "a, b" accept "f dead"
+    When an operator of VM "b" refuses "dead" for 60 seconds
+    And 61 seconds pass
+    Then VMs "a, b" accept "f dead"
+
   Scenario Outline: Malformed evidence of a sibling is ignored
     Given VMs "a" and "b" that exchange evidence
     When VM "a" receives the evidence <data>
--- a/tests/laburnumstep/targets/steps/crashes_steps.py
+++ b/tests/laburnumstep/targets/steps/crashes_steps.py
@@ -188,6 +188,23 @@
     context.ledgers[name].record_survival(make_traits(parts))
 
 
+@behave.when(
+    'an operator of VM "{name}" refuses "{parts}" for {seconds:d} seconds'
+)
+def step_refuse(
+    context: typing.Any, name: str, parts: str, seconds: int
+) -> None:
+    context.clock.advance(1)
+    until = context.clock.now() + seconds
+    context.ledgers[name].refuse(make_traits(parts), until)
+
+
+@behave.when('an operator of VM "{name}" clears "{parts}"')
+def step_clear(context: typing.Any, name: str, parts: str) -> None:
+    context.clock.advance(1)
+    context.ledgers[name].clear(make_traits(parts))
+
+
 @behave.when('VM "{name}" receives the evidence {data}')
 def step_evidence(context: typing.Any, name: str, data: str) -> None:
     kind = siblings.EntryKind.CRASH
--- a/tests/laburnumstep_operator/commands.feature
+++ b/tests/laburnumstep_operator/commands.feature
@@ -102,6 +102,13 @@
       | refuses, crashes      | drain --vm vm-7                          | 1      | no VM accepted to drain vm-7  |
       | at 3                  | drain --vm vm-7 --target gang-1          | 2      | either --target or --vm       |
       | at 3                  | drain                                    | 2      | either --target or --vm       |
+      | at 3, at 3            | culprits                                 | 0      | traits: part:m:dead part:m:f  |
+      | at 3, down            | culprits                                 | 1      | the culprits are not known    |
+      | down, at 3            | culprits --refuse part:m:x               | 0      | traits: part:m:x              |
+      | down, at 3            | culprits --clear part:m:dead             | 0      | traits: none                  |
+      | refuses, crashes      | culprits --clear part:m:dead             | 1      | unauthorized: wrong key       |
+      | at 3                  | culprits --clear part:m:x --refuse request:1 | 2  | either --refuse or --clear    |
+      | at 3                  | culprits --clear dead                    | 2      | part:MODEL:ID                 |
       | at 3                  | status --key short                       | 2      | key is missing or shorter     |
       | at 3                  | status --key-file absent                 | 2      | --key-file                    |
 
--- a/tests/support/operators_interface.py
+++ b/tests/support/operators_interface.py
@@ -32,6 +32,9 @@
                 routing.Route('/v1/status', self._status),
                 routing.Route('/v1/decisions/{request}', self._decision),
                 routing.Route('/v1/drain', self._drain, methods=['POST']),
+                routing.Route(
+                    '/v1/culprits', self._culprits, methods=['GET', 'POST']
+                ),
             ]
         )
 
@@ -58,6 +61,18 @@
             self.drained.append(order)
         return answer
 
+    async def _culprits(self, request: requests.Request) -> responses.Response:
+        culprit = {
+            'traits': ['part:m:dead', 'part:m:f'],
+            'crashes': 2,
+            'last_crash_at': 0.0,
+            'refused_until': 0.0,
+        }
+        if request.method == 'POST':
+            order = json.loads(await request.body())
+            culprit['traits'] = order.get('refuse', ['none'])
+        return self._answer(request, {'culprits': [culprit]})
+
     def _answer(
         self, request: requests.Request, body: dict[str, typing.Any]
     ) -> responses.Response:
