Keep the crash reports behind refusals in the platform's store

Cause: evidence lives in the VMs' memory only. What must last has to be in the platform's store. The VM that owns a report writes it to a keyed topic when it explains a refusal, and removes it when it no longer does; a VM that starts reads the topic once. Other crashes are not written.

--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -7,6 +7,7 @@
 import typing
 
 from laburnumstep import core
+from laburnumstep import crash_archive
 from laburnumstep import crash_exchange
 from laburnumstep import load_sharing
 from laburnumstep import log
@@ -21,6 +22,9 @@
 SIBLING_KEY = ''
 """Key of sibling calls. The platform gives its VMs no common secret, so calls
 are not authenticated; only VMs of the deployment reach the port."""
+CRASH_TOPIC = 'status'
+"""Name of the keyed topic in which crash reports are stored. VMs may not write
+the other topics whose newest records are retained."""
 DEFAULT_VMS = 200
 """Assumed number of VMs as long as no sibling has been heard of. It exceeds
 the usual size of a deployment, so that shares of a common limit stay small."""
@@ -100,9 +104,21 @@
         self._topics[name] = topic
         return topic
 
-    def share_crashes(self, ledger: targets.CrashLedger) -> None:
-        """Exchange the evidence of a crash ledger with the siblings."""
+    def share_crashes(
+        self, ledger: targets.CrashLedger
+    ) -> crash_archive.CrashArchive:
+        """Exchange the evidence of a crash ledger with the siblings.
+
+        Returns:
+            The archive of the evidence in the store, which has to be run.
+        """
         crash_exchange.CrashExchange(ledger, self._membership)
+        store = _store.KeyedTopicClient(
+            self._settings.store_address, CRASH_TOPIC, self._clock
+        )
+        return crash_archive.CrashArchive(
+            ledger, store, self.owns, self._clock
+        )
 
     def owns(self, subject: str) -> bool:
         """Return whether this VM is the one that decides about a subject."""
--- a/packages/laburnumstep/src/laburnumstep/platform/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_store.py
@@ -25,7 +25,7 @@
 
 
 class KeyedTopicClient:
-    """Reads one keyed topic; implements `log.KeyedTopic`.
+    """Reads and writes one keyed topic; implements `log.KeyedTopic`.
 
     Args:
         address: IP address and port of the store.
@@ -105,18 +105,51 @@
             message = f'the store sent malformed records: {error!r}'
             raise log.TopicUnavailable(message) from error
 
+    async def append(
+        self, key: str, value: bytes | None, deadline: float
+    ) -> None:
+        """Set the value of a key; None removes it.
+
+        Args:
+            key: Key of the record, at most 255 bytes.
+            value: The value.
+            deadline: End of the call, in epoch seconds.
+
+        Raises:
+            TopicUnavailable: It is not known that the record was written.
+        """
+        name = key.encode()
+        content = bytes([len(name)]) + name + (value or b'')
+        body = _RECORD_LENGTH.pack(len(content)) + content
+        query = {'topic': self._topic, 'part': '0'}
+        status, _ = await self._send(
+            b'POST', 'log-append', query, body, deadline
+        )
+        if status != 200:
+            raise log.TopicUnavailable(f'the store answered {status}')
+
     async def _get(
         self, endpoint: str, query: dict[str, str], deadline: float
+    ) -> tuple[int, bytes]:
+        return await self._send(b'GET', endpoint, query, b'', deadline)
+
+    async def _send(
+        self,
+        method: bytes,
+        endpoint: str,
+        query: dict[str, str],
+        content: bytes,
+        deadline: float,
     ) -> tuple[int, bytes]:
         target = f'/v1/{endpoint}?{urllib.parse.urlencode(query)}'
-        head = transport.RequestHead(b'GET', target.encode(), _REQUEST_HEADERS)
+        head = transport.RequestHead(method, target.encode(), _REQUEST_HEADERS)
         try:
             connection = await self._pool.acquire(False, deadline)
         except transport.ConnectFailed as error:
             raise log.TopicUnavailable(str(error)) from error
         complete = False
         try:
-            await connection.send(head, b'', deadline)
+            await connection.send(head, content, deadline)
             response = await connection.read_head(deadline)
             body = await connection.read_body(MAX_PAGE_BYTES, deadline)
             complete = True
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -125,7 +125,7 @@
         self._fleet = _fleet.Fleet(
             settings, clock, self._metrics, self._registry
         )
-        self._fleet.share_crashes(self._crash_ledger)
+        self._crash_archive = self._fleet.share_crashes(self._crash_ledger)
         self._load_follower = targets.LoadFollower(
             _reports.ReportClients(self._server_client, self._registry),
             self._fleet_view,
@@ -198,6 +198,7 @@
                 tasks.start_soon(follower.run)
             tasks.start_soon(self._registry.run)
             tasks.start_soon(self._crashes.run)
+            tasks.start_soon(self._crash_archive.run)
             tasks.start_soon(self._fleet.run)
             tasks.start_soon(self._fleet.loads.run)
             tasks.start_soon(self._caller_server.run)
--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
@@ -77,6 +77,7 @@
         self._is_outdated = False
         self._probe_at: dict[_traits.Traits, float] = {}
         self._listeners: list[Listener] = []
+        self._change_listeners: list[typing.Callable[[], None]] = []
 
     @property
     def culprits(self) -> list[Culprit]:
@@ -94,6 +95,23 @@
         """Call a listener with the evidence that this VM observes."""
         self._listeners.append(listener)
 
+    def subscribe_changes(self, listener: typing.Callable[[], None]) -> None:
+        """Call a listener when evidence of any VM has arrived."""
+        self._change_listeners.append(listener)
+
+    def list_culprit_reports(self) -> list[_crashes.CrashReport]:
+        """Return the crash reports that culprits explain."""
+        self._update()
+        return [
+            report
+            for report in self._reports
+            if any(
+                culprit.traits <= request
+                for culprit in self._culprits
+                for request in report.requests
+            )
+        ]
+
     def record(self, evidence: _crashes.CrashEvidence) -> None:
         """Add evidence that this VM has observed, and pass it on."""
         self.merge(evidence)
@@ -126,6 +144,8 @@
             case _:
                 typing.assert_never(evidence)
         self._is_outdated = True
+        for listener in self._change_listeners:
+            listener()
 
     def refuse(self, traits: _traits.Traits, until: float) -> None:
         """Refuse requests with these traits by an operator's order.
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -38,16 +38,21 @@
         self.records: dict[str, list[tuple[str, bytes]]] = {
             'keyed.op': [],
             'keyed.servers': [],
+            'keyed.status': [],
         }
         self.first_offsets: dict[str, int] = {
             'keyed.op': 0,
             'keyed.servers': 0,
+            'keyed.status': 0,
         }
         self._changed = anyio.Event()
         self.app = applications.Starlette(
             routes=[
                 routing.Route('/v1/log-newest', self._serve_newest),
                 routing.Route('/v1/log-read', self._serve_read),
+                routing.Route(
+                    '/v1/log-append', self._serve_append, methods=['POST']
+                ),
             ]
         )
 
@@ -80,6 +85,19 @@
             {'items': items, 'hasMore': False, 'endOffset': len(records)}
         )
 
+    async def _serve_append(
+        self, request: requests.Request
+    ) -> responses.Response:
+        (length,) = _RECORD_LENGTH.unpack_from(await request.body())
+        content = (await request.body())[_RECORD_LENGTH.size :]
+        assert len(content) == length, content
+        key, value = content[1 : 1 + content[0]], content[1 + content[0] :]
+        topic = request.query_params['topic']
+        self.records[topic].append((key.decode(), value))
+        self._changed.set()
+        self._changed = anyio.Event()
+        return responses.JSONResponse({'offset': len(self.records[topic]) - 1})
+
     async def _serve_read(
         self, request: requests.Request
     ) -> responses.Response:
