Bound and check the evidence about crashes

Cleared traits and operators' orders were kept for ever; a report from before a clearance was stored again and counted after a restart; each VM logged the clearance of each other VM; and a time that is no number was accepted from a sibling: an order with the end Infinity could never be lifted. The row for Infinity failed before.

--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_codec.py
@@ -47,13 +47,17 @@
             typing.assert_never(evidence)
 
 
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f'{name} is no time')
+
+
 def decode_evidence(data: bytes) -> _crashes.CrashEvidence:
     """Return the evidence that JSON encodes.
 
     Raises:
         ValueError: The data encodes no evidence.
     """
-    match json.loads(data):
+    match json.loads(data, parse_constant=_refuse_constant):
         case {
             'target': str(target),
             'crashed_at': float(crashed_at) | int(crashed_at),
--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
@@ -103,15 +103,20 @@
         """Return the crash reports that culprits explain."""
         self._update()
         return [
-            report
-            for report in self._reports
-            if any(
-                culprit.traits <= request
-                for culprit in self._culprits
-                for request in report.requests
-            )
+            report for report in self._reports if self._is_explained(report)
         ]
 
+    def _is_explained(self, report: _crashes.CrashReport) -> bool:
+        requests = [
+            _culprits.drop_cleared(traits, report.crashed_at, self._cleared)
+            for traits in report.requests
+        ]
+        return any(
+            culprit.traits <= request
+            for culprit in self._culprits
+            for request in requests
+        )
+
     def record(self, evidence: _crashes.CrashEvidence) -> None:
         """Add evidence that this VM has observed, and pass it on."""
         self.merge(evidence)
@@ -130,10 +135,13 @@
             case _crashes.Clearance(trait, cleared_at):
                 known = self._cleared.get(trait, 0.0)
                 self._cleared[trait] = max(known, cleared_at)
-                _LOGGER.info(
-                    'trait cleared; trait=%s',
-                    _traits.describe_traits([trait]),
-                )
+                # Several VMs may observe it; one line is enough.
+                if trait in self._open:
+                    self._open.discard(trait)
+                    _LOGGER.info(
+                        'trait cleared; trait=%s',
+                        _traits.describe_traits([trait]),
+                    )
             case _crashes.OperatorRefusal(traits):
                 known_order = self._refusals.get(traits)
                 if (
@@ -249,10 +257,7 @@
         if not self._is_outdated:
             return
         self._is_outdated = False
-        oldest = self._clock.now() - EVIDENCE_SECONDS
-        for report in list(self._reports):
-            if report.crashed_at <= oldest:
-                del self._reports[report]
+        self._drop_expired()
         incidents = _culprits.group_incidents(self._reports, self._cleared)
         known = {culprit.traits: culprit for culprit in self._culprits}
         self._culprits = [
@@ -268,10 +273,28 @@
                 'culprit cleared; traits=%s',
                 _traits.describe_traits(culprit.traits),
             )
+            self._probe_at.pop(culprit.traits, None)
         self._open = self._list_open_traits(incidents)
         if self._metrics is not None:
             self._metrics.set_gauge('routing.culprits', len(self._culprits))
 
+    def _drop_expired(self) -> None:
+        """Drop evidence that no longer counts, so that none accumulates."""
+        oldest = self._clock.now() - EVIDENCE_SECONDS
+        self._reports = {
+            report: None
+            for report in self._reports
+            if report.crashed_at > oldest
+        }
+        self._cleared = {
+            trait: at for trait, at in self._cleared.items() if at > oldest
+        }
+        self._refusals = {
+            traits: order
+            for traits, order in self._refusals.items()
+            if max(order.refused_until, order.ordered_at) > oldest
+        }
+
     def _update_culprit(
         self, explanation: _culprits.Explanation, known: Culprit | None
     ) -> Culprit:
--- a/packages/laburnumstep/src/laburnumstep/targets/_culprits.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_culprits.py
@@ -81,7 +81,7 @@
     incidents: list[Incident] = []
     for report in sorted(reports, key=lambda item: item.crashed_at):
         requests = {
-            _drop_cleared(traits, report.crashed_at, cleared)
+            drop_cleared(traits, report.crashed_at, cleared)
             for traits in report.requests
         }
         found = _find_incident(incidents, report)
@@ -98,11 +98,19 @@
     return incidents
 
 
-def _drop_cleared(
+def drop_cleared(
     traits: _traits.Traits,
     crashed_at: float,
     cleared: typing.Mapping[_traits.Trait, float],
 ) -> _traits.Traits:
+    """Return the traits that no target has survived since a crash.
+
+    Args:
+        traits: Traits of a request that was on the target.
+        crashed_at: When the target crashed, in epoch seconds.
+        cleared: When a target last survived a request with the trait, in
+            epoch seconds.
+    """
     return frozenset(
         trait for trait in traits if cleared.get(trait, 0.0) < crashed_at
     )
--- a/tests/laburnumstep/targets/crashes.feature
+++ b/tests/laburnumstep/targets/crashes.feature
@@ -147,6 +147,8 @@
       | {"target": "e", "crashed_at": 1, "last_sent_at": 1, "traits": [], "requests": [[0]]}             |
       | {"target": "e", "crashed_at": 1, "last_sent_at": 1, "traits": [["part", "m"]], "requests": [[]]} |
       | {"target": "e", "crashed_at": 1, "last_sent_at": 1, "traits": [], "requests": [1]}               |
+      | {"target": "e", "crashed_at": NaN, "last_sent_at": 1, "traits": [], "requests": []}              |
+      | {"refused": [["part", "m", "f"]], "refused_until": Infinity, "ordered_at": 1}                    |
       | not JSON                                                                                         |
 
   Scenario Outline: Only a target that refuses connections has crashed
