--- a/packages/laburnumstep/src/laburnumstep/operators/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/operators/_codec.py
@@ -76,10 +76,7 @@
     Raises:
         CodedError: `bad_request` if the body is not a valid order.
     """
-    try:
-        data = core.load_json(body, 'body')
-    except core.FindingsError as error:
-        raise _bad_request(str(error)) from error
+    data = _load_body(body)
     if not isinstance(data, dict) or len(data) != 1:
         raise _bad_request('the body must have either "target" or "vm"')
     field, name = next(iter(data.items()))
@@ -108,16 +105,14 @@
     Raises:
         CodedError: `bad_request` if the body is not a valid order.
     """
-    try:
-        data = core.load_json(body, 'body')
-    except core.FindingsError as error:
-        raise _bad_request(str(error)) from error
-    match data:
-        case {'refuse': list(texts), 'until': float(until) | int(until)} if (
-            len(data) == 2
-        ):
+    match _load_body(body):
+        case {
+            'refuse': list(texts),
+            'until': float(until) | int(until),
+            **rest,
+        } if not rest:
             return _records.RefuseTraits(_parse_traits(texts), float(until))
-        case {'clear': list(texts)} if len(data) == 1:
+        case {'clear': list(texts), **rest} if not rest:
             return _records.ClearTraits(_parse_traits(texts))
         case _:
             raise _bad_request(
@@ -125,6 +120,13 @@
             )
 
 
+def _load_body(body: bytes) -> typing.Any:
+    try:
+        return core.load_json(body, 'body')
+    except core.FindingsError as error:
+        raise _bad_request(str(error)) from error
+
+
 def _parse_traits(texts: list[typing.Any]) -> targets.Traits:
     if not 0 < len(texts) <= MAX_TRAITS:
         raise _bad_request(f'1 to {MAX_TRAITS} traits must be given')
--- a/tests/support/crashing_engine.py
+++ b/tests/support/crashing_engine.py
@@ -9,6 +9,8 @@
 import anyio.abc
 import h11
 
+from support import listening
+
 EVENTS = 3
 """Number of events in an answer."""
 LATE_PART = 'late'
@@ -53,9 +55,7 @@
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until the engine crashes."""
-        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-        host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
-        self.address = f'{host}:{port}'
+        listener, self.address = await listening.listen()
         async with anyio.create_task_group() as connections:
             with self._listening:
                 async with listener:
--- a/tests/support/scripted_server.py
+++ b/tests/support/scripted_server.py
@@ -10,6 +10,8 @@
 import anyio
 import anyio.abc
 
+from support import listening
+
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -33,9 +35,7 @@
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled."""
-        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-        host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
-        self.address = f'{host}:{port}'
+        listener, self.address = await listening.listen()
         async with listener:
             task_status.started()
             await listener.serve(self._serve_connection)
