Refuse requests whose culprit is found while they wait for capacity

Found in review: a request was compared with the culprits once, when it arrived. On crowded engines it may wait for seconds, and it was then sent to a target although the part that it has in common with others had been found. Both fronts compare it again when it is admitted, and release its dispatch. A request that tries a culprit whose refusal has ended is still sent.

Red before: 2 of 4 rows of 'callers/crash_refusals.feature'.

--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -90,6 +90,9 @@
         )
         match result:
             case _admission_queue.Admitted():
+                _crash_refusals.check_send(
+                    self._state, str(request.key), traits, result.send
+                )
                 self._record_decision(request, result.placed)
                 return EnginePlacement(self._state, result.send, traits)
             case _admission_queue.Shed(code, resend_at):
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -318,6 +318,9 @@
         )
         match result:
             case _admission_queue.Admitted(send=send):
+                _crash_refusals.check_send(
+                    self._state, request.key, request.traits, send
+                )
                 return self._make_placement(request, send)
             case _admission_queue.Shed(resend_at=resend_at):
                 raise _refuse(request, 'no engine has capacity', resend_at)
