Ask membership who owns a subject in one place

Found when reading the change once more: both fronts compared the owner of a subject with their own name; Membership.owns serves both. Three exports of targets had no user outside the package. The engine stand-in that speaks the platform's wire is named for it.

--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -117,12 +117,12 @@
             self._settings.store_address, CRASH_TOPIC, self._clock
         )
         return crash_archive.CrashArchive(
-            ledger, store, self.owns, self._clock
+            ledger, store, self._membership.owns, self._clock
         )
 
     def owns(self, subject: str) -> bool:
         """Return whether this VM is the one that decides about a subject."""
-        return self._membership.choose_owner(subject) == self._settings.name
+        return self._membership.owns(subject)
 
     def announce_stopping(self) -> None:
         """Announce to the siblings that this VM accepts no new work."""
--- a/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
@@ -126,6 +126,10 @@
         """
         return self._roster.choose_owner(subject)
 
+    def owns(self, subject: str) -> bool:
+        """Return whether this VM is the live VM that owns a subject."""
+        return self.choose_owner(subject) == self._name
+
     def count_sharing_vms(self, assumed: int) -> int:
         """Return the number of VMs that share the limits of the deployment.
 
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -86,17 +86,14 @@
 from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
 from laburnumstep.targets._subset import limit_engines
-from laburnumstep.targets._traits import decode_trait
 from laburnumstep.targets._traits import describe_traits
 from laburnumstep.targets._traits import digest_fields
 from laburnumstep.targets._traits import digest_traits
-from laburnumstep.targets._traits import encode_trait
 from laburnumstep.targets._traits import fingerprint_call
 from laburnumstep.targets._traits import fingerprint_generation
 from laburnumstep.targets._traits import list_generation_traits
 from laburnumstep.targets._traits import list_part_traits
 from laburnumstep.targets._traits import parse_trait
-from laburnumstep.targets._traits import PromptPart
 from laburnumstep.targets._traits import Trait
 from laburnumstep.targets._traits import Traits
 from laburnumstep.targets._traits import WholeRequest
@@ -156,7 +153,6 @@
     'PlacementResult',
     'Preempted',
     'PrefixHints',
-    'PromptPart',
     'ReadPacer',
     'ReplyLost',
     'Retry',
@@ -186,14 +182,12 @@
     'decide_retry',
     'decode_evidence',
     'decode_lengths',
-    'decode_trait',
     'describe_traits',
     'digest_fields',
     'digest_prefixes',
     'digest_traits',
     'encode_evidence',
     'encode_lengths',
-    'encode_trait',
     'fingerprint_call',
     'fingerprint_generation',
     'limit_engines',
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -212,7 +212,11 @@
     def _build_state(self) -> callers.RoutingState:
         clock = self._clock
         view = targets.FleetView(clock, self._settings.vm.data_centre)
-        ledger = targets.CrashLedger(clock, self._metrics, self._owns)
+        ledger = targets.CrashLedger(
+            clock,
+            self._metrics,
+            lambda subject: self._membership.owns(subject),
+        )
         return callers.RoutingState(
             clock,
             view,
@@ -230,10 +234,6 @@
             self._metrics,
         )
 
-    def _owns(self, subject: str) -> bool:
-        owner = self._membership.choose_owner(subject)
-        return owner == self._settings.vm.name
-
     def _build_claims(self) -> log.ClaimStore:
         name = self._settings.vm.name
         forwarder = claim_forwarding.SiblingClaims(
--- a/tests/laburnumstep/platform/steps/crashes_steps.py
+++ b/tests/laburnumstep/platform/steps/crashes_steps.py
@@ -9,8 +9,8 @@
 import behave
 
 from support import clocks
-from support import crashing_engine
 from support import hooks
+from support import platform_engine
 from support import platform_harness
 
 
@@ -36,7 +36,7 @@
 ) -> platform_harness.PlatformHarness:
     return platform_harness.PlatformHarness(
         [
-            crashing_engine.CrashingEngine(f'e-{number}', part)
+            platform_engine.CrashingEngine(f'e-{number}', part)
             for number in range(count)
         ]
     )
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -20,7 +20,7 @@
 from laburnumstep import platform
 from laburnumstep.platform import _settings
 from laburnumstep import transport
-from support import crashing_engine
+from support import platform_engine
 
 HOST = 'app.example'
 KEY = 'key-1'
@@ -258,7 +258,7 @@
     """
 
     def __init__(
-        self, engines: typing.Sequence[crashing_engine.CrashingEngine] = ()
+        self, engines: typing.Sequence[platform_engine.CrashingEngine] = ()
     ) -> None:
         self.store = FakeStore()
         self.server = FakeServer('i-1')
