Log the limits that targets name

Nothing read the header, so a log could not tell whether a limit was known to a VM. Answers and load reports are decoded into one of three words, and each VM remembers the last limit of a target and logs when it begins, changes or ends; nothing acts on it yet. A value that cannot be read is logged and changes nothing; rates are bounded.

--- a/packages/laburnumstep/src/laburnumstep/platform/_headers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_headers.py
@@ -22,6 +22,8 @@
 """Present if the target did not run the request."""
 SIGNATURE = b'response-stamp'
 """Message authentication code that the target adds to its answer."""
+REQUEST_LIMIT = b'server-limit'
+"""Requests a second that the target takes from all VMs together."""
 RETRY_AFTER = b'retry-after'
 """Seconds, possibly with a fraction, until the caller may resend."""
 MODEL = b'model'
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -9,6 +9,7 @@
 from laburnumstep.platform import _events
 from laburnumstep.platform import _headers
 from laburnumstep import targets
+from laburnumstep.targets import limits
 from laburnumstep.targets import relay
 from laburnumstep import transport
 
@@ -32,6 +33,7 @@
 """Age of a load report when it arrives, in seconds."""
 _LOWEST_PRIORITY = 9
 _MULTIPLE_CHOICES = 300
+_MISDIRECTED_REQUEST = 421
 _EVENT_STREAM = b'text/event-stream'
 
 _LOGGER = core.get_logger('platform')
@@ -44,15 +46,18 @@
         clock: Source of the current time.
         get_tokens_per_event: Returns the number of tokens in one event of
             a service.
+        target_limits: Receives the limits that servers name.
     """
 
     def __init__(
         self,
         clock: core.Clock,
         get_tokens_per_event: typing.Callable[[str], int],
+        target_limits: limits.TargetLimits,
     ) -> None:
         self._clock = clock
         self._get_tokens_per_event = get_tokens_per_event
+        self._target_limits = target_limits
         self._pools: dict[str, transport.ConnectionPool] = {}
 
     async def send(self, attempt: relay.Attempt) -> relay.Reply:
@@ -74,8 +79,11 @@
         intact = False
         try:
             head = self._encode_head(attempt)
+            sent_at = self._clock.now()
             await connection.send(head, attempt.request.body, attempt.deadline)
             response = await connection.read_head(attempt.deadline)
+            if _is_own_answer(attempt, connection, response):
+                self._record_limit(attempt.target, response, sent_at)
             reply = await self._read_reply(attempt, connection, response)
             intact = not isinstance(reply, relay.Lost)
             return reply
@@ -254,8 +262,10 @@
                     (b'Content-Type', b'application/json'),
                 ],
             )
+            sent_at = self._clock.now()
             await connection.send(head, body, deadline)
             response = await connection.read_head(deadline)
+            self._record_limit(target, response, sent_at)
             content = await connection.read_body(MAX_RESPONSE_BYTES, deadline)
             complete = True
         finally:
@@ -313,15 +323,9 @@
         connection: transport.HttpConnection,
         response: transport.ResponseHead,
     ) -> relay.Reply:
-        refused = response.find(_headers.NOT_EXECUTED) is not None
-        echoed = response.find(_headers.REQUEST_ID)
-        # Only the first answer on a connection cannot be a repetition of an
-        # earlier one, so only there may a refusal lack the ID.
-        if echoed is None and refused and not connection.was_reused:
-            return await self._read_refusal(attempt, connection, response)
-        if (echoed or b'').decode('latin-1') != attempt.request.key:
+        if not _is_own_answer(attempt, connection, response):
             return relay.Lost('the answer has the ID of another request')
-        if refused:
+        if response.find(_headers.NOT_EXECUTED) is not None:
             return await self._read_refusal(attempt, connection, response)
         if response.find(b'content-encoding') is not None:
             return relay.Lost('the answer has a content encoding')
@@ -335,6 +339,24 @@
         self._release_connection(attempt.target, connection, response)
         return relay.Answered(response.status, headers, body)
 
+    def _record_limit(
+        self,
+        target: core.Target,
+        response: transport.ResponseHead,
+        sent_at: float,
+    ) -> None:
+        # A server that has taken over the address speaks for itself.
+        if response.status == _MISDIRECTED_REQUEST:
+            return
+        word = limits.parse_limit(
+            [
+                value.decode('latin-1')
+                for name, value in response.headers
+                if name == _headers.REQUEST_LIMIT
+            ]
+        )
+        self._target_limits.record_answer(target.name, word, sent_at)
+
     async def _read_refusal(
         self,
         attempt: relay.Attempt,
@@ -381,6 +403,21 @@
         pool.release(connection, self._clock.now() + seconds)
 
 
+def _is_own_answer(
+    attempt: relay.Attempt,
+    connection: transport.HttpConnection,
+    response: transport.ResponseHead,
+) -> bool:
+    """Return whether an answer belongs to the request of an attempt."""
+    echoed = response.find(_headers.REQUEST_ID)
+    refused = response.find(_headers.NOT_EXECUTED) is not None
+    # Only the first answer on a connection cannot be a repetition of an
+    # earlier one, so only there may a refusal lack the ID.
+    if echoed is None and refused and not connection.was_reused:
+        return True
+    return (echoed or b'').decode('latin-1') == attempt.request.key
+
+
 def _is_stream(
     request: relay.RelayRequest, response: transport.ResponseHead
 ) -> bool:
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -22,6 +22,7 @@
 from laburnumstep.platform import _servers
 from laburnumstep.platform import _settings
 from laburnumstep import targets
+from laburnumstep.targets import limits
 from laburnumstep.targets import relay
 from laburnumstep import transport
 
@@ -109,8 +110,9 @@
         self._active_routes = callers.ActiveRoutes()
         self._gate = callers.RequestGate(clock)
         self._running_streams = relay.RunningStreams()
+        self._target_limits = limits.TargetLimits(clock, self._metrics)
         self._server_client = _servers.ServerClient(
-            clock, self._get_tokens_per_event
+            clock, self._get_tokens_per_event, self._target_limits
         )
         self._services: _configuration.Services = {}
         self._registry = targets.TargetRegistry(
--- a/tests/laburnumstep/platform/steps/answers_steps.py
+++ b/tests/laburnumstep/platform/steps/answers_steps.py
@@ -11,6 +11,7 @@
 
 from laburnumstep import core
 from laburnumstep.platform import _servers
+from laburnumstep.targets import limits
 from laburnumstep.targets import relay
 from support import clocks
 from support import hooks
@@ -77,7 +78,11 @@
 ) -> str:
     """Send requests one after the other and describe the last reply."""
     clock = core.SystemClock()
-    client = _servers.ServerClient(clock, lambda service: 1)
+    client = _servers.ServerClient(
+        clock,
+        lambda service: 1,
+        limits.TargetLimits(clock, core.Metrics(None, '')),
+    )
     target = attrs.evolve(relay_fakes.make_target('a'), address=server.address)
     description = ''
     for key in keys:
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -19,6 +19,7 @@
 from laburnumstep.platform import _events
 from laburnumstep.platform import _servers
 from laburnumstep import targets
+from laburnumstep.targets import limits
 from laburnumstep.targets import relay
 from laburnumstep import transport
 from support import clocks
@@ -247,7 +248,11 @@
         target = core.EngineTarget(
             'i-1', 'lima-1', listening.address, ['app/m'], 1000, False
         )
-        client = _servers.ServerClient(clock, lambda service: 1)
+        client = _servers.ServerClient(
+            clock,
+            lambda service: 1,
+            limits.TargetLimits(clock, core.Metrics(None, '')),
+        )
         try:
             report = await client.read_report(target, clock.now() + 5.0)
         except targets.MalformedStream as error:
