Keep to the limits of targets on the product's own front, too

The product's own VMs had the same gap: engines and services of their protocol could not name a limit, and nothing would have kept to it. They name it in the header Request-Limit; the same knowledge, permits and gate serve both fronts. Generations pass the gate when they are placed, operations before each send; an operation that is held back releases its claim and is refused as not run. The stand-ins of engines and services name a limit on request.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_app.py
@@ -50,7 +50,7 @@
             config or _config.EngineConfig(),
             exit_process or (lambda: None),
         )
-        self.app: types.ASGIApp = applications.Starlette(
+        app = applications.Starlette(
             routes=[
                 self._route('POST', '/v1/generations', self._start),
                 self._route(
@@ -66,6 +66,9 @@
                 self._route('POST', '/control', self._control),
             ]
         )
+        self.app: types.ASGIApp = faults.LimitHeader(
+            app, lambda: self._engine.faults.request_limit
+        )
         """The ASGI application."""
 
     @property
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_config.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/engine/_config.py
@@ -97,6 +97,8 @@
     """Position at which each generation fails for lack of memory."""
     duplicate_last_token: bool = False
     """Writes the last token of each generation twice."""
+    request_limit: float | None = None
+    """Requests a second that the engine names as its limit in each answer."""
     reclaim_at: float | None = None
     """Time of the reclaim, in epoch seconds, which ends the engine.
 
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/service/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/service/_app.py
@@ -18,6 +18,8 @@
 if typing.TYPE_CHECKING:
     import collections.abc
 
+    from starlette import types
+
 DEFAULT_READS = frozenset({'balance', 'roster'})
 """Names of operations without an effect."""
 
@@ -51,7 +53,7 @@
         self._crash = crash
         self._arrived = anyio.Event()
         self._released = anyio.Event()
-        self.app = applications.Starlette(
+        app = applications.Starlette(
             routes=[
                 routing.Route(
                     '/v1/operations/{operation}',
@@ -63,6 +65,9 @@
                 routing.Route('/control', self._control, methods=['POST']),
             ]
         )
+        self.app: types.ASGIApp = faults.LimitHeader(
+            app, lambda: self.faults.request_limit
+        )
         """The ASGI application."""
 
     def set_faults(self, **changes: typing.Any) -> None:
--- a/packages/laburnumstep-standins/src/laburnumstep_standins/service/_ledger.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/service/_ledger.py
@@ -20,6 +20,8 @@
     """Stops operations before their effect until this is reset."""
     crash_on: str | None = None
     """Value of the payload field `note` that crashes the service."""
+    request_limit: float | None = None
+    """Requests a second that the service names as its limit in each answer."""
     hide_postings: bool = False
     """Responds to outcome queries as if there were no postings."""
 
--- a/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_engine_placer.py
@@ -15,6 +15,7 @@
 if typing.TYPE_CHECKING:
     from laburnumstep.callers import _admission
     from laburnumstep.callers import _limits
+    from laburnumstep.targets import limits
 
 EJECTION_SECONDS = 5.0
 """Time for which a failed engine is ejected, in seconds."""
@@ -57,6 +58,7 @@
         state: State of this VM for routing decisions.
         admission: Queues generations until an engine has capacity.
         record: Records decisions for operators.
+        gate: Lets generations on engines with a limit pass.
     """
 
     def __init__(
@@ -64,10 +66,12 @@
         state: RoutingState,
         admission: _admission.Admission,
         record: typing.Callable[[operators.Decision], None],
+        gate: limits.PermitGate,
     ) -> None:
         self._state = state
         self._admission = admission
         self._record = record
+        self._gate = gate
 
     async def place(
         self, request: core.Generation, excluded: frozenset[str]
@@ -85,6 +89,23 @@
         _crash_refusals.check(self._state, str(request.key), traits)
         if not excluded:
             self._state.budget.record_request(self._state.clock.now())
+        while True:
+            admitted = await self._admit(request, excluded, traits)
+            if await self._may_send(request, admitted):
+                self._record_decision(request, admitted.placed)
+                return EnginePlacement(self._state, admitted.send, traits)
+
+    async def _admit(
+        self,
+        request: core.Generation,
+        excluded: frozenset[str],
+        traits: targets.Traits,
+    ) -> _admission_queue.Admitted:
+        """Wait for capacity on an engine.
+
+        Raises:
+            CodedError: The request is shed, or no engine serves it.
+        """
         result = await self._admission.admit(
             self._make_admission_request(request, excluded, traits)
         )
@@ -93,8 +114,7 @@
                 _crash_refusals.check_send(
                     self._state, str(request.key), traits, result.send
                 )
-                self._record_decision(request, result.placed)
-                return EnginePlacement(self._state, result.send, traits)
+                return result
             case _admission_queue.Shed(code, resend_at):
                 self._state.metrics.count('routing.shed')
                 raise core.CodedError(
@@ -106,6 +126,31 @@
             case _:
                 typing.assert_never(result)
 
+    async def _may_send(
+        self, request: core.Generation, admitted: _admission_queue.Admitted
+    ) -> bool:
+        """Return whether the engine takes the request now.
+
+        If not, its capacity is released and it gets no request for a while.
+        """
+        target = admitted.send.target
+        passed = False
+        try:
+            withheld = await self._gate.acquire(target)
+            passed = withheld is None
+        finally:
+            if not passed:
+                self._admission.release(admitted)
+        if withheld is not None:
+            _LOGGER.info(
+                'held back request=%s target=%s until=%.3f',
+                request.key,
+                target,
+                withheld.until,
+            )
+            self._state.view.set_held(target, withheld.until)
+        return passed
+
     def attach(self, target: str, generation: str) -> EnginePlacement:
         """Return the placement of a generation that another VM started.
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -80,6 +80,7 @@
         self._clock = clock
         self._metrics_page = core.MetricsPage()
         self._metrics = core.Metrics(None, '', self._metrics_page)
+        self._target_limits = limits.TargetLimits(clock, self._metrics)
         self._fleet_view = targets.FleetView(clock, settings.data_centre)
         length_estimator = targets.LengthEstimator()
         self._admission = callers.Admission(
@@ -103,14 +104,13 @@
             targets.RetryBudget(),
             self._crash_ledger,
             callers.WorkspaceLimits(clock),
-            targets.EngineClients(),
+            targets.EngineClients(self._target_limits),
             self._crashes,
             self._metrics,
         )
         self._active_routes = callers.ActiveRoutes()
         self._gate = callers.RequestGate(clock)
         self._running_streams = relay.RunningStreams()
-        self._target_limits = limits.TargetLimits(clock, self._metrics)
         self._server_client = _servers.ServerClient(
             clock, self._get_tokens_per_event, self._target_limits
         )
--- a/packages/laburnumstep/src/laburnumstep/services.py
+++ b/packages/laburnumstep/src/laburnumstep/services.py
@@ -153,11 +153,15 @@
             raise error.with_outcome(core.Outcome.UNKNOWN) from error
         self._state.budget.record_request(self._state.clock.now())
         try:
-            ordered = self._order_targets(deployment, call.service)
+            ordered, available_at = self._order_targets(
+                deployment, call.service
+            )
             self._record_call_decision(
                 call, [target.name for target in ordered]
             )
-            return await self._calls.run(call, operation, ordered)
+            return await self._calls.run(
+                call, operation, ordered, available_at
+            )
         finally:
             self._state.limits.end(call.workspace)
 
@@ -231,8 +235,13 @@
 
     def _order_targets(
         self, deployment: core.Deployment, service: str
-    ) -> list[core.ServiceTarget]:
-        """Return the targets of a service, the preferred one first."""
+    ) -> tuple[list[core.ServiceTarget], float | None]:
+        """Return the targets of a service, the preferred one first.
+
+        Returns:
+            The targets, and when one of the others can take a call, in epoch
+            seconds, if that is known.
+        """
         chosen: list[core.ServiceTarget] = []
         excluded: frozenset[str] = frozenset()
         while True:
@@ -245,8 +254,10 @@
                     if isinstance(declared, core.ServiceTarget):
                         chosen.append(declared)
                     excluded |= {name}
-                case targets.NoRoom() | targets.NoTarget():
-                    return chosen
+                case targets.NoRoom(retry_at=available_at):
+                    return chosen, available_at
+                case targets.NoTarget():
+                    return chosen, None
                 case _:
                     typing.assert_never(placement)
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -4,6 +4,7 @@
 
 import json
 import secrets
+import time
 import typing
 
 import attrs
@@ -21,6 +22,9 @@
 """Maximum number of connections to one engine; each stream uses one."""
 _ID_BYTES = 10
 
+RecordHeaders = typing.Callable[[dict[str, str], float], None]
+"""Called with the headers of an answer, by name in lower case, and when its
+request was sent, in epoch seconds."""
 Deliver = typing.Callable[[_engine_events.EngineEvent], typing.Awaitable[None]]
 
 
@@ -67,10 +71,17 @@
         address: IP number and port of the engine.
         pacer: Computes the pause between reads from the number of streams
             of this process.
+        record_headers: Receives the headers of each answer.
     """
 
-    def __init__(self, address: str, pacer: _coalescing.ReadPacer) -> None:
+    def __init__(
+        self,
+        address: str,
+        pacer: _coalescing.ReadPacer,
+        record_headers: RecordHeaders,
+    ) -> None:
         self._pacer = pacer
+        self._record_headers = record_headers
         # Short requests have a separate pool: httpcore iterates over all
         # connections of a pool for each request.
         self._http = transport.JsonClient(address)
@@ -186,10 +197,13 @@
     async def _request(
         self, method: str, path: str, deadline: float
     ) -> transport.JsonResponse:
+        sent_at = time.time()
         try:
-            return await self._http.request(method, path, deadline)
+            reply = await self._http.request(method, path, deadline)
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
             raise StreamBroken(str(error)) from error
+        self._record_headers(reply.headers, sent_at)
+        return reply
 
     async def _stream_events(
         self,
@@ -202,6 +216,7 @@
         url = f'http://{self._http.address}{path}'
         timeouts = transport.timeouts_until(idle_deadline)
         self._pacer.add_stream()
+        sent_at = time.time()
         try:
             async with self._streams.stream(
                 method,
@@ -210,6 +225,8 @@
                 content=content,
                 extensions={'timeout': timeouts},
             ) as response:
+                headers = transport.join_headers(response.headers)
+                self._record_headers(headers, sent_at)
                 await self._read_events(response, deliver)
         except httpcore.ConnectError as error:
             raise NotStarted(f'refused: {error}') from error
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_clients.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_clients.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import functools
+import typing
+
 from laburnumstep import core
 from laburnumstep.targets import _coalescing
 from laburnumstep.targets import _engine_client
 
+if typing.TYPE_CHECKING:
+    from laburnumstep.targets import limits
+
 
 class EngineClients:
-    """Creates and caches a client for each declared engine."""
+    """Creates and caches a client for each declared engine.
+
+    Args:
+        target_limits: Receives the limits that engines name.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, target_limits: limits.TargetLimits) -> None:
+        self._target_limits = target_limits
         self._pacer = _coalescing.ReadPacer()
         self._clients: dict[str, _engine_client.EngineClient] = {}
         self._addresses: dict[str, str] = {}
@@ -36,7 +47,9 @@
         client = self._clients.get(target)
         if client is None and target in self._addresses:
             client = _engine_client.EngineClient(
-                self._addresses[target], self._pacer
+                self._addresses[target],
+                self._pacer,
+                functools.partial(self._target_limits.record_header, target),
             )
             self._clients[target] = client
         return client
--- a/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_calls.py
@@ -15,6 +15,9 @@
 from laburnumstep.targets import _service_client
 from laburnumstep.targets import _traits
 
+if typing.TYPE_CHECKING:
+    from laburnumstep.targets import limits
+
 _LOGGER = core.get_logger('targets')
 _DIGEST_CHARACTERS = 12
 """Length of the fingerprint in a claim. It is short because every claim is
@@ -75,6 +78,8 @@
         clients: Clients of the services' servers.
         claims: Records of claimed request keys.
         budget: Limits the retries.
+        gate: Lets operations on servers with a limit pass.
+        hold: Called with a server that takes no more, and until when.
         clock: Clock for deadlines.
         metrics: Counts the results.
     """
@@ -84,12 +89,16 @@
         clients: _service_client.ServiceClients,
         claims: ClaimStore,
         budget: RetryAllowance,
+        gate: limits.PermitGate,
+        hold: typing.Callable[[str, float], None],
         clock: core.Clock,
         metrics: core.Metrics,
     ) -> None:
         self._clients = clients
         self._claims = claims
         self._budget = budget
+        self._gate = gate
+        self._hold = hold
         self._clock = clock
         self._metrics = metrics
 
@@ -98,6 +107,7 @@
         call: core.ServiceCall,
         operation: core.Operation,
         targets: list[core.ServiceTarget],
+        available_at: float | None = None,
     ) -> core.CallResult:
         """Run one operation and return its result.
 
@@ -105,6 +115,8 @@
             call: The operation with its key, payload and deadline.
             operation: Properties of the operation in the configuration.
             targets: Servers to try, best first.
+            available_at: When a server can take the operation if none can
+                now, in epoch seconds; None if that is not known.
 
         Raises:
             CodedError: The operation failed; the error has the outcome as
@@ -118,6 +130,7 @@
                 # operation.
                 core.Outcome.UNKNOWN,
                 resend=True,
+                resend_at=available_at,
             )
         if operation.idempotent:
             answer = await self._send(call, targets, repeatable=True)
@@ -169,7 +182,11 @@
                 return await self._query_outcome(
                     claim, call, operation, targets
                 )
-            case _service_client.NotStarted() | _service_client.NotReached():
+            case (
+                _service_client.NotStarted()
+                | _service_client.NotReached()
+                | _service_client.Held()
+            ):
                 self._claims.release(claim)
             case _:
                 typing.assert_never(answer)
@@ -191,7 +208,7 @@
         if operation.outcome_query:
             until = now + _QUERY_SECONDS
             for target in targets:
-                client = self._clients.find(target.address)
+                client = self._clients.find(target)
                 result = await client.query_outcome(call.key, until)
                 if result is not None:
                     self._claims.settle(claim, result)
@@ -225,16 +242,25 @@
         answer: _service_client.ServiceAnswer = _service_client.NotReached(
             'the deadline passed before the operation was sent'
         )
+        sends = 0
         for index, target in enumerate(targets):
+            withheld = await self._gate.acquire(target.name)
             now = self._clock.now()
             if now >= call.deadline:
                 break
-            if index > 0 and not self._budget.try_spend(now):
+            if withheld is not None:
+                self._hold(target.name, withheld.until)
+                if not sends:
+                    answer = _service_client.Held(withheld.until)
+                _log_answer(call, target, answer, targets[index + 1 :])
+                continue
+            if sends > 0 and not self._budget.try_spend(now):
                 break
+            sends += 1
             targets_left = len(targets) - index - 1
             targets_left = targets_left if repeatable else 0
             until = _bounds.bound_attempt(now, call.deadline, targets_left)
-            client = self._clients.find(target.address)
+            client = self._clients.find(target)
             answer = await client.call(call, until)
             _log_answer(call, target, answer, targets[index + 1 :])
             match answer:
@@ -256,6 +282,7 @@
         """
         self._metrics.count(f'calls.{type(answer).__name__.lower()}')
         expired = self._clock.now() >= call.deadline
+        resend_at = None
         match answer:
             case _service_client.Answered():
                 return answer.result
@@ -265,6 +292,10 @@
             case _service_client.NotStarted():
                 code = core.ErrorCode.OVERLOADED
                 outcome = core.Outcome.NOT_RUN
+            case _service_client.Held():
+                code = core.ErrorCode.OVERLOADED
+                outcome = core.Outcome.NOT_RUN
+                resend_at = answer.until
             case _service_client.NotReached():
                 code = core.ErrorCode.NO_TARGET
                 outcome = core.Outcome.NOT_RUN
@@ -272,7 +303,9 @@
                 typing.assert_never(answer)
         if expired:
             code = core.ErrorCode.DEADLINE_EXCEEDED
-        raise core.CodedError(code, answer.reason, outcome, resend=not expired)
+        raise core.CodedError(
+            code, answer.reason, outcome, not expired, resend_at
+        )
 
 
 def _replay_answer(settled: log.Settled) -> core.CallResult:
--- a/packages/laburnumstep/src/laburnumstep/targets/_service_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_client.py
@@ -8,6 +8,7 @@
 import attrs
 
 from laburnumstep import core
+from laburnumstep.targets import limits
 from laburnumstep import transport
 
 _NOT_STARTED_STATUS = 503
@@ -45,18 +46,38 @@
     """Why there is no connection."""
 
 
-ServiceAnswer = Answered | NotStarted | ReplyLost | NotReached
+@attrs.frozen
+class Held:
+    """The operation was not sent, because the server takes no more for now."""
+
+    until: float
+    """When the server may take another one, in epoch seconds."""
+    reason: str = 'the limit that the server names is used up'
+    """Why it was not sent."""
+
+
+ServiceAnswer = Answered | NotStarted | ReplyLost | NotReached | Held
 
 
 class ServiceClient:
     """Sends operations to one server of a plain service.
 
     Args:
-        address: IP number and port of the server.
+        target: The server.
+        target_limits: Receives the limits that the server names.
+        clock: Clock of the answers.
     """
 
-    def __init__(self, address: str) -> None:
-        self._http = transport.JsonClient(address)
+    def __init__(
+        self,
+        target: core.ServiceTarget,
+        target_limits: limits.TargetLimits,
+        clock: core.Clock,
+    ) -> None:
+        self._name = target.name
+        self._target_limits = target_limits
+        self._clock = clock
+        self._http = transport.JsonClient(target.address)
 
     async def call(
         self, call: core.ServiceCall, deadline: float
@@ -69,6 +90,7 @@
         """
         name = urllib.parse.quote(call.operation, safe='')
         headers = {'Idempotency-Key': str(call.key)}
+        sent_at = self._clock.now()
         try:
             reply = await self._http.request(
                 'POST',
@@ -81,6 +103,7 @@
             return NotReached(str(error))
         except transport.ExchangeFailed as error:
             return ReplyLost(str(error))
+        self._target_limits.record_header(self._name, reply.headers, sent_at)
         if reply.status != _NOT_STARTED_STATUS:
             return Answered(core.CallResult(reply.status, reply.body))
         if _is_not_started(reply.body):
@@ -122,16 +145,28 @@
 
 
 class ServiceClients:
-    """Clients by address, created at their first use."""
+    """Clients by server, created at their first use.
 
-    def __init__(self) -> None:
-        self._clients: dict[str, ServiceClient] = {}
+    Args:
+        target_limits: Receives the limits that servers name.
+        clock: Clock of the answers.
+    """
 
-    def find(self, address: str) -> ServiceClient:
-        """Return the client of an address."""
-        client = self._clients.get(address)
+    def __init__(
+        self, target_limits: limits.TargetLimits, clock: core.Clock
+    ) -> None:
+        self._target_limits = target_limits
+        self._clock = clock
+        self._clients: dict[tuple[str, str], ServiceClient] = {}
+
+    def find(self, target: core.ServiceTarget) -> ServiceClient:
+        """Return the client of a server."""
+        key = (target.name, target.address)
+        client = self._clients.get(key)
         if client is None:
-            client = self._clients[address] = ServiceClient(address)
+            client = self._clients[key] = ServiceClient(
+                target, self._target_limits, self._clock
+            )
         return client
 
     async def close(self) -> None:
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/__init__.py
@@ -18,6 +18,7 @@
 from laburnumstep.targets.limits._permits import PermitSource
 from laburnumstep.targets.limits._permits import Unanswered
 from laburnumstep.targets.limits._permits import Withheld
+from laburnumstep.targets.limits._words import LIMIT_HEADER
 from laburnumstep.targets.limits._words import LimitWord
 from laburnumstep.targets.limits._words import MAX_RATE
 from laburnumstep.targets.limits._words import MIN_RATE
@@ -27,6 +28,7 @@
 from laburnumstep.targets.limits._words import UnreadableLimit
 
 __all__ = [
+    'LIMIT_HEADER',
     'LIMIT_SECONDS',
     'MAX_RATE',
     'MIN_RATE',
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_knowledge.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_knowledge.py
@@ -131,6 +131,20 @@
             for listener in self._answer_listeners:
                 listener(target, named)
 
+    def record_header(
+        self, target: str, headers: dict[str, str], sent_at: float
+    ) -> None:
+        """Record what the headers of an answer say about a target's limit.
+
+        Args:
+            target: Name of the target.
+            headers: Headers by name in lower case.
+            sent_at: When its request was sent, in epoch seconds.
+        """
+        value = headers.get(_words.LIMIT_HEADER)
+        values = [] if value is None else [value]
+        self.record_answer(target, _words.parse_limit(values), sent_at)
+
     def merge(self, target: str, named: KnownLimit, source: str) -> None:
         """Record what another VM has learned, unless it is older.
 
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_words.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_words.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+LIMIT_HEADER = 'request-limit'
+"""Name, in lower case, of the header with which engines and services of the
+product's own protocol name a limit."""
 MIN_RATE = 0.1
 """Lowest rate that is used, in requests a second. Without requests nobody
 would learn that a target has ended its limit."""
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -7,6 +7,7 @@
 from laburnumstep.transport._client import ConnectRefused
 from laburnumstep.transport._client import EXCHANGE_ERRORS
 from laburnumstep.transport._client import ExchangeFailed
+from laburnumstep.transport._client import join_headers
 from laburnumstep.transport._client import JsonClient
 from laburnumstep.transport._client import JsonResponse
 from laburnumstep.transport._client import timeouts_until
@@ -36,6 +37,7 @@
     'ResponseHead',
     'encode_error',
     'is_refusing',
+    'join_headers',
     'read_body',
     'serve_app',
     'timeouts_until',
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -59,7 +59,7 @@
     body: typing.Any
     """Decoded JSON, or None if the body is empty."""
     headers: dict[str, str]
-    """Headers by name in lower case."""
+    """Headers by name in lower case; several of a name are a list."""
 
 
 class JsonClient:
@@ -130,7 +130,7 @@
         return JsonResponse(
             response.status,
             _decode_json(response.content, self._address),
-            {k.decode().lower(): v.decode() for k, v in response.headers},
+            join_headers(response.headers),
         )
 
     async def close(self) -> None:
@@ -153,6 +153,17 @@
     }
 
 
+def join_headers(
+    headers: typing.Iterable[tuple[bytes, bytes]],
+) -> dict[str, str]:
+    """Return headers by name in lower case; several of a name are a list."""
+    joined: dict[str, str] = {}
+    for key, value in headers:
+        name, text = key.decode('latin-1').lower(), value.decode('latin-1')
+        joined[name] = f'{joined[name]}, {text}' if name in joined else text
+    return joined
+
+
 def _decode_json(content: bytes, address: str) -> typing.Any:
     if not content:
         return None
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -15,15 +15,20 @@
 from laburnumstep import log
 from laburnumstep import operations
 from laburnumstep import operators
+from laburnumstep import permit_exchange
 from laburnumstep import routing_gossip
 from laburnumstep import services
 from laburnumstep import share_exchange
 from laburnumstep import siblings
 from laburnumstep import targets
+from laburnumstep.targets import limits
 from laburnumstep import transport
 from laburnumstep import vmlist
 from laburnumstep import weights
 
+DEFAULT_VMS = 400
+"""Assumed number of VMs as long as no sibling has been heard of. It exceeds
+the largest deployment, so that shares of a common limit stay small."""
 FLUSH_SECONDS = 5.0
 """Timeout for appending the last settlements as the VM stops, in seconds."""
 
@@ -47,6 +52,7 @@
         self._log = log.LogClient(settings.log.address, clock)
         self._follower = log.ConfigurationFollower(self._log, clock)
         self._claims = self._build_claims()
+        self._target_limits = limits.TargetLimits(clock, self._metrics)
         self._gate = callers.RequestGate(clock)
         self._state = self._build_state()
         self._admission = callers.Admission(
@@ -60,6 +66,15 @@
         )
         self._membership = self._build_membership()
         crash_exchange.CrashExchange(self._state.ledger, self._membership)
+        self._permits = self._build_permits()
+        self._permit_gate = limits.PermitGate(
+            self._target_limits, self._permits, clock, self._metrics
+        )
+        self._target_limits.subscribe(
+            lambda target, named: self._state.view.set_limit(
+                target, named.rate
+            )
+        )
         self._operations = operations.VMOperations(
             settings.vm, self._follower, self._membership, self._gate, clock
         )
@@ -103,6 +118,7 @@
             self._state,
             self._admission,
             self._decisions.record,
+            self._permit_gate,
         )
         self._runner = targets.GenerationRunner(
             self._placer, clock, self._abandoned
@@ -198,6 +214,7 @@
                 self._state.view.apply_deployment(used)
                 self._state.limits.apply_deployment(current.deployment)
                 self._admission.apply_deployment(current.deployment)
+                self._target_limits.drop_expired()
                 self._loads.apply_deployment(used, tasks)
                 self._orders.apply_engines(
                     self._list_local_engines(current.deployment)
@@ -224,7 +241,7 @@
             targets.RetryBudget(),
             ledger,
             callers.WorkspaceLimits(clock),
-            targets.EngineClients(),
+            targets.EngineClients(self._target_limits),
             targets.CrashMonitor(
                 ledger,
                 targets.make_refusal_check(view, clock),
@@ -253,12 +270,24 @@
                 lambda: self._follower.current,
                 self._follower.adopt,
                 self._serve_claims,
+                receive_permits=lambda message: self._permits.receive(message),
             ),
             self._clock,
             self._metrics,
             random.Random(),
         )
 
+    def _build_permits(self) -> permit_exchange.PermitExchange:
+        assumed_vms = DEFAULT_VMS if self._settings.siblings.seeds else 1
+        return permit_exchange.PermitExchange(
+            self._settings.vm.name,
+            self._membership,
+            self._target_limits,
+            limits.PermitIssuer(self._target_limits, self._clock),
+            self._clock,
+            assumed_vms,
+        )
+
     async def _serve_claims(
         self, request: siblings.ClaimForward
     ) -> core.DocumentObject:
@@ -321,9 +350,11 @@
 
     def _build_callers_app(self) -> callers.CallersApp:
         calls = targets.CallRunner(
-            targets.ServiceClients(),
+            targets.ServiceClients(self._target_limits, self._clock),
             self._claims,
             self._state.budget,
+            self._permit_gate,
+            self._state.view.set_held,
             self._clock,
             self._metrics,
         )
--- a/tests/laburnumstep/callers/steps/crash_refusals_steps.py
+++ b/tests/laburnumstep/callers/steps/crash_refusals_steps.py
@@ -57,7 +57,7 @@
         targets.RetryBudget(),
         ledger,
         callers.WorkspaceLimits(clock),
-        targets.EngineClients(),
+        targets.EngineClients(permits.make_limits(clock)),
         targets.CrashMonitor(ledger, never_refusing, clock, metrics),
         metrics,
     )
--- a/tests/laburnumstep/platform/steps/answers_steps.py
+++ b/tests/laburnumstep/platform/steps/answers_steps.py
@@ -11,10 +11,10 @@
 
 from laburnumstep import core
 from laburnumstep.platform import _servers
-from laburnumstep.targets import limits
 from laburnumstep.targets import relay
 from support import clocks
 from support import hooks
+from support import permits
 from support import relay_fakes
 from support import scripted_server
 
@@ -81,7 +81,7 @@
     client = _servers.ServerClient(
         clock,
         lambda service: 1,
-        limits.TargetLimits(clock, core.Metrics(None, '')),
+        permits.make_limits(clock),
     )
     target = attrs.evolve(relay_fakes.make_target('a'), address=server.address)
     description = ''
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -19,10 +19,10 @@
 from laburnumstep.platform import _events
 from laburnumstep.platform import _servers
 from laburnumstep import targets
-from laburnumstep.targets import limits
 from laburnumstep.targets import relay
 from laburnumstep import transport
 from support import clocks
+from support import permits
 from support import platform_harness
 
 _SETTINGS = """
@@ -251,7 +251,7 @@
         client = _servers.ServerClient(
             clock,
             lambda service: 1,
-            limits.TargetLimits(clock, core.Metrics(None, '')),
+            permits.make_limits(clock),
         )
         try:
             report = await client.read_report(target, clock.now() + 5.0)
--- a/tests/laburnumstep/targets/steps/generation_steps.py
+++ b/tests/laburnumstep/targets/steps/generation_steps.py
@@ -16,6 +16,7 @@
 from laburnumstep_standins import engine
 from support import hooks
 from support import link
+from support import permits
 
 _MODEL = 'planner'
 _TOKENS = 60
@@ -185,7 +186,7 @@
     )
     view = targets.FleetView(context.clock, 'lima-1')
     view.apply_deployment(deployment)
-    context.clients = targets.EngineClients()
+    context.clients = targets.EngineClients(permits.make_limits(context.clock))
     context.clients.apply_deployment(deployment)
     lengths = targets.LengthEstimator()
     ledger = targets.CrashLedger(context.clock)
@@ -209,6 +210,7 @@
         state,
         callers.Admission(context.clock, view, lengths),
         lambda decision: None,
+        permits.make_open_gate(context.clock),
     )
     abandoned = targets.AbandonedGenerations(context.clients, context.clock)
     runner = targets.GenerationRunner(placer, context.clock, abandoned)
--- a/tests/laburnumstep/targets/steps/service_calls_steps.py
+++ b/tests/laburnumstep/targets/steps/service_calls_steps.py
@@ -14,6 +14,7 @@
 from laburnumstep import transport
 from laburnumstep_standins import service
 from support import hooks
+from support import permits
 
 FAULTS = {
     'works': {},
@@ -140,9 +141,13 @@
     context.key = str(call.key)
     operation = core.Operation(name == 'balance', context.outcome_query)
     runner = targets.CallRunner(
-        targets.ServiceClients(),
+        targets.ServiceClients(
+            permits.make_limits(core.SystemClock()), core.SystemClock()
+        ),
         context.claims,
         context.budget,
+        permits.make_open_gate(core.SystemClock()),
+        lambda target, until: None,
         core.SystemClock(),
         core.Metrics(None, ''),
     )
--- a/tests/support/claims_harness.py
+++ b/tests/support/claims_harness.py
@@ -16,6 +16,7 @@
 from laburnumstep import transport
 from laburnumstep_standins import log as log_standin
 from laburnumstep_standins import service
+from support import permits
 
 TIMEOUT_SECONDS = 20
 """Longest wait before a hanging scenario fails, in seconds."""
@@ -152,9 +153,13 @@
         )
         claims = PausableClaims(book)
         runner = targets.CallRunner(
-            targets.ServiceClients(),
+            targets.ServiceClients(
+                permits.make_limits(self.clock), self.clock
+            ),
             claims,
             UnlimitedRetries(),
+            permits.make_open_gate(self.clock),
+            lambda target, until: None,
             self.clock,
             core.Metrics(None, ''),
         )
--- a/tests/support/orders_harness.py
+++ b/tests/support/orders_harness.py
@@ -19,6 +19,7 @@
 from laburnumstep_standins import engine
 from laburnumstep_standins import log as log_standin
 from laburnumstep_standins import weights as weights_standin
+from support import permits
 
 RESOURCE = 'orders/lima-1'
 """Resource that the lease covers."""
@@ -99,7 +100,9 @@
                 order_seconds=order_seconds,
             ),
         )
-        self._engines = targets.EngineClients()
+        self._engines = targets.EngineClients(
+            permits.make_limits(core.SystemClock())
+        )
         self.addresses: dict[str, str] = {}
         self.vms: dict[str, VM] = {}
         self.reports: dict[str, targets.LoadReport] = {}
--- a/tests/support/permits.py
+++ b/tests/support/permits.py
@@ -18,9 +18,13 @@
         return 1
 
 
+def make_limits(clock: core.Clock) -> limits.TargetLimits:
+    """Return the knowledge of a VM that has heard of no limit."""
+    return limits.TargetLimits(clock, core.Metrics(None, ''))
+
+
 def make_open_gate(clock: core.Clock) -> limits.PermitGate:
     """Return a gate that lets all requests pass."""
-    metrics = core.Metrics(None, '')
     return limits.PermitGate(
-        limits.TargetLimits(clock, metrics), NoIssuer(), clock, metrics
+        make_limits(clock), NoIssuer(), clock, core.Metrics(None, '')
     )
