Log changes of the store's epoch and the offsets of followers

A log could not tell a VM whose reads fail from one that reads on at an offset of an earlier epoch. Each change of the epoch is logged with the request that met it, and followers log their offset when a topic is back or its history lost; nothing acts on the epoch yet.

--- a/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
@@ -134,7 +134,11 @@
             try:
                 await self._read()
             except HistoryLost:
-                _LOGGER.warning('history lost; topic=%s', self._name)
+                _LOGGER.warning(
+                    'history lost; topic=%s next_offset=%s',
+                    self._name,
+                    self._next_offset,
+                )
                 self._next_offset = None
                 continue
             except TopicUnavailable as error:
@@ -142,9 +146,10 @@
                 continue
             if self._failures:
                 _LOGGER.warning(
-                    'topic is back; topic=%s failures=%d',
+                    'topic is back; topic=%s failures=%d next_offset=%s',
                     self._name,
                     self._failures,
+                    self._next_offset,
                 )
                 self._failures = 0
             pause = self._find_pause()
--- a/packages/laburnumstep/src/laburnumstep/platform/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_store.py
@@ -8,19 +8,21 @@
 import typing
 import urllib.parse
 
+from laburnumstep import core
 from laburnumstep import log
 from laburnumstep import transport
 
-if typing.TYPE_CHECKING:
-    from laburnumstep import core
-
 KEYED_PREFIX = 'keyed.'
 """Prefix of the names of topics that retain the newest record of a key."""
 MAX_PAGE_BYTES = 8 * 1024 * 1024
 """Size limit of one page, in bytes."""
+_STORE_EPOCH = b'store-era'
+"""Header with the epoch of the store, which rises by one each time that the
+store comes back from an older copy."""
 _IDLE_SECONDS = 30.0
 _PAGE_HEADER = struct.Struct('>QQ')
 _RECORD_LENGTH = struct.Struct('>I')
+_LOGGER = core.get_logger('platform')
 _REQUEST_HEADERS = [(b'Host', b'store')]
 
 
@@ -37,6 +39,7 @@
         self._pool = transport.ConnectionPool(address, clock)
         self._topic = KEYED_PREFIX + name
         self._clock = clock
+        self._epoch: bytes | None = None
 
     async def read_newest(self, deadline: float) -> log.KeyedPage:
         """Return the newest record of each key.
@@ -159,6 +162,16 @@
             if not complete:
                 connection.close()
         self._pool.release(connection, self._clock.now() + _IDLE_SECONDS)
+        epoch = response.find(_STORE_EPOCH)
+        if epoch != self._epoch:
+            _LOGGER.info(
+                'store epoch; topic=%s epoch=%s before=%s request=%s',
+                self._topic,
+                epoch,
+                self._epoch,
+                target,
+            )
+            self._epoch = epoch
         return response.status, body
 
 
