--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -45,6 +45,10 @@
             'keyed.servers': 0,
             'keyed.status': 0,
         }
+        self.epoch = 1
+        """Rises each time that the store comes back from an older copy."""
+        self.newest_reads = 0
+        """Number of reads of a topic's newest records."""
         self._changed = anyio.Event()
         self.app = applications.Starlette(
             routes=[
@@ -65,9 +69,21 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def restore(self, topic: str, kept: int) -> None:
+        """Come back from a copy that has the first records of a topic only.
+
+        Reads that wait for a record go on to wait.
+        """
+        self.epoch += 1
+        del self.records[topic][kept:]
+
+    def _get_headers(self) -> dict[str, str]:
+        return {'Store-Era': str(self.epoch)}
+
     async def _serve_newest(
         self, request: requests.Request
     ) -> responses.Response:
+        self.newest_reads += 1
         records = self.records[request.query_params['topic']]
         newest = {
             key: (value, offset) for offset, (key, value) in enumerate(records)
@@ -82,7 +98,8 @@
             if value
         ]
         return responses.JSONResponse(
-            {'items': items, 'hasMore': False, 'endOffset': len(records)}
+            {'items': items, 'hasMore': False, 'endOffset': len(records)},
+            headers=self._get_headers(),
         )
 
     async def _serve_append(
@@ -96,7 +113,10 @@
         self.records[topic].append((key.decode(), value))
         self._changed.set()
         self._changed = anyio.Event()
-        return responses.JSONResponse({'offset': len(self.records[topic]) - 1})
+        return responses.JSONResponse(
+            {'offset': len(self.records[topic]) - 1},
+            headers=self._get_headers(),
+        )
 
     async def _serve_read(
         self, request: requests.Request
@@ -105,7 +125,9 @@
         start = int(request.query_params['startFrom'])
         if start < self.first_offsets[topic]:
             return responses.JSONResponse(
-                {'firstOffset': self.first_offsets[topic]}, 410
+                {'firstOffset': self.first_offsets[topic]},
+                410,
+                self._get_headers(),
             )
         seconds = int(request.query_params['waitMs']) / 1000
         records = self.records[topic]
@@ -114,7 +136,8 @@
                 await self._changed.wait()
         return responses.Response(
             _PAGE_HEADER.pack(len(records), self.first_offsets[topic])
-            + b''.join(encode_record(*item) for item in records[start:])
+            + b''.join(encode_record(*item) for item in records[start:]),
+            headers=self._get_headers(),
         )
 
 
