Let offsets of a topic count only within one epoch of the log

Cause: a store that comes back older gives offsets out again. A VM that is away meanwhile goes on at its offset, which exists again behind other records, and never reads those. The class: a truncated log whose readers compare offsets without the epoch.

A position is an epoch and an offset, in followers, in the cache that siblings read from, and in the messages between siblings. A reader whose position is of another epoch reads the newest records; an answer or a sibling of an earlier epoch than the highest known one is ignored; pages of two epochs are not put together. What is in force stays in force until a newer version comes.

--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -43,14 +43,17 @@
 from laburnumstep.log._configuration_codec import encode_change
 from laburnumstep.log._configuration_codec import encode_publication
 from laburnumstep.log._configuration_codec import encode_snapshot
+from laburnumstep.log._epochs import EpochTracker
 from laburnumstep.log._follower import CONFIGURATION_STREAM
 from laburnumstep.log._follower import ConfigurationFollower
+from laburnumstep.log._keyed_follower import EpochChanged
 from laburnumstep.log._keyed_follower import HistoryLost
 from laburnumstep.log._keyed_follower import KeyedFollower
 from laburnumstep.log._keyed_follower import KeyedPage
 from laburnumstep.log._keyed_follower import KeyedReader
 from laburnumstep.log._keyed_follower import KeyedRecord
 from laburnumstep.log._keyed_follower import KeyedTopic
+from laburnumstep.log._keyed_follower import TopicPosition
 from laburnumstep.log._keyed_follower import TopicUnavailable
 from laburnumstep.log._lease_keeper import LeaseKeeper
 from laburnumstep.log._lease_keeper import LEASES_STREAM
@@ -105,6 +108,8 @@
     'ForwardedRecords',
     'Granted',
     'Held',
+    'EpochChanged',
+    'EpochTracker',
     'HistoryLost',
     'KeyOutcome',
     'KeyedFollower',
@@ -149,6 +154,7 @@
     'SnapshotRepublisher',
     'Taken',
     'TopicCache',
+    'TopicPosition',
     'TopicUnavailable',
     'Unclaimed',
     'WrongDeployment',
--- a/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_keyed_follower.py
@@ -37,14 +37,28 @@
     """Offset of the record in the topic."""
 
 
+@attrs.frozen(order=True)
+class TopicPosition:
+    """A position in a topic.
+
+    A log that comes back from an older copy gives offsets out again, so an
+    offset means something only together with the epoch of the log.
+    """
+
+    epoch: int
+    """Epoch of the log; rises each time that it comes back older."""
+    offset: int
+    """Offset of the next record."""
+
+
 @attrs.frozen
 class KeyedPage:
     """Records of a keyed topic."""
 
     records: list[KeyedRecord]
     """Records in the order of their offsets."""
-    next_offset: int
-    """Offset at which the next read starts."""
+    next_position: TopicPosition
+    """Position at which the next read starts."""
 
 
 class TopicUnavailable(Exception):
@@ -52,7 +66,11 @@
 
 
 class HistoryLost(Exception):
-    """Records after the reader's offset were deleted."""
+    """Records after the reader's position were deleted."""
+
+
+class EpochChanged(HistoryLost):
+    """The reader's position belongs to another epoch of the log."""
 
 
 class KeyedTopic(typing.Protocol):
@@ -67,17 +85,18 @@
         ...
 
     async def read_from(
-        self, offset: int, wait_until: float, deadline: float
+        self, position: TopicPosition, wait_until: float, deadline: float
     ) -> KeyedPage:
-        """Return records, starting at an offset.
+        """Return records, starting at a position.
 
         Args:
-            offset: Offset of the first record to read.
+            position: Position of the first record to read.
             wait_until: How long to wait for a record, in epoch seconds.
             deadline: When to give up, in epoch seconds.
 
         Raises:
-            HistoryLost: The offset is no longer retained.
+            HistoryLost: The position is no longer retained.
+            EpochChanged: The position belongs to another epoch.
             TopicUnavailable: The topic could not be read.
         """
         ...
@@ -124,7 +143,7 @@
         self._reader = reader
         self._clock = clock
         self._find_pause = find_pause
-        self._next_offset: int | None = None
+        self._position: TopicPosition | None = None
         self._failures = 0
         self._random_source = random.Random()
 
@@ -133,23 +152,18 @@
         while True:
             try:
                 await self._read()
-            except HistoryLost:
-                _LOGGER.warning(
-                    'history lost; topic=%s next_offset=%s',
-                    self._name,
-                    self._next_offset,
-                )
-                self._next_offset = None
+            except HistoryLost as error:
+                self._start_anew(error)
                 continue
             except TopicUnavailable as error:
                 await self._back_off(error)
                 continue
             if self._failures:
                 _LOGGER.warning(
-                    'topic is back; topic=%s failures=%d next_offset=%s',
+                    'topic is back; topic=%s failures=%d position=%s',
                     self._name,
                     self._failures,
-                    self._next_offset,
+                    self._position,
                 )
                 self._failures = 0
             pause = self._find_pause()
@@ -157,19 +171,33 @@
 
     async def _read(self) -> None:
         now = self._clock.now()
-        if self._next_offset is None:
+        if self._position is None:
             page = await self._topic.read_newest(
                 now + SNAPSHOT_TIMEOUT_SECONDS
             )
             self._reader.apply_snapshot(page.records)
         else:
             page = await self._topic.read_from(
-                self._next_offset,
+                self._position,
                 now + LONG_POLL_SECONDS,
                 now + LONG_POLL_SECONDS + REPLY_MARGIN_SECONDS,
             )
             self._reader.apply_records(page.records)
-        self._next_offset = page.next_offset
+        self._position = page.next_position
+
+    def _start_anew(self, error: HistoryLost) -> None:
+        """Read the newest records next."""
+        _LOGGER.warning(
+            'history lost; topic=%s position=%s reason=%s',
+            self._name,
+            self._position,
+            type(error).__name__,
+        )
+        self._position = None
+        if isinstance(error, EpochChanged):
+            # Until everybody has written again what the log has lost, it is
+            # no more complete than one that cannot be read.
+            self._reader.record_failure()
 
     async def _back_off(self, error: TopicUnavailable) -> None:
         if not self._failures:
--- a/packages/laburnumstep/src/laburnumstep/log/_topic_cache.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_topic_cache.py
@@ -43,15 +43,15 @@
         )
         self._recent_bytes = 0
         self._first_offset = 0
-        self._next_offset: int | None = None
+        self._position: _keyed_follower.TopicPosition | None = None
         self._complete_at = 0.0
         self._available = False
         self._changed = anyio.Event()
 
     @property
-    def next_offset(self) -> int | None:
-        """Offset after the last known record; None before the first read."""
-        return self._next_offset
+    def position(self) -> _keyed_follower.TopicPosition | None:
+        """Position after the last known record; None before a first read."""
+        return self._position
 
     @property
     def complete_at(self) -> float:
@@ -71,8 +71,8 @@
         self._fingerprints = {}
         self._recent.clear()
         self._recent_bytes = 0
-        self._first_offset = page.next_offset
-        self._next_offset = page.next_offset
+        self._first_offset = page.next_position.offset
+        self._position = page.next_position
         for record in page.records:
             self._put(record)
         self._confirm(complete_at)
@@ -83,17 +83,24 @@
     ) -> None:
         """Add the records that follow the last known one.
 
+        Records of another epoch follow none of the known ones, so the cache
+        refuses readers until it is replaced.
+
         Args:
             page: The records.
             complete_at: When they were complete, in epoch seconds.
         """
+        known = self._position
+        if known is None or known.epoch != page.next_position.epoch:
+            self.record_failure()
+            return
         changed = False
         for record in page.records:
             if self._put(record):
                 self._recent.append(record)
                 self._recent_bytes += len(record.value or b'')
                 changed = True
-        self._next_offset = max(self._next_offset or 0, page.next_offset)
+        self._position = max(known, page.next_position)
         self._drop_oldest()
         self._confirm(complete_at)
         if changed:
@@ -105,39 +112,41 @@
         self._wake_readers()
 
     async def read_newest(
-        self, start: int, wait_until: float
+        self,
+        start: _keyed_follower.TopicPosition | None,
+        wait_until: float,
     ) -> _keyed_follower.KeyedPage:
         """Return the newest record of each key.
 
         Args:
-            start: Offset that the cache has to have reached.
+            start: Position that the cache has to have reached, if any.
             wait_until: End of the wait for the first read of the topic, in
                 epoch seconds.
 
         Raises:
             TopicUnavailable: The cache has not, or cannot be updated.
         """
-        while self._next_offset is None and self._clock.now() < wait_until:
+        while self._position is None and self._clock.now() < wait_until:
             await self._wait_for_change(wait_until)
-        next_offset = self._require_available()
-        if next_offset < start:
+        position = self._require_available()
+        if start is not None and position < start:
             raise _keyed_follower.TopicUnavailable('the cache is behind')
-        return _keyed_follower.KeyedPage(
-            list(self._newest.values()), next_offset
-        )
+        return _keyed_follower.KeyedPage(list(self._newest.values()), position)
 
     async def read_from(
-        self, start: int, wait_until: float
+        self, start: _keyed_follower.TopicPosition, wait_until: float
     ) -> _keyed_follower.KeyedPage:
-        """Return the records from an offset on, and wait for a first one.
+        """Return the records from a position on, and wait for a first one.
 
         Args:
-            start: Offset of the first record.
+            start: Position of the first record.
             wait_until: End of the wait, in epoch seconds.
 
         Raises:
             HistoryLost: The first record is no longer kept.
-            TopicUnavailable: The cache cannot be updated.
+            EpochChanged: The position belongs to an earlier epoch.
+            TopicUnavailable: The cache cannot be updated, or is of an
+                earlier epoch itself.
         """
         page = self._read_recent(start)
         while not page.records and self._clock.now() < wait_until:
@@ -153,17 +162,25 @@
             await self._changed.wait()
             tasks.cancel_scope.cancel()
 
-    def _read_recent(self, start: int) -> _keyed_follower.KeyedPage:
-        next_offset = self._require_available()
-        if start < self._first_offset:
+    def _read_recent(
+        self, start: _keyed_follower.TopicPosition
+    ) -> _keyed_follower.KeyedPage:
+        position = self._require_available()
+        if start.epoch < position.epoch:
+            raise _keyed_follower.EpochChanged
+        if start.epoch > position.epoch:
+            raise _keyed_follower.TopicUnavailable('the cache is behind')
+        if start.offset < self._first_offset:
             raise _keyed_follower.HistoryLost
-        records = [item for item in self._recent if item.offset >= start]
-        return _keyed_follower.KeyedPage(records, max(start, next_offset))
+        records = [
+            item for item in self._recent if item.offset >= start.offset
+        ]
+        return _keyed_follower.KeyedPage(records, max(start, position))
 
-    def _require_available(self) -> int:
-        if self._next_offset is None or not self._available:
+    def _require_available(self) -> _keyed_follower.TopicPosition:
+        if self._position is None or not self._available:
             raise _keyed_follower.TopicUnavailable('the cache is not updated')
-        return self._next_offset
+        return self._position
 
     def _put(self, record: _keyed_follower.KeyedRecord) -> bool:
         """Store a record; return whether the value of its key changed."""
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -56,6 +56,7 @@
         self._settings = settings
         self._clock = clock
         self._topics: dict[str, topic_sharing.SharedTopic] = {}
+        self._epochs = log.EpochTracker()
         self._membership = siblings.Membership(
             siblings.Identity(settings.name, settings.data_centre),
             siblings.GrpcLinks(settings.siblings_address, SIBLING_KEY, clock),
@@ -109,7 +110,7 @@
                 as changed.
         """
         client = _store.KeyedTopicClient(
-            self._settings.store_address, name, self._clock
+            self._settings.store_address, name, self._clock, self._epochs
         )
         topic = topic_sharing.SharedTopic(
             name,
@@ -117,6 +118,7 @@
             client,
             self._membership,
             log.TopicCache(self._clock, find_fingerprint),
+            self._epochs,
             self._clock,
         )
         self._topics[name] = topic
@@ -132,7 +134,10 @@
         """
         crash_exchange.CrashExchange(ledger, self._membership)
         store = _store.KeyedTopicClient(
-            self._settings.store_address, CRASH_TOPIC, self._clock
+            self._settings.store_address,
+            CRASH_TOPIC,
+            self._clock,
+            self._epochs,
         )
         return crash_archive.CrashArchive(
             ledger, store, self._membership.owns, self._clock
--- a/packages/laburnumstep/src/laburnumstep/platform/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_store.py
@@ -8,10 +8,12 @@
 import typing
 import urllib.parse
 
-from laburnumstep import core
 from laburnumstep import log
 from laburnumstep import transport
 
+if typing.TYPE_CHECKING:
+    from laburnumstep import core
+
 KEYED_PREFIX = 'keyed.'
 """Prefix of the names of topics that retain the newest record of a key."""
 MAX_PAGE_BYTES = 8 * 1024 * 1024
@@ -19,10 +21,10 @@
 _STORE_EPOCH = b'store-era'
 """Header with the epoch of the store, which rises by one each time that the
 store comes back from an older copy."""
+_MAX_EPOCH_DIGITS = 15
 _IDLE_SECONDS = 30.0
 _PAGE_HEADER = struct.Struct('>QQ')
 _RECORD_LENGTH = struct.Struct('>I')
-_LOGGER = core.get_logger('platform')
 _REQUEST_HEADERS = [(b'Host', b'store')]
 
 
@@ -33,13 +35,20 @@
         address: IP address and port of the store.
         name: Name of the topic without `KEYED_PREFIX`.
         clock: Source of the current time.
+        epochs: The epoch of the store.
     """
 
-    def __init__(self, address: str, name: str, clock: core.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        name: str,
+        clock: core.Clock,
+        epochs: log.EpochTracker,
+    ) -> None:
         self._pool = transport.ConnectionPool(address, clock)
         self._topic = KEYED_PREFIX + name
         self._clock = clock
-        self._epoch: bytes | None = None
+        self._epochs = epochs
 
     async def read_newest(self, deadline: float) -> log.KeyedPage:
         """Return the newest record of each key.
@@ -51,59 +60,68 @@
             TopicUnavailable: The topic could not be read.
         """
         records: list[log.KeyedRecord] = []
-        next_offset: int | None = None
+        position: log.TopicPosition | None = None
         after: str | None = None
         while True:
             query = {'topic': self._topic, 'part': '0'}
             if after is not None:
                 query['after'] = after
-            status, body = await self._get('log-newest', query, deadline)
+            epoch, status, body = await self._get(
+                'log-newest', query, deadline
+            )
             if status != 200:
                 raise log.TopicUnavailable(f'the store answered {status}')
+            if position is not None and position.epoch != epoch:
+                message = 'the store came back older during the read'
+                raise log.TopicUnavailable(message)
             try:
                 page = json.loads(body)
                 records += [_decode_newest(item) for item in page['items']]
                 # The pages are not read at one point in time. The follower
                 # continues from the end offset of the first page, so that
                 # it sees every change made while the others were read.
-                if next_offset is None:
-                    next_offset = int(page['endOffset'])
+                if position is None:
+                    end = int(page['endOffset'])
+                    position = log.TopicPosition(epoch, end)
                 if not page['hasMore'] or not page['items']:
-                    return log.KeyedPage(records, next_offset)
+                    return log.KeyedPage(records, position)
                 after = str(page['items'][-1]['key'])
             except (KeyError, TypeError, ValueError) as error:
                 message = f'the store sent a malformed page: {error!r}'
                 raise log.TopicUnavailable(message) from error
 
     async def read_from(
-        self, offset: int, wait_until: float, deadline: float
+        self, position: log.TopicPosition, wait_until: float, deadline: float
     ) -> log.KeyedPage:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         Args:
-            offset: Offset of the first record.
+            position: Position of the first record.
             wait_until: End of the store's wait for a first record, in
                 epoch seconds.
             deadline: End of the read, in epoch seconds.
 
         Raises:
-            HistoryLost: The offset is no longer retained.
+            HistoryLost: The position is no longer retained.
+            EpochChanged: The position belongs to another epoch.
             TopicUnavailable: The topic could not be read.
         """
         wait_seconds = max(0.0, wait_until - self._clock.now())
         query = {
             'topic': self._topic,
             'part': '0',
-            'startFrom': str(offset),
+            'startFrom': str(position.offset),
             'waitMs': str(int(wait_seconds * 1000)),
         }
-        status, body = await self._get('log-read', query, deadline)
+        epoch, status, body = await self._get('log-read', query, deadline)
+        if epoch != position.epoch:
+            raise log.EpochChanged
         if status == 410:
             raise log.HistoryLost
         if status != 200:
             raise log.TopicUnavailable(f'the store answered {status}')
         try:
-            return _decode_page(offset, body)
+            return _decode_page(position, body)
         except (IndexError, struct.error, UnicodeDecodeError) as error:
             message = f'the store sent malformed records: {error!r}'
             raise log.TopicUnavailable(message) from error
@@ -125,7 +143,7 @@
         content = bytes([len(name)]) + name + (value or b'')
         body = _RECORD_LENGTH.pack(len(content)) + content
         query = {'topic': self._topic, 'part': '0'}
-        status, _ = await self._send(
+        _, status, _ = await self._send(
             b'POST', 'log-append', query, body, deadline
         )
         if status != 200:
@@ -133,7 +151,7 @@
 
     async def _get(
         self, endpoint: str, query: dict[str, str], deadline: float
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, int, bytes]:
         return await self._send(b'GET', endpoint, query, b'', deadline)
 
     async def _send(
@@ -143,7 +161,12 @@
         query: dict[str, str],
         content: bytes,
         deadline: float,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, int, bytes]:
+        """Send a request; return epoch, status and body of its answer.
+
+        Raises:
+            TopicUnavailable: There is no answer of the current epoch.
+        """
         target = f'/v1/{endpoint}?{urllib.parse.urlencode(query)}'
         head = transport.RequestHead(method, target.encode(), _REQUEST_HEADERS)
         try:
@@ -162,17 +185,23 @@
             if not complete:
                 connection.close()
         self._pool.release(connection, self._clock.now() + _IDLE_SECONDS)
-        epoch = response.find(_STORE_EPOCH)
-        if epoch != self._epoch:
-            _LOGGER.info(
-                'store epoch; topic=%s epoch=%s before=%s request=%s',
-                self._topic,
-                epoch,
-                self._epoch,
-                target,
-            )
-            self._epoch = epoch
-        return response.status, body
+        epoch = _decode_epoch(response.find(_STORE_EPOCH))
+        if not self._epochs.observe(epoch, f'store {self._topic}'):
+            raise log.TopicUnavailable('the answer is of an earlier epoch')
+        return epoch, response.status, body
+
+
+def _decode_epoch(value: bytes | None) -> int:
+    """Return the epoch of an answer; 0 for a store that names none.
+
+    Raises:
+        TopicUnavailable: The epoch cannot be read.
+    """
+    if value is None:
+        return 0
+    if not value.isdigit() or len(value) > _MAX_EPOCH_DIGITS:
+        raise log.TopicUnavailable(f'the store named epoch {value!r}')
+    return int(value)
 
 
 def _decode_newest(item: typing.Any) -> log.KeyedRecord:
@@ -180,7 +209,7 @@
     return log.KeyedRecord(str(item['key']), value, int(item['offset']))
 
 
-def _decode_page(offset: int, body: bytes) -> log.KeyedPage:
+def _decode_page(position: log.TopicPosition, body: bytes) -> log.KeyedPage:
     """Decode a page: two offsets of the partition, then its records.
 
     Raises:
@@ -189,22 +218,24 @@
         UnicodeDecodeError: A key is not UTF-8.
     """
     end, _first = _PAGE_HEADER.unpack_from(body)
-    position = _PAGE_HEADER.size
+    index = _PAGE_HEADER.size
+    offset = position.offset
     records: list[log.KeyedRecord] = []
-    while position < len(body):
-        (length,) = _RECORD_LENGTH.unpack_from(body, position)
-        position += _RECORD_LENGTH.size
-        content = body[position : position + length]
+    while index < len(body):
+        (length,) = _RECORD_LENGTH.unpack_from(body, index)
+        index += _RECORD_LENGTH.size
+        content = body[index : index + length]
         if len(content) < length:
             raise IndexError('a record is cut off')
-        position += length
+        index += length
         records.append(_decode_record(offset + len(records), content))
     # `end` is the end offset of the partition. The page may hold fewer
     # records, so the next read starts after its last one.
     next_offset = offset + len(records)
     if not records:
         next_offset = max(offset, end)
-    return log.KeyedPage(records, next_offset)
+    following = log.TopicPosition(position.epoch, next_offset)
+    return log.KeyedPage(records, following)
 
 
 def _decode_record(offset: int, content: bytes) -> log.KeyedRecord:
--- a/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
@@ -290,6 +290,7 @@
     return pb.TopicRequest(
         topic=request.topic,
         newest=request.newest,
+        epoch=request.epoch,
         start=request.start,
         wait=max(0.0, request.wait_until - now),
     )
@@ -304,7 +305,12 @@
     """
     wait_until = now + min(encoded.wait, MAX_TOPIC_WAIT_SECONDS)
     return _messages.TopicRead(
-        encoded.topic, encoded.newest, encoded.start, wait_until, wait_until
+        encoded.topic,
+        encoded.newest,
+        encoded.epoch,
+        encoded.start,
+        wait_until,
+        wait_until,
     )
 
 
@@ -324,9 +330,12 @@
                     )
                     for record in answer.records
                 ],
+                epoch=answer.epoch,
                 next_offset=answer.next_offset,
                 age=max(0.0, now - answer.complete_at),
             )
+        case _messages.TopicHistoryLost(epoch_changed=True):
+            return pb.TopicReply(status=pb.TopicReply.EPOCH_CHANGED)
         case _messages.TopicHistoryLost():
             return pb.TopicReply(status=pb.TopicReply.HISTORY_LOST)
         case _messages.TopicUnavailable():
@@ -350,10 +359,15 @@
                 for record in encoded.records
             ]
             return _messages.TopicPage(
-                records, encoded.next_offset, now - encoded.age
+                records,
+                encoded.epoch,
+                encoded.next_offset,
+                now - encoded.age,
             )
         case pb.TopicReply.HISTORY_LOST:
             return _messages.TopicHistoryLost()
+        case pb.TopicReply.EPOCH_CHANGED:
+            return _messages.TopicHistoryLost(epoch_changed=True)
         case _:
             return _messages.TopicUnavailable()
 
--- a/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
@@ -191,9 +191,11 @@
     newest: bool
     """Whether the newest record of each key is read in place of the records
     from `start` on."""
+    epoch: int
+    """Epoch of the log to which `start` belongs."""
     start: int
     """Offset of the first record. With `newest`, the lowest offset that the
-    sibling has to have reached."""
+    sibling has to have reached; -1 for any epoch and offset."""
     wait_until: float
     """How long the sibling may wait for a record, in epoch seconds."""
     deadline: float
@@ -218,6 +220,8 @@
 
     records: list[TopicRecord]
     """Records in the order of their offsets."""
+    epoch: int
+    """Epoch of the log to which the offsets belong."""
     next_offset: int
     """Offset at which the next read starts."""
     complete_at: float
@@ -229,6 +233,9 @@
 class TopicHistoryLost:
     """The sibling no longer has the first requested record."""
 
+    epoch_changed: bool = False
+    """Whether the offset belongs to an earlier epoch than the sibling's."""
+
 
 @attrs.frozen
 class TopicUnavailable:
--- a/packages/laburnumstep/src/laburnumstep/topic_sharing.py
+++ b/packages/laburnumstep/src/laburnumstep/topic_sharing.py
@@ -22,6 +22,8 @@
 would save few calls and depend on one another."""
 MAX_RANK = 4
 """Number of VMs of a data centre that may be chosen as its reader."""
+ANY_OFFSET = -1
+"""Offset in a read of the newest records of a VM that knows none."""
 WAIT_SECONDS = 1.0
 """Longest wait for a record in one read, in seconds. With the reply margin it
 bounds how long a failed reader or log goes unnoticed."""
@@ -91,6 +93,7 @@
         topic: Reads from the log.
         neighbours: The siblings.
         cache: Keeps the records for siblings that read through this VM.
+        epochs: The epoch of the log.
         clock: Clock of deadlines and exclusions.
     """
 
@@ -101,6 +104,7 @@
         topic: log.KeyedTopic,
         neighbours: TopicSiblings,
         cache: log.TopicCache,
+        epochs: log.EpochTracker,
         clock: core.Clock,
     ) -> None:
         self._name = name
@@ -108,6 +112,7 @@
         self._topic = topic
         self._neighbours = neighbours
         self._cache = cache
+        self._epochs = epochs
         self._clock = clock
         self._excluded_until: dict[str, float] = {}
         self._source: _Source = _LogSource(shared=False)
@@ -121,10 +126,12 @@
         source = self._choose_source()
         if isinstance(source, _SiblingSource):
             wait_until = self._clock.now() + WAIT_SECONDS
+            known = self._cache.position
             read = siblings.TopicRead(
                 self._name,
                 True,
-                self._cache.next_offset or 0,
+                known.epoch if known is not None else 0,
+                known.offset if known is not None else ANY_OFFSET,
                 wait_until,
                 wait_until + REPLY_MARGIN_SECONDS,
             )
@@ -144,25 +151,26 @@
         return page
 
     async def read_from(
-        self, offset: int, wait_until: float, deadline: float
+        self, position: log.TopicPosition, wait_until: float, deadline: float
     ) -> log.KeyedPage:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         Raises:
-            HistoryLost: The offset is no longer retained.
+            HistoryLost: The position is no longer retained.
+            EpochChanged: The position belongs to another epoch.
             TopicUnavailable: The topic could not be read.
         """
         source = self._choose_source()
         match source:
             case _LogSource(shared=False):
-                return await self._read_log(offset, wait_until, deadline)
+                return await self._read_log(position, wait_until, deadline)
             case _LogSource():
                 wait_until = self._clock.now() + WAIT_SECONDS
                 return await self._read_log(
-                    offset, wait_until, wait_until + REPLY_MARGIN_SECONDS
+                    position, wait_until, wait_until + REPLY_MARGIN_SECONDS
                 )
             case _SiblingSource():
-                return await self._read_sibling(source, offset)
+                return await self._read_sibling(source, position)
             case _:
                 typing.assert_never(source)
 
@@ -185,13 +193,15 @@
 
     async def serve(self, read: siblings.TopicRead) -> siblings.TopicAnswer:
         """Answer the read of a sibling from the cache."""
+        start = log.TopicPosition(read.epoch, read.start)
         try:
             if read.newest:
-                page = await self._cache.read_newest(
-                    read.start, read.wait_until
-                )
+                reached = start if read.start != ANY_OFFSET else None
+                page = await self._cache.read_newest(reached, read.wait_until)
             else:
-                page = await self._cache.read_from(read.start, read.wait_until)
+                page = await self._cache.read_from(start, read.wait_until)
+        except log.EpochChanged:
+            return siblings.TopicHistoryLost(epoch_changed=True)
         except log.HistoryLost:
             return siblings.TopicHistoryLost()
         except log.TopicUnavailable:
@@ -201,7 +211,8 @@
                 siblings.TopicRecord(item.key, item.value, item.offset)
                 for item in page.records
             ],
-            page.next_offset,
+            page.next_position.epoch,
+            page.next_position.offset,
             self._cache.complete_at,
         )
 
@@ -234,12 +245,17 @@
         return _LogSource(shared=True)
 
     async def _read_sibling(
-        self, source: _SiblingSource, offset: int
+        self, source: _SiblingSource, position: log.TopicPosition
     ) -> log.KeyedPage:
         wait_until = self._clock.now() + WAIT_SECONDS
         deadline = wait_until + REPLY_MARGIN_SECONDS
         read = siblings.TopicRead(
-            self._name, False, offset, wait_until, deadline
+            self._name,
+            False,
+            position.epoch,
+            position.offset,
+            wait_until,
+            deadline,
         )
         try:
             page, complete_at = await self._ask(source, read)
@@ -249,16 +265,16 @@
             # log is asked for what it has now.
             now = self._clock.now()
             return await self._read_log(
-                offset, now, now + REPLY_MARGIN_SECONDS
+                position, now, now + REPLY_MARGIN_SECONDS
             )
         self._cache.extend(page, complete_at)
         return page
 
     async def _read_log(
-        self, offset: int, wait_until: float, deadline: float
+        self, position: log.TopicPosition, wait_until: float, deadline: float
     ) -> log.KeyedPage:
         try:
-            page = await self._topic.read_from(offset, wait_until, deadline)
+            page = await self._topic.read_from(position, wait_until, deadline)
         except log.TopicUnavailable:
             self._cache.record_failure()
             raise
@@ -275,8 +291,9 @@
 
         Raises:
             HistoryLost: The sibling no longer has the first record.
-            _SiblingFailed: The sibling did not answer, cannot read the topic
-                or last knew its end too long ago.
+            EpochChanged: The first record belongs to an earlier epoch.
+            _SiblingFailed: The sibling did not answer, cannot read the topic,
+                last knew its end too long ago or is of an earlier epoch.
         """
         try:
             answer = await self._neighbours.read_topic(source.address, read)
@@ -291,8 +308,12 @@
                     log.KeyedRecord(item.key, item.value, item.offset)
                     for item in answer.records
                 ]
-                page = log.KeyedPage(records, answer.next_offset)
-                return page, answer.complete_at
+                if not self._epochs.observe(answer.epoch, source.name):
+                    raise _SiblingFailed('the sibling is of an earlier epoch')
+                following = log.TopicPosition(answer.epoch, answer.next_offset)
+                return log.KeyedPage(records, following), answer.complete_at
+            case siblings.TopicHistoryLost(epoch_changed=True):
+                raise log.EpochChanged
             case siblings.TopicHistoryLost():
                 raise log.HistoryLost
             case siblings.TopicUnavailable():
--- a/tests/laburnumstep/log/keyed.feature
+++ b/tests/laburnumstep/log/keyed.feature
@@ -13,6 +13,14 @@
     When the follower has read 3 times
     Then the reader received "snapshot a=1", "snapshot a=2"
 
+  # Guards against targets that are dropped because the log has lost entries
+  # which nobody has written again yet.
+  Scenario: A log that comes back older counts as unreliable
+    Given a keyed topic that returns "snapshot a=1", "epoch changed", "snapshot a=2"
+    When the follower has read 3 times
+    Then the reader received "snapshot a=1", "failure", "snapshot a=2"
+    And the requested offsets were "newest", "1", "newest"
+
   Scenario: An outage is reported to the reader, and reading continues after it
     Given a keyed topic that returns "snapshot a=1", "unavailable", "unavailable", "records b=2"
     When the follower has read 4 times
--- a/tests/laburnumstep/log/steps/keyed_steps.py
+++ b/tests/laburnumstep/log/steps/keyed_steps.py
@@ -29,10 +29,10 @@
         return await self._next_page('newest')
 
     async def read_from(
-        self, offset: int, wait_until: float, deadline: float
+        self, position: log.TopicPosition, wait_until: float, deadline: float
     ) -> log.KeyedPage:
         self.deadlines.append(deadline)
-        return await self._next_page(str(offset))
+        return await self._next_page(str(position.offset))
 
     async def _next_page(self, requested: str) -> log.KeyedPage:
         if not self._script:
@@ -44,11 +44,14 @@
             raise log.TopicUnavailable('scripted')
         if parts == ['history', 'lost']:
             raise log.HistoryLost
+        if parts == ['epoch', 'changed']:
+            raise log.EpochChanged
         key, _, value = parts[1].partition('=')
         offset = len(self.requested) - 1
         record = log.KeyedRecord(key, value.encode() or None, offset)
         next_offset = 1 if requested == 'newest' else int(requested) + 1
-        return log.KeyedPage([record], next_offset)
+        following = log.TopicPosition(1, next_offset)
+        return log.KeyedPage([record], following)
 
 
 class RecordingReader:
--- a/tests/laburnumstep/log/steps/topic_cache_steps.py
+++ b/tests/laburnumstep/log/steps/topic_cache_steps.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.lowlevel
+import attrs
 import behave
 
 from laburnumstep import log
@@ -13,6 +14,8 @@
 
 WAIT_SECONDS = 1.0
 PASSES = 20
+EPOCH = 1
+"""Epoch of the log at the beginning."""
 
 
 def parse_records(text: str, start: int) -> list[log.KeyedRecord]:
@@ -31,9 +34,10 @@
 
 
 def extend(context: typing.Any, text: str) -> None:
-    start = context.cache.next_offset
-    records = parse_records(text, start)
-    page = log.KeyedPage(records, start + len(records))
+    start = context.cache.position
+    records = parse_records(text, start.offset)
+    following = attrs.evolve(start, offset=start.offset + len(records))
+    page = log.KeyedPage(records, following)
     context.cache.extend(page, context.clock.now())
 
 
@@ -45,7 +49,8 @@
         context.cache = log.TopicCache(
             context.clock, lambda value: value.rstrip(b'+')
         )
-        context.cache.replace(log.KeyedPage([], 0), context.clock.now())
+        page = log.KeyedPage([], log.TopicPosition(EPOCH, 0))
+        context.cache.replace(page, context.clock.now())
 
     context.portal.call(create)
 
@@ -70,8 +75,17 @@
         case ['the', 'topic', 'cannot', 'be', 'read']:
             context.cache.record_failure()
         case ['the', 'history', 'is', 'lost']:
-            page = log.KeyedPage([], 50)
+            page = log.KeyedPage([], log.TopicPosition(EPOCH, 50))
             context.cache.replace(page, context.clock.now())
+        case ['the', 'log', 'comes', 'back', 'older', 'with', *records]:
+            following = log.TopicPosition(EPOCH + 1, len(records))
+            page = log.KeyedPage(
+                parse_records(' '.join(records), 0), following
+            )
+            context.cache.replace(page, context.clock.now())
+        case ['a', 'page', 'of', 'the', 'next', 'epoch', 'is', 'read']:
+            page = log.KeyedPage([], log.TopicPosition(EPOCH + 1, 1))
+            context.cache.extend(page, context.clock.now())
         case ['its', 'wait', 'ends']:
             context.clock.advance(WAIT_SECONDS)
         case _:
@@ -88,17 +102,50 @@
     context.portal.call(context.cache.record_failure)
 
 
-async def read(context: typing.Any, start: int, seconds: float) -> None:
+async def read(
+    context: typing.Any, start: int, seconds: float, epoch: int | None = None
+) -> None:
     wait_until = context.clock.now() + seconds
+    position = log.TopicPosition(epoch or EPOCH, start)
     try:
-        context.page = await context.cache.read_from(start, wait_until)
+        context.page = await context.cache.read_from(position, wait_until)
         context.result = f'returns {format_records(context.page.records)}'
+    except log.EpochChanged:
+        context.result = 'finds another epoch'
     except log.HistoryLost:
         context.result = 'finds its history lost'
     except log.TopicUnavailable:
         context.result = 'finds it unavailable'
 
 
+@behave.given('then {event}')
+def step_event(context: typing.Any, event: str) -> None:
+    async def apply() -> None:
+        apply_event(context, event)
+
+    context.portal.call(apply)
+
+
+@behave.when('records from offset {start:d} of epoch {epoch:d} are read')
+def step_read_epoch(context: typing.Any, start: int, epoch: int) -> None:
+    clocks.run_bounded(context, read, context, start, 0.0, epoch)
+
+
+@behave.when(
+    'the newest records at offset {start:d} of epoch {epoch:d} are read'
+)
+def step_newest_epoch(context: typing.Any, start: int, epoch: int) -> None:
+    async def read_newest() -> None:
+        position = log.TopicPosition(epoch, start)
+        try:
+            await context.cache.read_newest(position, context.clock.now())
+            context.result = 'returns records'
+        except log.TopicUnavailable:
+            context.result = 'finds it unavailable'
+
+    clocks.run_bounded(context, read_newest)
+
+
 @behave.when('records from offset {start:d} are read')
 def step_read_from(context: typing.Any, start: int) -> None:
     clocks.run_bounded(context, read, context, start, 0.0)
@@ -123,7 +170,9 @@
 def step_newest(context: typing.Any, start: int) -> None:
     async def read_newest() -> None:
         try:
-            await context.cache.read_newest(start, context.clock.now())
+            await context.cache.read_newest(
+                log.TopicPosition(EPOCH, start), context.clock.now()
+            )
             context.result = 'returns records'
         except log.TopicUnavailable:
             context.result = 'finds it unavailable'
@@ -136,7 +185,7 @@
     context: typing.Any, expected: str, next_offset: int
 ) -> None:
     assert context.result == f'returns {expected}', context.result
-    assert context.page.next_offset == next_offset, context.page
+    assert context.page.next_position.offset == next_offset, context.page
 
 
 @behave.then('the newest records are {expected}, next {next_offset:d}')
@@ -144,12 +193,13 @@
     context: typing.Any, expected: str, next_offset: int
 ) -> None:
     page = clocks.run_bounded(
-        context, context.cache.read_newest, 0, context.clock.now()
+        context, context.cache.read_newest, None, context.clock.now()
     )
     assert format_records(page.records) == expected, page
-    assert page.next_offset == next_offset, page
+    assert page.next_position.offset == next_offset, page
 
 
+@behave.then('the reader {expected}')
 @behave.then('the waiting read {expected}')
 def step_waited(context: typing.Any, expected: str) -> None:
     assert context.result == expected, context.result
--- a/tests/laburnumstep/log/topic_cache.feature
+++ b/tests/laburnumstep/log/topic_cache.feature
@@ -53,3 +53,40 @@
     Given the cache has read 1100 changes of a
     When records from offset 10 are read
     Then the history is lost
+
+  # Guards against records that a reader misses, because they stand at offsets
+  # which it has read in an earlier epoch of the log.
+  Scenario Outline: Offsets count only within one epoch of the log
+    Given a cache of a topic whose values count without their counter
+    And the cache has read a=1 b=1 c=1
+    And then <event>
+    When records from offset <start> of epoch <epoch> are read
+    Then the reader <result>
+
+    Examples:
+      | event                                        | start | epoch | result               |
+      | nothing happens                              | 3     | 2     | finds it unavailable |
+      | the log comes back older with a=1            | 3     | 1     | finds another epoch  |
+      | the log comes back older with a=1 b=2 c=2    | 3     | 1     | finds another epoch  |
+      | the log comes back older with a=1 b=2 c=2 d=1 | 2    | 1     | finds another epoch  |
+      | a page of the next epoch is read             | 3     | 1     | finds it unavailable |
+      | a page of the next epoch is read             | 1     | 2     | finds it unavailable |
+
+  Scenario: A read that waits is told of the next epoch
+    Given a cache of a topic whose values count without their counter
+    And the cache has read a=1 b=1 c=1
+    When a read from offset 3 waits, and then the log comes back older with a=1
+    Then the reader finds another epoch
+
+  Scenario Outline: A cache that is behind in the epoch returns no newest records
+    Given a cache of a topic whose values count without their counter
+    And the cache has read a=1 b=1 c=1
+    And then <event>
+    When the newest records at offset <start> of epoch <epoch> are read
+    Then the reader <result>
+
+    Examples:
+      | event                             | start | epoch | result               |
+      | nothing happens                   | 0     | 2     | finds it unavailable |
+      | nothing happens                   | 3     | 1     | returns records      |
+      | the log comes back older with a=1 | 3     | 1     | returns records      |
--- a/tests/laburnumstep/platform/steps/restored_steps.py
+++ b/tests/laburnumstep/platform/steps/restored_steps.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import json
+import struct
 import typing
 
+import anyio
 import anyio.lowlevel
 import behave
 
+from laburnumstep import core
+from laburnumstep import log
+from laburnumstep.platform import _store
 from support import clocks
 from support import platform_harness
+from support import scripted_server
 
 _TOPIC = 'keyed.op'
+_END_OFFSET = 7
 
 
 def make_version(version: int) -> platform_harness.Document:
@@ -80,3 +88,82 @@
 
     clocks.run_bounded(context, wait_for_read)
     step_in_force(context, version)
+
+
+def encode_answer(answer: str) -> bytes:
+    """Return the bytes of an answer from its status, epoch and kind."""
+    *status, epoch = answer.split()
+    more = epoch.endswith('+')
+    header = f'Store-Era: {epoch.rstrip("+")}\r\n'
+    if epoch == 'none':
+        header = ''
+    items = [{'key': 'a', 'value': 'MQ==', 'offset': 6}]
+    body = json.dumps(
+        {'items': items, 'hasMore': more, 'endOffset': _END_OFFSET}
+    ).encode()
+    head = (
+        f'HTTP/1.1 {status[0] if status else 200} X\r\n{header}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+@behave.given('a store that sends "{answers}"')
+def step_scripted_store(context: typing.Any, answers: str) -> None:
+    context.answers = answers.split(', ')
+
+
+async def read_topic(
+    context: typing.Any, read: str, server: scripted_server.ScriptedServer
+) -> str:
+    clock = core.SystemClock()
+    client = _store.KeyedTopicClient(
+        server.address, 'op', clock, log.EpochTracker()
+    )
+    deadline = clock.now() + clocks.WAIT_SECONDS
+    try:
+        match read.split():
+            case ['newest', *twice]:
+                page = await client.read_newest(deadline)
+                if twice:
+                    page = await client.read_newest(deadline)
+            case _:
+                position = log.TopicPosition(1, _END_OFFSET)
+                page = await client.read_from(position, deadline, deadline)
+    except log.EpochChanged:
+        return 'finds another epoch'
+    except log.HistoryLost:
+        return 'finds its history lost'
+    except log.TopicUnavailable:
+        return 'fails'
+    following = page.next_position
+    return f'continues in epoch {following.epoch} at {following.offset}'
+
+
+@behave.when('the topic is read {read}')
+def step_read_topic(context: typing.Any, read: str) -> None:
+    scripts = [encode_answer(answer) for answer in context.answers]
+    if read.startswith('from') and not context.answers[0].startswith('4'):
+        scripts = [make_empty_page(answer) for answer in context.answers]
+
+    async def run() -> str:
+        server = scripted_server.ScriptedServer(scripts, 'waits')
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.run)
+            result = await read_topic(context, read, server)
+            tasks.cancel_scope.cancel()
+        return result
+
+    context.result = clocks.run_bounded(context, run)
+
+
+def make_empty_page(answer: str) -> bytes:
+    """Return the bytes of an answer without records."""
+    head, _, _ = encode_answer(answer).partition(b'Content-Length')
+    body = struct.pack('>QQ', _END_OFFSET, 0)
+    return head + b'Content-Length: %d\r\n\r\n' % len(body) + body
+
+
+@behave.then('the read {result}')
+def step_read_result(context: typing.Any, result: str) -> None:
+    assert context.result == result, context.result
--- a/tests/laburnumstep/siblings/server.feature
+++ b/tests/laburnumstep/siblings/server.feature
@@ -45,6 +45,7 @@
       | a page with removal |
       | an empty page       |
       | lost history        |
+      | another epoch       |
       | unavailable         |
 
   Scenario: Times of load reports are those of the receiver's clock
--- a/tests/laburnumstep/siblings/steps/server_steps.py
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -259,14 +259,16 @@
     match name:
         case 'a page':
             record = siblings.TopicRecord('config', b'{}', 6)
-            return siblings.TopicPage([record], 7, complete_at)
+            return siblings.TopicPage([record], 3, 7, complete_at)
         case 'a page with removal':
             record = siblings.TopicRecord('config', None, 6)
-            return siblings.TopicPage([record], 7, complete_at)
+            return siblings.TopicPage([record], 3, 7, complete_at)
         case 'an empty page':
-            return siblings.TopicPage([], 7, complete_at)
+            return siblings.TopicPage([], 3, 7, complete_at)
         case 'lost history':
             return siblings.TopicHistoryLost()
+        case 'another epoch':
+            return siblings.TopicHistoryLost(epoch_changed=True)
         case 'unavailable':
             return siblings.TopicUnavailable()
     raise AssertionError(name)
@@ -282,7 +284,7 @@
 async def read_topic(address: str) -> siblings.TopicAnswer:
     clock = FastClock()
     now = clock.now()
-    request = siblings.TopicRead('op', False, 6, now, now + 10)
+    request = siblings.TopicRead('op', False, 3, 6, now, now + 10)
     async with _connection.open_channel(address) as channel:
         return await _connection.read_topic(
             channel, address, KEY, request, clock
@@ -304,8 +306,9 @@
     expected = context.handler.topic_answer
     if isinstance(expected, siblings.TopicPage):
         answer = context.answer
-        assert (answer.records, answer.next_offset) == (
+        assert (answer.records, answer.epoch, answer.next_offset) == (
             expected.records,
+            expected.epoch,
             expected.next_offset,
         ), answer
         shift = answer.complete_at - expected.complete_at
--- a/tests/laburnumstep/steps/crash_archive_steps.py
+++ b/tests/laburnumstep/steps/crash_archive_steps.py
@@ -38,7 +38,7 @@
             log.KeyedRecord(key, value, number)
             for number, (key, value) in enumerate(self.records.items())
         ]
-        return log.KeyedPage(records, len(records))
+        return log.KeyedPage(records, log.TopicPosition(1, len(records)))
 
     async def append(
         self, key: str, value: bytes | None, deadline: float
--- a/tests/laburnumstep/steps/topic_sharing_steps.py
+++ b/tests/laburnumstep/steps/topic_sharing_steps.py
@@ -103,6 +103,29 @@
     context.script.add(append)
 
 
+@behave.given('the topic has had {count:d} changes')
+def step_changes(context: typing.Any, count: int) -> None:
+    async def append(fleet: topic_fleet.TopicFleet) -> None:
+        for number in range(len(fleet.log.records) + 1, count + 1):
+            fleet.log.append('config', b'%d' % number)
+
+    context.changes = count
+    context.script.add(append)
+
+
+@behave.when('the log comes back with the first change and {count:d} others')
+def step_restore(context: typing.Any, count: int) -> None:
+    last = context.changes + count
+
+    async def restore(fleet: topic_fleet.TopicFleet) -> None:
+        fleet.log.restore(1)
+        for number in range(context.changes + 1, last + 1):
+            fleet.log.append('config', b'%d' % number)
+
+    context.newest = b'%d' % last
+    context.script.add(restore)
+
+
 @behave.when('20 changes are appended and the log deletes its history')
 def step_compact(context: typing.Any) -> None:
     async def compact(fleet: topic_fleet.TopicFleet) -> None:
--- a/tests/laburnumstep/topic_sharing.feature
+++ b/tests/laburnumstep/topic_sharing.feature
@@ -72,3 +72,30 @@
     And 8 seconds pass
     Then the change is in force on every VM
     And no VM has applied an older change after a newer one
+
+  # Guards against a change that a VM misses, because it stands at an offset
+  # which the VM has read before the log came back older.
+  Scenario Outline: A change after the log came back older is in force everywhere
+    Given 8 VMs that follow a topic
+    And the topic has had 4 changes
+    And after 5 seconds <fault>
+    When the log comes back with the first change and <count> others
+    And 6 seconds pass
+    And the faults end
+    And 6 seconds pass
+    Then the change is in force on every VM
+
+    Examples:
+      | fault                                           | count |
+      | nothing fails                                   | 1     |
+      | nothing fails                                   | 3     |
+      | nothing fails                                   | 5     |
+      | VM 1 is frozen                                  | 3     |
+      | VM 5 is frozen                                  | 3     |
+      | VM 5 is frozen                                  | 5     |
+      | VM 1 is cut from the log                        | 3     |
+      | VM 5 is cut from the log                        | 3     |
+      | VM 1 is cut from VM 5                           | 3     |
+      | VM 1, VM 2, VM 3, VM 4 are cut from the log     | 3     |
+      | VM 1, VM 2, VM 3, VM 4 are frozen               | 3     |
+      | each VM holds the next one for the reader       | 3     |
--- a/tests/support/scripted_server.py
+++ b/tests/support/scripted_server.py
@@ -69,7 +69,12 @@
 
 
 async def _read_request(stream: anyio.abc.SocketStream) -> None:
-    """Read one request whose body is the four bytes that tests send."""
+    """Read one request.
+
+    Those that have a body have the four bytes that tests send.
+    """
     data = b''
-    while not data.endswith(b'\r\n\r\nbody'):
+    end = b'\r\n\r\nbody'
+    while not data.endswith(end):
         data += await stream.receive()
+        end = b'\r\n\r\n' if data.startswith(b'GET ') else end
--- a/tests/support/topic_fleet.py
+++ b/tests/support/topic_fleet.py
@@ -31,6 +31,7 @@
         self._clock = clock
         self.records: list[log.KeyedRecord] = []
         self.cut: set[str] = set()
+        self.epoch = 1
         self.first_offset = 0
         self.calls: dict[str, int] = {}
         self._appended = anyio.Event()
@@ -46,12 +47,21 @@
             await self._clock.sleep_until(deadline)
             raise log.TopicUnavailable('no answer')
 
+    def restore(self, kept: int) -> None:
+        """Come back with the first records only; waiting reads go on."""
+        self.epoch += 1
+        del self.records[kept:]
+
     def read_newest(self) -> log.KeyedPage:
         newest = {record.key: record for record in self.records}
         kept = [item for item in newest.values() if item.value is not None]
-        return log.KeyedPage(kept, len(self.records))
+        following = log.TopicPosition(self.epoch, len(self.records))
+        return log.KeyedPage(kept, following)
 
-    async def read_from(self, offset: int, until: float) -> log.KeyedPage:
+    async def read_from(
+        self, position: log.TopicPosition, until: float
+    ) -> log.KeyedPage:
+        offset = position.offset
         if offset < self.first_offset:
             raise log.HistoryLost
         async with anyio.create_task_group() as tasks:
@@ -61,7 +71,10 @@
             while len(self.records) <= offset:
                 await self._appended.wait()
             tasks.cancel_scope.cancel()
-        return log.KeyedPage(self.records[offset:], len(self.records))
+        if position.epoch != self.epoch:
+            raise log.EpochChanged
+        following = log.TopicPosition(self.epoch, len(self.records))
+        return log.KeyedPage(self.records[offset:], following)
 
 
 @attrs.define
@@ -76,10 +89,10 @@
         return self.log.read_newest()
 
     async def read_from(
-        self, offset: int, wait_until: float, deadline: float
+        self, position: log.TopicPosition, wait_until: float, deadline: float
     ) -> log.KeyedPage:
         await self.log.call(self.vm, deadline)
-        page = await self.log.read_from(offset, wait_until)
+        page = await self.log.read_from(position, wait_until)
         if self.vm in self.log.cut:
             # The cut began during the wait.
             await self.log._clock.sleep_until(deadline)
@@ -134,6 +147,7 @@
             LogAccess(name, self.log),
             _Neighbours(self, name),
             log.TopicCache(self._clock, bytes),
+            log.EpochTracker(),
             self._clock,
         )
 
