Store crash reports again that the store has lost

A VM remembers which reports it has stored and wrote each once. After the store had come back from a copy without them they were gone for good, so that a part which crashes targets would crash further ones after a restart of all VMs. Cause: what is stored was remembered without the epoch of the store. The archive is told of each new epoch, reads what the store has, and writes the rest again.

Red without the reaction to a new epoch: the store holds 0 of 2 reports.

--- a/packages/laburnumstep/src/laburnumstep/crash_archive.py
+++ b/packages/laburnumstep/src/laburnumstep/crash_archive.py
@@ -61,9 +61,15 @@
         self._owns = owns
         self._clock = clock
         self._stored: set[str] = set()
+        self._restored = False
         self._changed = anyio.Event()
         ledger.subscribe_changes(lambda: self._changed.set())
 
+    def record_restore(self) -> None:
+        """Store again what the store has lost, as it has come back older."""
+        self._restored = True
+        self._changed.set()
+
     async def run(self) -> None:
         """Load the reports, then write changes until cancelled."""
         await self._retry(self._load)
@@ -71,6 +77,10 @@
             await self._changed.wait()
             self._changed = anyio.Event()
             await self._pause(SETTLE_SECONDS)
+            if self._restored:
+                self._restored = False
+                self._stored.clear()
+                await self._retry(self._load)
             await self._retry(self._write)
 
     async def _retry(
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -139,9 +139,11 @@
             self._clock,
             self._epochs,
         )
-        return crash_archive.CrashArchive(
+        archive = crash_archive.CrashArchive(
             ledger, store, self._membership.owns, self._clock
         )
+        self._epochs.subscribe(archive.record_restore)
+        return archive
 
     def owns(self, subject: str) -> bool:
         """Return whether this VM is the one that decides about a subject."""
--- a/tests/laburnumstep/crash_archive.feature
+++ b/tests/laburnumstep/crash_archive.feature
@@ -39,3 +39,11 @@
     When two targets crash with "f dead" on VM "b"
     Then VM "b" refuses "f dead" and accepts "f"
     And the store holds 2 crash reports
+
+  # Guards against reports that are gone for good, because a VM takes them for
+  # stored after the store has come back from a copy without them.
+  Scenario: Reports that the store has lost are stored again
+    Given VM "a" that keeps its crash reports in the store
+    When two targets crash with "f dead" on VM "a"
+    And the store comes back without any report
+    Then the store holds 2 crash reports
--- a/tests/laburnumstep/steps/crash_archive_steps.py
+++ b/tests/laburnumstep/steps/crash_archive_steps.py
@@ -76,6 +76,7 @@
         ledger, store, lambda key: owner, context.clock
     )
     context.ledgers[name] = ledger
+    context.archive = archive
     hooks.enter_context(context, run_archive(archive))
     clocks.run_bounded(context, settle, context)
 
@@ -114,6 +115,14 @@
     context.evidence.failures = count
 
 
+@behave.when('the store comes back without any report')
+def step_restored(context: typing.Any) -> None:
+    assert context.evidence.records
+    context.evidence.records.clear()
+    context.portal.call(context.archive.record_restore)
+    clocks.run_bounded(context, settle, context)
+
+
 def make_traits(parts: str) -> targets.Traits:
     return targets.list_part_traits('m', parts.split())
 
