Ignore entries of targets that are older than what they said last

A store that comes back from an older copy says again that targets are ready which have since said that they leave, or have left. A VM placed new work on them until they wrote again. Cause: the registry took the order of its reads for the order in which entries were written.

An entry that differs from what its target wrote later, by its start and the number of its renewals, is ignored when all entries are read anew: a known target is kept for two seconds, until it writes again, and one that had left is used only if its entry has not lapsed after five. Services that change are applied to the entries in the same way.

Red with the comparison left out: see the rows of 'An entry from an old copy does not undo a later one'.

--- a/packages/laburnumstep/src/laburnumstep/platform/_directory.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_directory.py
@@ -37,6 +37,8 @@
     """Names of the models that the server serves."""
     born: int
     """Start of the server, in epoch milliseconds."""
+    renewals: int
+    """Number of times that the server has written its entry since."""
 
 
 class Directory:
@@ -63,9 +65,9 @@
             return
         self._services = services
         if self._registry.loaded:
-            self._registry.update(
+            self._registry.replace(
                 {
-                    name: (self._make_target(name, entry), entry.born)
+                    name: self._make_registration(name, entry)
                     for name, entry in self._entries.items()
                 }
             )
@@ -78,8 +80,9 @@
             entry = _decode_entry(record)
             if entry is not None:
                 self._entries[record.key] = entry
-                target = self._make_target(record.key, entry)
-                registered[record.key] = (target, entry.born)
+                registered[record.key] = self._make_registration(
+                    record.key, entry
+                )
         self._registry.replace(registered)
 
     def apply_records(self, records: list[log.KeyedRecord]) -> None:
@@ -87,7 +90,7 @@
 
         A record without a value or with a malformed one removes its entry.
         """
-        changes: dict[str, tuple[core.Target, int] | None] = {}
+        changes: dict[str, targets.Registration | None] = {}
         for record in records:
             entry = _decode_entry(record)
             if entry is None:
@@ -95,8 +98,9 @@
                 changes[record.key] = None
             else:
                 self._entries[record.key] = entry
-                target = self._make_target(record.key, entry)
-                changes[record.key] = (target, entry.born)
+                changes[record.key] = self._make_registration(
+                    record.key, entry
+                )
         if changes:
             self._registry.update(changes)
 
@@ -104,6 +108,13 @@
         """Let the registry keep entries that lapse during a store outage."""
         self._registry.record_failure()
 
+    def _make_registration(
+        self, name: str, entry: ServerEntry
+    ) -> targets.Registration:
+        return targets.Registration(
+            self._make_target(name, entry), entry.born, entry.renewals
+        )
+
     def _make_target(self, name: str, entry: ServerEntry) -> core.Target:
         engine = self._services.get(entry.service)
         if engine is None:
@@ -152,6 +163,7 @@
             state == 'draining',
             tuple(str(model['name']) for model in models),
             int(value.get('born', 0)),
+            _get_count(value, 'sequence'),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         _LOGGER.warning(
@@ -160,6 +172,12 @@
         return None
 
 
+def _get_count(value: dict[str, typing.Any], key: str) -> int:
+    """Return a whole number, or 0 if there is none."""
+    count = value.get(key)
+    return count if isinstance(count, int) else 0
+
+
 def _get_text(value: dict[str, typing.Any], key: str) -> str:
     text = value[key]
     if not isinstance(text, str) or not text:
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -60,6 +60,7 @@
 from laburnumstep.targets._policy import MemoryPolicy
 from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
+from laburnumstep.targets._registry import Registration
 from laburnumstep.targets._registry import TargetRegistry
 from laburnumstep.targets._reports import LoadReport
 from laburnumstep.targets._results import NoRoom
@@ -101,7 +102,6 @@
 from laburnumstep.targets._view import get_service_pool_key
 
 __all__ = [
-    'get_service_pool_key',
     'AbandonedGenerations',
     'Accepted',
     'Answered',
@@ -156,6 +156,7 @@
     'Preempted',
     'PrefixHints',
     'ReadPacer',
+    'Registration',
     'ReplyLost',
     'Retry',
     'RetryBudget',
@@ -192,6 +193,7 @@
     'encode_lengths',
     'fingerprint_call',
     'fingerprint_generation',
+    'get_service_pool_key',
     'limit_engines',
     'list_generation_traits',
     'list_part_traits',
--- a/packages/laburnumstep/src/laburnumstep/targets/_registry.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_registry.py
@@ -12,6 +12,12 @@
 """How long a missing entry is retained, in seconds. If the registry was
 unreliable, the target is used meanwhile. Live targets renew their entries
 within this time."""
+DEFERRED_SECONDS = 5.0
+"""After which time the old entry of a target that had left is applied, in
+seconds. The entry of one that is gone lapses earlier, after three missed
+renewals."""
+MAX_REMEMBERED = 10_000
+"""Most targets whose last entry is remembered."""
 UNRELIABLE_SECONDS = 6.0
 """How long the registry counts as unreliable after a failure, in seconds.
 During this time an entry can expire only because its target could not renew
@@ -24,6 +30,18 @@
 RestartListener = typing.Callable[[str], None]
 
 
+@attrs.frozen
+class Registration:
+    """What a target says of itself in its entry."""
+
+    target: core.Target
+    """The target."""
+    started_at: int
+    """Start of the target, in epoch milliseconds."""
+    renewals: int = 0
+    """Number of times that it has written its entry since its start."""
+
+
 @attrs.define(eq=False)
 class _RegistryEntry:
     """A target, the time of its start, and when to drop its missing entry."""
@@ -59,6 +77,8 @@
         self._on_leaving = on_leaving
         self._on_restart = on_restart
         self._entries: dict[str, _RegistryEntry] = {}
+        self._last: dict[str, Registration] = {}
+        self._deferred: dict[str, tuple[Registration, float]] = {}
         self._reliable_at = 0.0
         self._loaded = False
 
@@ -86,36 +106,43 @@
         """Record that the registry could not be read."""
         self._reliable_at = self._clock.now() + UNRELIABLE_SECONDS
 
-    def replace(self, targets: dict[str, tuple[core.Target, int]]) -> None:
-        """Replace all entries.
+    def replace(self, registrations: dict[str, Registration]) -> None:
+        """Replace all entries, except by what they have said before.
+
+        The entries may come from an old copy. One that differs from a later
+        one of its target is ignored: a target that has said that it leaves
+        must not get work because of what it said earlier.
 
         Args:
-            targets: Target and time of its start, by name.
+            registrations: Entries by name of the target.
         """
         self._loaded = True
         changed = False
         for name in list(self._entries):
-            if name not in targets:
+            if name not in registrations:
                 changed |= self._remove_entry(name)
-        for name, (target, started_at) in targets.items():
-            changed |= self._put_entry(name, target, started_at)
+        self._deferred.clear()
+        for name, registration in registrations.items():
+            if self._is_outdated(name, registration):
+                self._await_renewal(name, registration)
+            else:
+                changed |= self._put_entry(name, registration)
         self._publish_changes(changed)
 
-    def update(
-        self, targets: dict[str, tuple[core.Target, int] | None]
-    ) -> None:
-        """Apply changed entries.
+    def update(self, registrations: dict[str, Registration | None]) -> None:
+        """Apply changed entries, in the order in which they were written.
 
         Args:
-            targets: Target and time of its start, by name; None for an
-                entry that was removed.
+            registrations: Entries by name of the target; None for one that
+                was removed.
         """
         changed = False
-        for name, entry in targets.items():
-            if entry is None:
+        for name, registration in registrations.items():
+            self._deferred.pop(name, None)
+            if registration is None:
                 changed |= self._remove_entry(name)
             else:
-                changed |= self._put_entry(name, *entry)
+                changed |= self._put_entry(name, registration)
         self._publish_changes(changed)
 
     async def run(self) -> None:
@@ -124,15 +151,67 @@
             await self._clock.sleep_until(
                 self._clock.now() + EXPIRY_GRACE_SECONDS / 4
             )
-            self._publish_changes(False)
+            self._publish_changes(self._apply_deferred())
+
+    def _apply_deferred(self) -> bool:
+        """Apply old entries that have not lapsed; return whether any did."""
+        now = self._clock.now()
+        due = {
+            name: registration
+            for name, (registration, until) in self._deferred.items()
+            if until <= now
+        }
+        for name, registration in due.items():
+            del self._deferred[name]
+            self._put_entry(name, registration)
+        return bool(due)
+
+    def _is_outdated(self, name: str, registration: Registration) -> bool:
+        """Return whether a target has written something else later."""
+        last = self._last.get(name)
+        if last is None:
+            return False
+        entry = self._entries.get(name)
+        if entry is not None and entry.target == registration.target:
+            return False
+        return (registration.started_at, registration.renewals) < (
+            last.started_at,
+            last.renewals,
+        )
+
+    def _await_renewal(self, name: str, registration: Registration) -> None:
+        """Wait for a newer entry in place of an old one.
+
+        The entry of a known target is kept meanwhile. That of a target which
+        had left is applied later, unless it lapses first: its renewals need
+        not be told apart from it.
+        """
+        now = self._clock.now()
+        entry = self._entries.get(name)
+        if entry is None:
+            self._deferred[name] = (registration, now + DEFERRED_SECONDS)
+        elif entry.expires_at is None:
+            entry.expires_at = now + EXPIRY_GRACE_SECONDS
+        _LOGGER.info(
+            'old entry ignored; target=%s kept=%s',
+            name,
+            'no' if entry is None else 'yes',
+        )
+
+    def _remember(self, name: str, registration: Registration) -> None:
+        """Remember the last entry of a target, also after its removal."""
+        self._last.pop(name, None)
+        self._last[name] = registration
+        if len(self._last) > MAX_REMEMBERED:
+            del self._last[next(iter(self._last))]
 
-    def _put_entry(
-        self, name: str, target: core.Target, started_at: int
-    ) -> bool:
+    def _put_entry(self, name: str, registration: Registration) -> bool:
         """Add or replace an entry; return whether the targets changed."""
+        target, started_at = registration.target, registration.started_at
         entry = self._entries.get(name)
         if entry is not None and entry.started_at > started_at:
             return False
+        self._remember(name, registration)
         if entry is not None and entry.started_at == started_at:
             if entry.target == target and entry.expires_at is None:
                 return False
--- a/tests/laburnumstep/targets/registry.feature
+++ b/tests/laburnumstep/targets/registry.feature
@@ -22,6 +22,33 @@
       | an entry of an older start says that it leaves   | usable  |
       | an entry of a newer start comes after its leaving | usable |
 
+  # Guards against new work on a target that has said that it leaves, because
+  # the log came back with what it had said before.
+  Scenario Outline: An entry from an old copy does not undo a later one
+    Given target "a" is registered
+    When the registry sees that <event>
+    Then target "a" is <state>
+
+    Examples: it leaves
+      | event                                                                               | state   |
+      | its renewed entry says that it leaves and its old entry is read anew                | leaving |
+      | its renewed entry says that it leaves, its old entry is read anew and 2.5 s pass    | unknown |
+      | its renewed entry says that it leaves, its old entry is read anew, it renews that it leaves and 2.5 s pass | leaving |
+      | its renewed entry says that it leaves, its old entry is read anew and it starts again | usable |
+
+    Examples: it has left
+      | event                                                                               | state   |
+      | its renewed entry says that it leaves, its entry is removed, 2.5 s pass and its old entry is read anew | unknown |
+      | its renewed entry says that it leaves, its entry is removed, 2.5 s pass, its old entry is read anew and it renews its entry | usable |
+
+    Examples: it stays
+      | event                                                                               | state   |
+      | its last entry is read anew                                                         | usable  |
+      | its old entry is read anew                                                          | usable  |
+      | the log came back older and all entries are read anew without it                    | usable  |
+      | the log came back older, all entries are read anew without it and 2.5 s pass        | unknown |
+      | the log came back older, all entries are read anew without it, it renews its entry and 2.5 s pass | usable |
+
   Scenario: The listener is notified once of a leaving target
     Given target "a" is registered
     When the registry sees that its entry says that it leaves
--- a/tests/laburnumstep/targets/steps/registry_steps.py
+++ b/tests/laburnumstep/targets/steps/registry_steps.py
@@ -17,6 +17,12 @@
     return core.ServiceTarget('a', 'lima-1', '127.0.0.1:1', 's', leaving)
 
 
+def register(
+    leaving: bool, started_at: int, renewals: int = 5
+) -> targets.Registration:
+    return targets.Registration(make_target(leaving), started_at, renewals)
+
+
 @behave.given('target "a" is registered')
 def step_registered(context: typing.Any) -> None:
     context.clock = core.ManualClock()
@@ -29,7 +35,7 @@
     context.registry = targets.TargetRegistry(
         context.clock, core.Deployment(''), record, context.left.append
     )
-    context.registry.replace({'a': (make_target(), _STARTED_AT)})
+    context.registry.replace({'a': register(False, _STARTED_AT)})
 
 
 def apply_event(context: typing.Any, event: str) -> None:
@@ -43,20 +49,34 @@
         case 'nothing happens':
             pass
         case 'its entry says that it leaves':
-            registry.update({'a': (make_target(True), _STARTED_AT)})
+            registry.update({'a': register(True, _STARTED_AT)})
         case 'its entry is removed':
             registry.update({'a': None})
         case 'comes back' | 'it comes back':
-            registry.update({'a': (make_target(), _STARTED_AT)})
+            registry.update({'a': register(False, _STARTED_AT)})
         case 'the registry fails':
             registry.record_failure()
         case 'all entries are read anew without it':
             registry.replace({})
+        case 'its renewed entry says that it leaves':
+            registry.update({'a': register(True, _STARTED_AT, 9)})
+        case 'its old entry is read anew':
+            registry.replace({'a': register(False, _STARTED_AT, 7)})
+        case 'its last entry is read anew':
+            registry.replace({'a': register(False, _STARTED_AT, 5)})
+        case 'it renews its entry':
+            registry.update({'a': register(False, _STARTED_AT, 12)})
+        case 'it renews that it leaves':
+            registry.update({'a': register(True, _STARTED_AT, 12)})
+        case 'it starts again':
+            registry.update({'a': register(False, _STARTED_AT + 1, 0)})
+        case 'the log came back older':
+            registry.record_failure()
         case 'an entry of an older start says that it leaves':
-            registry.update({'a': (make_target(True), _STARTED_AT - 1)})
+            registry.update({'a': register(True, _STARTED_AT - 1)})
         case 'an entry of a newer start comes after its leaving':
-            registry.update({'a': (make_target(True), _STARTED_AT)})
-            registry.update({'a': (make_target(), _STARTED_AT + 1)})
+            registry.update({'a': register(True, _STARTED_AT)})
+            registry.update({'a': register(False, _STARTED_AT + 1)})
         case _:
             raise ValueError(event)
 
