Survive odd entries in the store and odd numbers of targets

An entry of another writer that is nested 100,000 deep, has a start at infinity, or a port out of range ended the process of each VM that read it, again after each restart. Cause: RecursionError and OverflowError are no ValueError, and the address was first looked at when a connection was opened. The class: decoders that expect every error of their input to be a ValueError.

JSON of others goes through one function, which reports too deep nesting as a ValueError; numbers out of range are malformed; the address of an entry must be one that a connection can be opened to. The same holds for load reports of engines, the configuration, and evidence and limits that siblings send.

--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -34,6 +34,7 @@
 from laburnumstep.core._findings import Finding
 from laburnumstep.core._findings import FindingsError
 from laburnumstep.core._findings import SourcePosition
+from laburnumstep.core._json import parse_json
 from laburnumstep.core._keys import choose_by_rendezvous
 from laburnumstep.core._keys import KEY_SKEW_SECONDS
 from laburnumstep.core._keys import KEY_VALID_SECONDS
@@ -72,8 +73,8 @@
     'Delivery',
     'Deployment',
     'DocumentObject',
-    'EngineTarget',
     'DroppingStream',
+    'EngineTarget',
     'ErrorCode',
     'Finding',
     'FindingsError',
@@ -83,8 +84,8 @@
     'KEY_VALID_SECONDS',
     'KeyHolder',
     'LinkBudget',
-    'ManualClock',
     'METRICS_CONTENT_TYPE',
+    'ManualClock',
     'Metrics',
     'MetricsPage',
     'Operation',
@@ -120,6 +121,7 @@
     'get_logger',
     'load_json',
     'load_settings',
+    'parse_json',
     'parse_settings',
     'rank_by_rendezvous',
     'stable_hash',
--- a/packages/laburnumstep/src/laburnumstep/permit_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/permit_exchange.py
@@ -289,7 +289,7 @@
 
 def _decode_limit(data: bytes, named_at: float) -> limits.KnownLimit | None:
     try:
-        (rate,) = json.loads(data)
+        (rate,) = core.parse_json(data)
         return _make_limit(None if rate is None else float(rate), named_at)
-    except (OverflowError, RecursionError, TypeError, ValueError):
+    except (OverflowError, TypeError, ValueError):
         return None
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import typing
 
 import attrs
@@ -72,10 +71,16 @@
 
     def _apply_document(self, value: bytes) -> None:
         try:
-            document = json.loads(value)
+            document = core.parse_json(value)
             table = _decode_table(document)
             services = _decode_services(document)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except (
+            AttributeError,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
             _LOGGER.error('configuration is malformed; reason=%r', error)
             return
         if self._active_routes.apply(table):
--- a/packages/laburnumstep/src/laburnumstep/platform/_directory.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import ipaddress
 import typing
 
 import attrs
@@ -15,6 +15,7 @@
     from laburnumstep.platform import _configuration
 
 _STATES = ('ready', 'draining')
+_MAX_PORT = 65535
 
 _LOGGER = core.get_logger('platform')
 
@@ -151,13 +152,13 @@
     if record.value is None:
         return None
     try:
-        value = json.loads(record.value)
+        value = core.parse_json(record.value)
         state, models = value['state'], value.get('models') or []
         if state not in _STATES:
             raise ValueError(f'unknown state {state!r}')
         return ServerEntry(
             _get_text(value, 'service'),
-            _get_text(value, 'address'),
+            _get_address(value, 'address'),
             _get_text(value, 'zone'),
             str(value.get('version', '')),
             state == 'draining',
@@ -165,13 +166,31 @@
             int(value.get('born', 0)),
             _get_count(value, 'sequence'),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         _LOGGER.warning(
             'entry ignored; target=%s reason=%r', record.key, error
         )
         return None
 
 
+def _get_address(value: dict[str, typing.Any], key: str) -> str:
+    """Return an address that a connection can be opened to."""
+    address = _get_text(value, key)
+    host, _, port = address.partition(':')
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdigit() or len(port) > 5:
+        raise ValueError(f'{key} has no port number')
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f'{key} has a port out of range')
+    return address
+
+
 def _get_count(value: dict[str, typing.Any], key: str) -> int:
     """Return a whole number, or 0 if there is none."""
     count = value.get(key)
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -193,8 +193,8 @@
 def find_entry_fingerprint(value: bytes) -> typing.Hashable:
     """Return a server's entry without the counter that each renewal raises."""
     try:
-        entry = json.loads(value)
+        entry = core.parse_json(value)
         entry.pop('sequence', None)
-    except (AttributeError, ValueError):
+    except (AttributeError, TypeError, ValueError):
         return value
     return json.dumps(entry, sort_keys=True)
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 
 from laburnumstep import core
@@ -160,7 +161,7 @@
                 models=list(target.models),
                 reclaim_at=self._find_reclaim_time(report),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, OverflowError, TypeError, ValueError) as error:
             raise targets.MalformedStream(repr(error)) from error
 
     def _find_reclaim_time(
@@ -174,7 +175,10 @@
         now = self._clock.now()
         remaining_ms = report.get('leaves_ms')
         if remaining_ms is not None:
-            return now + float(remaining_ms) / 1000.0
+            remaining_seconds = float(remaining_ms) / 1000.0
+            if not math.isfinite(remaining_seconds):
+                raise ValueError(f'the time {remaining_ms} is not finite')
+            return now + remaining_seconds
         return now if report.get('state') == 'draining' else None
 
     async def list_runs(
@@ -204,7 +208,13 @@
                 target.name,
                 error,
             )
-        except (IndexError, KeyError, TypeError, ValueError) as error:
+        except (
+            IndexError,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
             _LOGGER.warning(
                 'list of runs is malformed; target=%s reason=%r',
                 target.name,
@@ -273,7 +283,7 @@
                 connection.close()
         self._release_connection(target, connection, response)
         try:
-            return response.status, json.loads(content)
+            return response.status, core.parse_json(content)
         except ValueError:
             return response.status, None
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_store.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 import base64
-import json
 import struct
 import typing
 import urllib.parse
 
+from laburnumstep import core
 from laburnumstep import log
 from laburnumstep import transport
 
-if typing.TYPE_CHECKING:
-    from laburnumstep import core
-
 KEYED_PREFIX = 'keyed.'
 """Prefix of the names of topics that retain the newest record of a key."""
 MAX_PAGE_BYTES = 8 * 1024 * 1024
@@ -75,7 +72,7 @@
                 message = 'the store came back older during the read'
                 raise log.TopicUnavailable(message)
             try:
-                page = json.loads(body)
+                page = core.parse_json(body)
                 records += [_decode_newest(item) for item in page['items']]
                 # The pages are not read at one point in time. The follower
                 # continues from the end offset of the first page, so that
@@ -86,7 +83,12 @@
                 if not page['hasMore'] or not page['items']:
                     return log.KeyedPage(records, position)
                 after = str(page['items'][-1]['key'])
-            except (KeyError, TypeError, ValueError) as error:
+            except (
+                KeyError,
+                OverflowError,
+                TypeError,
+                ValueError,
+            ) as error:
                 message = f'the store sent a malformed page: {error!r}'
                 raise log.TopicUnavailable(message) from error
 
--- a/packages/laburnumstep/src/laburnumstep/routing_gossip.py
+++ b/packages/laburnumstep/src/laburnumstep/routing_gossip.py
@@ -137,7 +137,7 @@
         match entry.value:
             case siblings.DataValue(data):
                 try:
-                    workspace, model = json.loads(entry.subject)
+                    workspace, model = core.parse_json(entry.subject)
                     sketch = targets.decode_lengths(data)
                 except ValueError as error:
                     _LOGGER.warning('malformed lengths: %s', error)
--- a/packages/laburnumstep/src/laburnumstep/share_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/share_exchange.py
@@ -125,8 +125,8 @@
         match entry.value:
             case siblings.DataValue(data):
                 try:
-                    self._apply_data(entry, json.loads(data))
-                except (ValueError, TypeError) as error:
+                    self._apply_data(entry, core.parse_json(data))
+                except (OverflowError, TypeError, ValueError) as error:
                     _LOGGER.warning('malformed share or demand: %s', error)
 
     def _apply_data(
--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_codec.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 
+from laburnumstep import core
 from laburnumstep.targets import _crashes
 from laburnumstep.targets import _traits
 
@@ -57,7 +59,21 @@
     Raises:
         ValueError: The data encodes no evidence.
     """
-    match json.loads(data, parse_constant=_refuse_constant):
+    return _decode(core.parse_json(data, _refuse_constant))
+
+
+def _decode_time(value: float) -> float:
+    try:
+        seconds = float(value)
+    except OverflowError as error:
+        raise ValueError('a time of the evidence is too large') from error
+    if not math.isfinite(seconds):
+        raise ValueError(f'{seconds} is no time')
+    return seconds
+
+
+def _decode(document: typing.Any) -> _crashes.CrashEvidence:
+    match document:
         case {
             'target': str(target),
             'crashed_at': float(crashed_at) | int(crashed_at),
@@ -68,8 +84,8 @@
             traits = [_traits.decode_trait(item) for item in encoded]
             return _crashes.CrashReport(
                 target,
-                float(crashed_at),
-                float(last_sent_at),
+                _decode_time(crashed_at),
+                _decode_time(last_sent_at),
                 tuple(_decode_request(item, traits) for item in requests),
             )
         case {
@@ -77,7 +93,7 @@
             'cleared_at': float(cleared_at) | int(cleared_at),
         }:
             trait = _traits.decode_trait(encoded_trait)
-            return _crashes.Clearance(trait, float(cleared_at))
+            return _crashes.Clearance(trait, _decode_time(cleared_at))
         case {
             'refused': list(encoded),
             'refused_until': float(refused_until) | int(refused_until),
@@ -85,8 +101,8 @@
         }:
             return _crashes.OperatorRefusal(
                 frozenset(_traits.decode_trait(item) for item in encoded),
-                float(refused_until),
-                float(ordered_at),
+                _decode_time(refused_until),
+                _decode_time(ordered_at),
             )
         case other:
             raise ValueError(f'no evidence: {other!r:.80}')
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import json
 import re
 import typing
 
 import attrs
 
+from laburnumstep import core
 from laburnumstep.targets import _engine_events
 from laburnumstep.targets import _hints
 from laburnumstep.targets import _reports
@@ -81,7 +81,7 @@
     try:
         lines = event.decode().strip('\n').split('\n')
         fields = dict(line.split(': ', 1) for line in lines)
-        body = json.loads(fields.get('data', '{}'))
+        body = core.parse_json(fields.get('data', '{}'))
         match fields.get('event'):
             case 'preempted':
                 return _engine_events.Preempted()
@@ -91,7 +91,13 @@
                 )
             case 'failed':
                 return _engine_events.Failed(str(body['code']))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         message = f'malformed event: {event[:80]!r}'
         raise _engine_events.MalformedStream(message) from error
     raise _engine_events.MalformedStream(f'unknown event: {event[:80]!r}')
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -91,7 +91,12 @@
         try:
             with anyio.fail_after(max(0.0, deadline - clock.now())):
                 stream = await _sockets.TcpStream.connect(address)
-        except (OSError, TimeoutError, ValueError) as error:
+        except (
+            OSError,
+            OverflowError,
+            TimeoutError,
+            ValueError,
+        ) as error:
             message = f'{address}: {type(error).__name__}: {error}'
             if isinstance(error, ConnectionRefusedError):
                 raise _client.ConnectRefused(message) from error
--- a/tests/laburnumstep/platform/decoding.feature
+++ b/tests/laburnumstep/platform/decoding.feature
@@ -21,6 +21,29 @@
       | models  | [{"name": "m"}]          | service target i-1    |
       | models  | ["m"]                    | no target             |
       | extra   | {"any": 1}               | service target i-1    |
+      | sequence | "many"                  | service target i-1    |
+      | sequence | 1e999                   | service target i-1    |
+
+  # Guards against entries of other writers that end the process which reads
+  # them, or whose address ends it when a connection is opened.
+  Scenario Outline: Entries with values out of range are ignored
+    When an entry is written with "<field>" as <value>
+    Then the registry has no target
+
+    Examples:
+      | field   | value                    |
+      | born    | 1e999                    |
+      | born    | -1e999                   |
+      | born    | NaN                      |
+      | address | "127.0.0.1:99999"        |
+      | address | "127.0.0.1:65536"        |
+      | address | "127.0.0.1:0"            |
+      | address | "127.0.0.1:-1"           |
+      | address | "127.0.0.1"              |
+      | address | "127.0.0.1:80:80"        |
+      | address | "127.0.0.256:80"         |
+      | address | "localhost:80"           |
+      | address | ":80"                    |
 
   Scenario Outline: Entries that are not JSON objects are ignored
     When the bytes "<bytes>" are written as an entry
@@ -32,6 +55,25 @@
       | []       |
       | null     |
       | \xff\xfe |
+      | nested   |
+      | nested in a field |
+      | a number of 100000 digits |
+
+  # Guards against one odd entry that ends all VMs, or hides the entries behind
+  # it.
+  Scenario Outline: An odd entry stops neither the VM nor the entries behind it
+    Given a VM on the platform with one server
+    When the odd entry "<bytes>" is written beside the servers
+    And the server registers as draining
+    Then the VM is ready
+
+    Examples:
+      | bytes                      |
+      | nested                     |
+      | nested in a field          |
+      | a number of 100000 digits  |
+      | a start at infinity        |
+      | an engine at port 99999    |
 
   Scenario: Servers of a service with engines become engine targets
     Given the configuration declares engines of 30000 tokens for "app"
@@ -50,6 +92,19 @@
       | something | run at most once          |
       | streaming | run at most once          |
 
+  # Guards against an answer of a server in trouble that ends the process.
+  Scenario Outline: A report with odd values is malformed
+    Given an engine whose load report also has <fields>
+    When the report is read
+    Then the report is malformed
+
+    Examples:
+      | fields               |
+      | {"running": 1e999}   |
+      | {"kvTotal": -1e999}  |
+      | {"leaves_ms": NaN}   |
+      | {"leaves_ms": []}    |
+
   Scenario Outline: A malformed configuration leaves the active one in force
     When the configuration "<document>" is written
     Then the routes in force have version 1
@@ -61,6 +116,8 @@
       | {"version": 2}                       |
       | {"version": 2, "routes": [{}], "services": []} |
       | {"version": "x", "routes": [], "services": []} |
+      | {"version": 1e999, "routes": [], "services": []} |
+      | nested                               |
 
   Scenario: All errors in the settings are reported together
     Given settings with "zone" removed, "bounds.graceS" as text and "listen" as a number
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -78,7 +78,7 @@
 
 @behave.when('the bytes "{text}" are written as an entry')
 def step_raw_entry(context: typing.Any, text: str) -> None:
-    write_entry(context, text.encode().decode('unicode_escape').encode('l1'))
+    write_entry(context, platform_harness.make_odd_bytes(text))
 
 
 @behave.then('the registry has no target')
@@ -138,7 +138,7 @@
 def step_malformed_configuration(context: typing.Any, document: str) -> None:
     good = platform_harness.make_configuration(version=1)
     read_configuration(context, json.dumps(good).encode())
-    read_configuration(context, document.encode())
+    read_configuration(context, platform_harness.make_odd_bytes(document))
 
 
 @behave.then('the routes in force have version {version:d}')
--- a/tests/laburnumstep/platform/steps/front_steps.py
+++ b/tests/laburnumstep/platform/steps/front_steps.py
@@ -242,7 +242,18 @@
     )
 
 
+@behave.when('the odd entry "{text}" is written beside the servers')
+def step_odd_entry(context: typing.Any, text: str) -> None:
+    context.portal.call(
+        context.harness.store.append_bytes,
+        'keyed.servers',
+        'i-odd',
+        platform_harness.make_odd_bytes(text),
+    )
+
+
 @behave.given('the server registers as draining')
+@behave.when('the server registers as draining')
 def step_draining(context: typing.Any) -> None:
     harness = context.harness
     entry = platform_harness.make_entry(
--- a/tests/laburnumstep/targets/crashes.feature
+++ b/tests/laburnumstep/targets/crashes.feature
@@ -150,6 +150,10 @@
       | {"target": "e", "crashed_at": NaN, "last_sent_at": 1, "traits": [], "requests": []}              |
       | {"refused": [["part", "m", "f"]], "refused_until": Infinity, "ordered_at": 1}                    |
       | not JSON                                                                                         |
+      | {"trait": ["part", "m", "f"], "cleared_at": 1e999}                                               |
+      | {"refused": [["part", "m", "f"]], "refused_until": 1e999, "ordered_at": 1}                       |
+      | {"refused": [["part", "m", "f"]], "refused_until": 10000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000000, "ordered_at": 1} |
+      | nested                                                                                           |
 
   Scenario Outline: Only a target that refuses connections has crashed
     Given a request "f dead" on target "e1" with <progress>
--- a/tests/laburnumstep/targets/steps/crashes_steps.py
+++ b/tests/laburnumstep/targets/steps/crashes_steps.py
@@ -208,6 +208,8 @@
 @behave.when('VM "{name}" receives the evidence {data}')
 def step_evidence(context: typing.Any, name: str, data: str) -> None:
     kind = siblings.EntryKind.CRASH
+    if data == 'nested':
+        data = '[' * 4000
     for _ in range(2):
         context.clock.advance(1)
         until = context.clock.now() + 60
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -65,6 +65,10 @@
     ) -> None:
         """Append a record; None as the value removes the key."""
         content = b'' if value is None else json.dumps(value).encode()
+        self.append_bytes(topic, key, content)
+
+    def append_bytes(self, topic: str, key: str, content: bytes) -> None:
+        """Append a record with any value."""
         self.records[topic].append((key, content))
         self._changed.set()
         self._changed = anyio.Event()
@@ -141,6 +145,32 @@
         )
 
 
+def make_odd_bytes(text: str) -> bytes:
+    """Return the bytes that a writer in trouble leaves in the store.
+
+    Args:
+        text: Name of a kind of odd bytes, or the bytes with escapes.
+    """
+    nested = '[' * 100_000
+    match text:
+        case 'nested':
+            return nested.encode()
+        case 'nested in a field':
+            entry = json.dumps(make_entry('127.0.0.1:1', models='?'))
+            return entry.replace('"?"', nested + ']' * 100_000).encode()
+        case 'a number of 100000 digits':
+            entry = json.dumps(make_entry('127.0.0.1:1', born='?'))
+            return entry.replace('"?"', '1' * 100_000).encode()
+        case 'a start at infinity':
+            entry = json.dumps(make_entry('127.0.0.1:1', born='?'))
+            return entry.replace('"?"', '1e999').encode()
+        case 'an engine at port 99999':
+            entry = make_entry('127.0.0.1:99999', service='llm')
+            return json.dumps({**entry, 'models': [{'name': 'm'}]}).encode()
+        case _:
+            return text.encode().decode('unicode_escape').encode('l1')
+
+
 def encode_record(key: str, value: bytes) -> bytes:
     """Return a record in the encoding of the store's pages."""
     content = bytes([len(key)]) + key.encode() + value
