Answer what a stopping VM cannot finish, and refuse what it may not

A stopping VM served calls for three seconds after SIGTERM, whatever their deadline; one that lasted longer than the grace time was cut without an answer, also on routes whose requests must not be repeated. Cause: only the arrival of a request was compared with the stop, not its end.

A stopping VM refuses, as not run, a call whose deadline lies after the stop; what it has taken ends before. Requests from before the SIGTERM that have no answer 0.2 s before the end get one: 502, outcome unknown.

Red before: three of six rows of 'A stopping VM serves what ends in time and refuses the rest' and 'A request that outlasts the grace time is answered before the end'. The scenario of a stopping VM that still serves requests sent one with a deadline beyond the grace time and expected it to be served; it is a row of the table now, with a deadline within the grace time. The scenario of a request with a late deadline expected no answer at all; it requires one now.

--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -67,8 +67,20 @@
         self._metrics = metrics
         self._services: _configuration.Services = {}
         self._rng = random.Random()
-        self.leaving = False
-        """Whether the VM refuses streams and closes callers' connections."""
+        self._stop_at: float | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the VM stops and closes callers' connections."""
+        return self._stop_at is not None
+
+    def leave(self, stop_at: float) -> None:
+        """Refuse streams, and calls that may not end before the VM does.
+
+        Args:
+            stop_at: When the VM stops, in epoch seconds.
+        """
+        self._stop_at = stop_at
 
     def apply_services(self, services: _configuration.Services) -> None:
         """Replace the services by those of a new configuration."""
@@ -121,13 +133,10 @@
             path.decode('latin-1'),
             _decode_api_key(headers),
         )
-        if self.leaving and isinstance(route.kind, core.StreamKind):
-            raise core.CodedError(
-                core.ErrorCode.VM_STOPPING,
-                'the VM is stopping and accepts no new streams',
-                resend=True,
-                resend_at=arrived_at,
-            )
+        wait_seconds = min(
+            _decode_wait_seconds(headers), route.timeout_seconds
+        )
+        self._check_end(route, arrived_at + wait_seconds)
         table = self._active_routes.table
         limit = table.max_body_bytes if table is not None else 0
         body = await _read_body(receive, limit)
@@ -136,9 +145,6 @@
         if holder is not None and holder.priority is not None:
             priority = holder.priority
         service = route.choose_service(self._rng)
-        wait_seconds = min(
-            _decode_wait_seconds(headers), route.timeout_seconds
-        )
         return relay.RelayRequest(
             key=_decode_request_id(headers),
             workspace=holder.workspace if holder is not None else '',
@@ -155,6 +161,28 @@
             position=_headers.find(headers, _headers.LAST_EVENT) or None,
         )
 
+    def _check_end(self, route: core.Route, deadline: float) -> None:
+        """Check that a request ends before the VM does.
+
+        Args:
+            route: Route of the request.
+            deadline: When the request ends at the latest, in epoch seconds.
+
+        Raises:
+            CodedError: The VM is stopping, and the request is for a stream
+                or may not end in time.
+        """
+        if self._stop_at is None:
+            return
+        is_stream = isinstance(route.kind, core.StreamKind)
+        if is_stream or deadline > self._stop_at:
+            raise core.CodedError(
+                core.ErrorCode.VM_STOPPING,
+                'the VM may stop before the request ends',
+                resend=True,
+                resend_at=self._clock.now(),
+            )
+
     def _decode_prompt(
         self, service: str, headers: _headers.Headers
     ) -> relay.PromptShape | None:
@@ -191,6 +219,8 @@
         watcher = _DisconnectWatcher()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watcher.run, receive, tasks.cancel_scope)
+            stop = _StopWatcher(sink)
+            tasks.start_soon(stop.run, self._gate, tasks.cancel_scope)
             try:
                 await self._relay(request, sink)
                 # Set before the watcher is cancelled: the server reports the
@@ -200,6 +230,9 @@
                 error = raised
                 outcome = error.code.value
             tasks.cancel_scope.cancel()
+        if stop.error is not None and not sink.begun:
+            error = stop.error
+            outcome = error.code.value
         duration_seconds = self._clock.now() - request.arrived_at
         self._record_end(request, outcome, duration_seconds)
         _LOGGER.info(
@@ -280,6 +313,29 @@
         scope.cancel()
 
 
+class _StopWatcher:
+    """Ends a request without an answer when the VM is about to stop.
+
+    Its caller gets an answer then, instead of a connection that is cut. An
+    answer that has begun goes on as long as the VM runs.
+
+    Args:
+        sink: Writes the answer.
+    """
+
+    def __init__(self, sink: _ResponseSink) -> None:
+        self._sink = sink
+        self.error: core.CodedError | None = None
+
+    async def run(
+        self, gate: callers.RequestGate, scope: anyio.CancelScope
+    ) -> None:
+        error = await gate.wait_for_stop_deadline()
+        if not self._sink.begun:
+            self.error = error
+            scope.cancel()
+
+
 class _ResponseSink:
     """Writes one answer to an ASGI server; implements `relay.AnswerSink`."""
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -52,6 +52,9 @@
 """How long the platform's load balancer may send new callers to a VM that is
 not ready, in seconds: two readiness probes, a second apart, and their
 timeouts."""
+ANSWER_SECONDS = 0.2
+"""How long before the process exits the requests without an answer are
+answered, in seconds."""
 STOP_MARGIN_SECONDS = 0.6
 """How long before SIGKILL the process exits, in seconds."""
 KEEP_ALIVE_SECONDS = 120
@@ -237,7 +240,7 @@
         """
         now = self._clock.now()
         deadline = now + self._settings.grace_seconds - STOP_MARGIN_SECONDS
-        self._front.leaving = True
+        self._front.leave(deadline - ANSWER_SECONDS)
         self._fleet.announce_stopping()
         await self._clock.sleep_until(
             min(now + BALANCER_DELAY_SECONDS, deadline)
@@ -253,13 +256,14 @@
         """Wait until no request is in progress, or until a deadline.
 
         Another VM cannot continue a request on the platform, so requests
-        are not cancelled before the process exits.
+        are not cancelled before the process is about to exit. Callers whose
+        answer has not begun by then are told that its outcome is unknown.
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 core.cancel_at, self._clock, deadline, tasks.cancel_scope
             )
-            await self._gate.drain(deadline)
+            await self._gate.drain(deadline - ANSWER_SECONDS)
             tasks.cancel_scope.cancel()
 
     def _build_metrics_server(self) -> transport.HttpServer | None:
--- a/tests/laburnumstep/platform/front.feature
+++ b/tests/laburnumstep/platform/front.feature
@@ -113,26 +113,41 @@
     When "POST /unsafe/1" is sent with ""
     Then the answer has status 404
 
-  Scenario: A stopping VM is not ready but still serves requests
+  # Guards against requests that are passed on by a VM which ends before they
+  # do; its grace time is 4 s.
+  Scenario Outline: A stopping VM serves what ends in time and refuses the rest
     Given the VM is ready
     When the VM is asked to stop
     Then the VM is not ready
-    When "POST /unsafe/1" is sent with ""
-    Then the answer has status 200
+    When "POST <path>" is sent with "Deadline-Remaining: <deadline>"
+    Then the answer has status <status>
     And the answer has header "connection"
+    And the server received <count> requests
     And the VM shuts down
 
+    Examples:
+      | path      | deadline | status | count |
+      | /unsafe/1 | 1000     | 200    | 1     |
+      | /safe/1   | 1000     | 200    | 1     |
+      | /unsafe/1 | 4000     | 503    | 0     |
+      | /safe/1   | 4000     | 503    | 0     |
+      | /unsafe/1 | 60000    | 503    | 0     |
+      | /plan/1   | 1000     | 503    | 0     |
+
   Scenario: A VM without a configuration is not ready and refuses requests
     Given a VM on the platform without a configuration
     Then the VM is not ready
     When "POST /unsafe/1" is sent with ""
     Then the answer has status 503
 
-  Scenario: A request with a late deadline does not delay the shutdown
+  # Guards against a shutdown that a request delays, and against a request that
+  # is cut without an answer at its end.
+  Scenario: A request that outlasts the grace time is answered before the end
     Given the server does not answer
     And a request is waiting with a deadline in 60 seconds
     When the VM is asked to stop
-    Then the VM shuts down before the request is answered
+    Then the VM shuts down before the server answers
+    And the waiting caller has received status 502
 
   Scenario: Metrics count requests by outcome
     When "POST /unsafe/1" is sent with ""
--- a/tests/laburnumstep/platform/steps/front_steps.py
+++ b/tests/laburnumstep/platform/steps/front_steps.py
@@ -333,10 +333,15 @@
         await anyio.lowlevel.checkpoint()
 
 
-@behave.then('the VM shuts down before the request is answered')
+@behave.then('the VM shuts down before the server answers')
 def step_ends_unanswered(context: typing.Any) -> None:
     step_ends(context)
-    assert not context.received_data, context.received_data
+
+
+@behave.then('the waiting caller has received status {status:d}')
+def step_waiting_answer(context: typing.Any, status: int) -> None:
+    (data,) = context.received_data
+    assert data.startswith(f'HTTP/1.1 {status} '.encode()), data
 
 
 @behave.then('the VM shuts down')
