Let the product's own log name its epoch, and keep claims across it

A VM that was away missed versions; the same offset was given out as a fencing token again; and a key whose claim was lost could be claimed and run once more, which the promise of at most one run forbids.

Pages of the log carry its epoch and when it came back. Followers and publishers read anew, fencing tokens rise with the epoch, and keys issued before the log came back (and a minute after, the skew of callers' clocks) are not granted; what a VM knows of lost claims stays true. A log that names no epoch is read as before.

Red without the epoch: five scenarios of claims, leases and recovery. A failed try: a VM that forgot its index with the log said 'not_run' of an operation that had run; the last scenario of claims.feature keeps that from coming back.

--- a/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
+++ b/packages/laburnumstep-standins/src/laburnumstep_standins/log/_app.py
@@ -45,6 +45,8 @@
         self._rate_limiter = _streams.AppendRateLimiter(appends_per_second)
         self._streams: dict[str, _streams.Stream] = {}
         self._frozen_ends: dict[str, int] = {}
+        self._epoch = 1
+        self._restored_at = 0.0
         self.faults = _streams.LogFaults()
         """Active faults."""
         self.app = applications.Starlette(
@@ -79,6 +81,17 @@
             name: stream.end for name, stream in self._streams.items()
         }
 
+    def restore(self, ends: dict[str, int]) -> None:
+        """Come back from an older copy.
+
+        Args:
+            ends: Offset at which each stream ends in the copy.
+        """
+        self._epoch += 1
+        self._restored_at = self._clock.now()
+        for name, end in ends.items():
+            self.get_stream(name).truncate(end)
+
     async def _append(self, request: requests.Request) -> responses.Response:
         if self.faults.outage:
             return responses.JSONResponse({'code': 'outage'}, 503)
@@ -126,13 +139,19 @@
                 'next': next_offset,
                 'first': stream.first,
                 'end': end,
+                'epoch': self._epoch,
+                'restored_at': self._restored_at,
             }
         )
 
-    # The body has faults by name and, in `truncate`, new ends by stream.
+    # The body has faults by name and, in `truncate` and `restore`, new ends by
+    # stream; `restore` also begins a new epoch.
     async def _control(self, request: requests.Request) -> responses.Response:
         changes = json.loads(await request.body())
         for name, end in changes.pop('truncate', {}).items():
             self.get_stream(name).truncate(end)
+        restored = changes.pop('restore', None)
+        if restored is not None:
+            self.restore(restored)
         self.set_faults(**changes)
         return responses.JSONResponse(attrs.asdict(self.faults))
--- a/packages/laburnumstep/src/laburnumstep/log/_claims_index.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_index.py
@@ -35,6 +35,7 @@
     """
 
     def __init__(self) -> None:
+        self._restored_at = 0.0
         self._entries: dict[core.RequestKey, _Entry] = {}
         self._sequence = itertools.count()
         self._expiries: list[tuple[float, int, core.RequestKey]] = []
@@ -42,6 +43,18 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def record_restore(self, restored_at: float) -> None:
+        """Record that the log has come back from an older copy.
+
+        Claims from before may be lost, so keys of that time are not granted.
+        What is known of them stays true.
+
+        Args:
+            restored_at: When it came back, by its clock in epoch seconds; 0
+                if it never has.
+        """
+        self._restored_at = restored_at
+
     def apply(
         self, record: _claims_records.ClaimsRecord, appended_at: float
     ) -> _claims_answers.ClaimAnswer | None:
@@ -87,6 +100,8 @@
             return _claims_answers.NotValidYet(valid_at)
         entry = self._get_entry(key)
         holder = entry.holder
+        if holder is None and self._may_be_lost(key):
+            return _claims_answers.Expired()
         if holder is None and record.nonce not in entry.closed_nonces:
             entry.holder = record
             return _claims_answers.Granted(key, record.nonce)
@@ -101,6 +116,12 @@
             return _claims_answers.Taken()
         return _build_answer(entry, holder)
 
+    def _may_be_lost(self, key: core.RequestKey) -> bool:
+        """Return whether a claim of a key may be among the lost records."""
+        if not self._restored_at:
+            return False
+        return key.issued_at < self._restored_at + core.KEY_SKEW_SECONDS
+
     def _apply_release(
         self, record: _claims_records.ReleaseRecord, appended_at: float
     ) -> None:
--- a/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
@@ -70,6 +70,7 @@
         self._outbox = _claims_work.Outbox()
         self._catch_up_waiters: list[_claims_work.CatchUpWaiter] = []
         self._position = 0
+        self._epoch: int | None = None
         self._changed = anyio.Event()
         self._batch_due_at: float | None = None
         self._reread_at = 0.0
@@ -278,6 +279,7 @@
         try:
             while True:
                 page = await self._read_page()
+                self._check_epoch(page)
                 for record in page.records:
                     self._apply(record)
                 self._position = max(self._position, page.next)
@@ -295,6 +297,26 @@
         for waiter in waiters:
             waiter.done.set()
 
+    def _check_epoch(self, page: _records.LogPage) -> None:
+        """Start anew if the log has come back from an older copy.
+
+        Raises:
+            LogUnavailable: It has; the claims that wait may be lost.
+        """
+        if page.epoch == self._epoch:
+            return
+        known, self._epoch = self._epoch, page.epoch
+        self.index.record_restore(page.restored_at)
+        self._position = 0
+        if known is not None:
+            _LOGGER.error(
+                'partition %d: the log came back older; epoch=%d before=%d',
+                self._number,
+                page.epoch,
+                known,
+            )
+            raise _client.LogUnavailable('the log came back older', True)
+
     async def _wait_for_append(self) -> None:
         """Wait before the next read, as the log does not return an append."""
         await self._clock.sleep_until(
--- a/packages/laburnumstep/src/laburnumstep/log/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_client.py
@@ -8,6 +8,7 @@
 
 from laburnumstep import core
 from laburnumstep.log import _codec
+from laburnumstep.log import _epochs
 from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
@@ -66,6 +67,7 @@
     def __init__(self, address: str, clock: core.Clock) -> None:
         self._http = transport.JsonClient(address)
         self._clock = clock
+        self._epochs = _epochs.EpochTracker()
 
     async def append(
         self,
@@ -126,7 +128,8 @@
             deadline: When to give up, in epoch seconds.
 
         Raises:
-            LogUnavailable: The log did not answer.
+            LogUnavailable: The log did not answer, or one of an earlier epoch
+                did.
         """
         path = (
             f'/v1/streams/{stream}/records'
@@ -140,10 +143,19 @@
             message = f'the log answered {reply.status}'
             raise LogUnavailable(message, False)
         try:
-            return _codec.decode_page(reply.body)
-        except (KeyError, OverflowError, TypeError, ValueError) as error:
+            page = _codec.decode_page(reply.body)
+        except (
+            AttributeError,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
             message = f'the log sent a malformed page: {error!r}'
             raise LogUnavailable(message, False) from error
+        if not self._epochs.observe(page.epoch, f'stream {stream}'):
+            raise LogUnavailable('the answer is of an earlier epoch', False)
+        return page
 
     async def close(self) -> None:
         """Close the connections."""
--- a/packages/laburnumstep/src/laburnumstep/log/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_codec.py
@@ -19,4 +19,6 @@
         int(body['next']),
         int(body['first']),
         int(body['end']),
+        int(body.get('epoch', 0)),
+        float(body.get('restored_at', 0.0)),
     )
--- a/packages/laburnumstep/src/laburnumstep/log/_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_follower.py
@@ -84,6 +84,7 @@
         self._replay = _replay.ConfigurationReplay()
         self._coverage = _snapshots.SnapshotCoverage()
         self._caught_up = False
+        self._epoch: int | None = None
         self._last_end = 0
         self._lag_until: float | None = None
         self._next_replay_at = 0.0
@@ -241,6 +242,10 @@
         )
 
     def _is_truncated(self, page: _records.LogPage) -> bool:
+        known, self._epoch = self._epoch, page.epoch
+        if known is not None and page.epoch != known:
+            # The log may have grown beyond this position again.
+            return True
         if page.end < self._last_end:
             return True
         if page.end >= self._replay.position:
@@ -253,9 +258,10 @@
 
     def _handle_truncation(self, page: _records.LogPage) -> None:
         _LOGGER.error(
-            'stream %s ends at %d but was read up to %d: the log has lost'
-            ' records; keeping the configuration in force',
+            'stream %s of epoch %d ends at %d but was read up to %d: the log'
+            ' has lost records; keeping the configuration in force',
             self._stream,
+            page.epoch,
             page.end,
             self._replay.position,
         )
--- a/packages/laburnumstep/src/laburnumstep/log/_lease_keeper.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_lease_keeper.py
@@ -19,6 +19,9 @@
 LEASES_STREAM = 'leases'
 """Name of the stream for leases and for the order of weight fetches."""
 _LOGGER = core.get_logger('log')
+FENCE_EPOCH_SHIFT = 36
+"""Bits of a fencing token below the epoch of the log. Tokens of a thousand
+epochs are whole numbers in JSON."""
 _RENEWAL_INTERVAL_SECONDS = _lease_table.LEASE_SECONDS / 3
 """Time between renewals, in seconds. Two of them can fail before the lease
 ends."""
@@ -67,6 +70,7 @@
         self._holder = secrets.token_hex(_NONCE_BYTES)
         self._table = _lease_table.LeaseTable()
         self._position = 0
+        self._epoch = 0
         self._serial = 0
         self._sent_at: dict[int, float] = {}
         self._attempt_times: dict[str, float] = {}
@@ -119,6 +123,9 @@
             wait = min(max(0.0, due - now), _LONG_POLL_SECONDS)
             page = await self._read(wait, now + wait)
             if page is not None:
+                if page.epoch != self._epoch:
+                    self._start_epoch(page.epoch)
+                    continue
                 for record in page.records:
                     self._apply(record)
                 self._position = max(self._position, page.next)
@@ -127,6 +134,18 @@
             if due <= now:
                 return
 
+    def _start_epoch(self, epoch: int) -> None:
+        """Forget the leases of a log that has come back from an older copy."""
+        if self._position:
+            _LOGGER.error(
+                'the leases came back older; epoch=%d before=%d',
+                epoch,
+                self._epoch,
+            )
+        self._epoch = epoch
+        self._table = _lease_table.LeaseTable()
+        self._position = 0
+
     async def _read(self, wait: float, due: float) -> _records.LogPage | None:
         """Read records, waiting for them until an attempt is due.
 
@@ -180,7 +199,8 @@
             return
         if record is None:
             return
-        self._table.apply(record, stored.offset, stored.appended_at)
+        position = (self._epoch << FENCE_EPOCH_SHIFT) + stored.offset
+        self._table.apply(record, position, stored.appended_at)
         if record.resource in self._attempt_times:
             self._schedule_attempt(record.resource)
 
--- a/packages/laburnumstep/src/laburnumstep/log/_lease_table.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_lease_table.py
@@ -37,7 +37,8 @@
     vm: str
     """Name of the VM on which that process runs."""
     fence: int
-    """Fencing token: offset of the record that began the lease."""
+    """Fencing token: position of the record that began the lease, as a number
+    that rises with the epoch and the offset."""
     until: float
     """End of the lease by the log's clock, in epoch seconds."""
     serial: int
@@ -60,18 +61,19 @@
         return self._leases.get(resource)
 
     def apply(
-        self, record: AcquireRecord, offset: int, appended_at: float
+        self, record: AcquireRecord, position: int, appended_at: float
     ) -> None:
         """Apply the next record of the stream.
 
         Args:
             record: The record.
-            offset: Offset of the record.
+            position: Position of the record, as a number that rises with the
+                epoch and the offset.
             appended_at: Time of the append by the log's clock, in epoch
                 seconds.
         """
         current = self._leases.get(record.resource)
-        fence = offset
+        fence = position
         if current is not None and appended_at < current.until:
             if current.holder != record.holder:
                 return
--- a/packages/laburnumstep/src/laburnumstep/log/_publisher.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_publisher.py
@@ -87,6 +87,7 @@
         self._clock = clock
         self._stream = stream
         self._replay = _replay.ConfigurationReplay()
+        self._epoch: int | None = None
         self._results: dict[str, _replay.Accepted | _replay.Refused] = {}
 
     async def read_in_force(
@@ -282,7 +283,9 @@
             0,
             deadline,
         )
-        if page.end < self._replay.position:
+        known, self._epoch = self._epoch, page.epoch
+        restored = known is not None and page.epoch != known
+        if restored or page.end < self._replay.position:
             # The log has lost records, so it is replayed from its start.
             self._replay = _replay.ConfigurationReplay()
             return True
--- a/packages/laburnumstep/src/laburnumstep/log/_records.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_records.py
@@ -31,3 +31,9 @@
     """Lowest offset that the log still retains."""
     end: int
     """Offset of the next record that is appended."""
+    epoch: int = 0
+    """Epoch of the log; rises each time that it comes back from an older
+    copy. 0 for a log that names none."""
+    restored_at: float = 0.0
+    """When the log came back last, by its clock in epoch seconds; 0 if it
+    never has."""
--- a/tests/laburnumstep/log/claims.feature
+++ b/tests/laburnumstep/log/claims.feature
@@ -250,3 +250,33 @@
       | 4    |
       | 5    |
       | 6    |
+
+  # Guards against an operation that runs again, because the log has come back
+  # from a copy without the claim of its key.
+  Scenario Outline: A key whose claim may be lost is not granted again
+    When VM "a" posts "k"
+    And releases and settlements are recorded
+    And the claims log comes back without any record, <then>
+    And VM "<vm>" posts "k"
+    Then the caller of "<vm>" receives "unknown <code>"
+    And "k" took effect 1 times
+    When 61 seconds pass
+    And VM "<vm>" posts "l"
+    Then the caller of "<vm>" receives "posting 2"
+
+    Examples:
+      | then                              | vm | code        |
+      | and nothing else happens          | b  | key_expired |
+      | and it grows to where it was      | b  | key_expired |
+
+  # Guards against "not run" for an operation that ran, from a VM that forgets
+  # with the log what it has read.
+  Scenario: A VM that has read the lost claim still knows its answer
+    When VM "a" posts "k"
+    And releases and settlements are recorded
+    And the claims log comes back without any record, and it grows to where it was
+    And VM "a" posts "k"
+    Then the caller of "a" receives "unknown log_unavailable"
+    When VM "a" posts "k"
+    Then the caller of "a" receives "posting 1"
+    And "k" took effect 1 times
--- a/tests/laburnumstep/log/leases.feature
+++ b/tests/laburnumstep/log/leases.feature
@@ -59,3 +59,12 @@
     Given a lease record of another VM that should last 1000000 seconds
     When time passes for 40 seconds
     Then exactly one VM holds the lease
+
+  # Guards against two holders whose orders an engine cannot tell apart, because
+  # the log gives the same offset out again.
+  Scenario: A lease after the log has come back older has a higher fencing token
+    When a VM holds the lease
+    And the leases log comes back without any record
+    And time passes for 40 seconds
+    Then a VM holds the lease with a higher fencing token
+    And exactly one VM holds the lease
--- a/tests/laburnumstep/log/recovery.feature
+++ b/tests/laburnumstep/log/recovery.feature
@@ -207,3 +207,14 @@
     When an operator with the configuration of "vm-1" publishes 900 workspaces from 3
     Then version 4 is in force at "vm-1"
     And "vm-1" has 900 workspaces
+
+  # Guards against a VM that misses a version, because the log has come back
+  # older and grown again to where the VM goes on to read.
+  Scenario: A log that has come back older and grown again is read anew
+    Given an operator publishes a deployment with 1 workspaces from 0
+    And an operator publishes a deployment with 5 workspaces from 1
+    And version 2 is in force at "vm-1"
+    When the log comes back with 1 records and the record {"type": "publication", "deployment": "cuadrilla", "version": 2, "made_from": 1, "nonce": "other", "changes": []} is appended at once
+    Then another configuration is in force at "vm-1"
+    And version 2 is in force at "vm-1"
+    And "vm-1" has 1 workspaces
--- a/tests/laburnumstep/log/steps/claims_steps.py
+++ b/tests/laburnumstep/log/steps/claims_steps.py
@@ -466,3 +466,35 @@
     for answer in context.harness.answers:
         if answer.text.startswith('posting'):
             assert answer.effects == 1, answer
+
+
+@behave.when(
+    'the claims log comes back without any record, and nothing else happens'
+)
+def step_restored(context) -> None:
+    restore(context, grow=False)
+
+
+@behave.when(
+    'the claims log comes back without any record, and it grows to where it'
+    ' was'
+)
+def step_restored_and_grown(context) -> None:
+    restore(context, grow=True)
+
+
+def restore(context, grow: bool) -> None:
+    """Let the log come back empty; it may be as long as before at once."""
+
+    def run() -> None:
+        names = [f'claims-{number:02}' for number in range(log.PARTITIONS)]
+        streams = {
+            name: context.harness.log.get_stream(name) for name in names
+        }
+        ends = {name: stream.end for name, stream in streams.items()}
+        context.harness.log.restore(dict.fromkeys(names, 0))
+        if grow:
+            for name, stream in streams.items():
+                stream.append([{'type': 'other'}] * ends[name])
+
+    context.portal.call(run)
--- a/tests/laburnumstep/log/steps/leases_steps.py
+++ b/tests/laburnumstep/log/steps/leases_steps.py
@@ -163,3 +163,11 @@
     run_until(context, context.harness.list_holders)
     (holder,) = context.harness.list_holders()
     assert find_fencing_token(context, holder) > context.fence
+
+
+@behave.when('the leases log comes back without any record')
+def step_restored(context) -> None:
+    def restore() -> None:
+        context.harness.log.restore({log.LEASES_STREAM: 0})
+
+    context.portal.call(restore)
--- a/tests/laburnumstep/log/steps/recovery_steps.py
+++ b/tests/laburnumstep/log/steps/recovery_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import typing
 
 import anyio
@@ -319,3 +320,17 @@
     deployments.append_record(context, log.encode_publication(publication))
     clocks.run_bounded(context, adopted.wait)
     assert follower.current.version == 3
+
+
+@behave.when(
+    'the log comes back with {count:d} records and the record {record} is'
+    ' appended at once'
+)
+def step_restored(context: typing.Any, count: int, record: str) -> None:
+    context.last_in_force = context.followers['vm-1'].current
+
+    def restore() -> None:
+        context.log.restore({log.CONFIGURATION_STREAM: count})
+        deployments.get_stream(context).append([json.loads(record)])
+
+    context.portal.call(restore)
