--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -34,6 +34,7 @@
 from laburnumstep.core._findings import Finding
 from laburnumstep.core._findings import FindingsError
 from laburnumstep.core._findings import SourcePosition
+from laburnumstep.core._json import MALFORMED_ERRORS
 from laburnumstep.core._json import parse_json
 from laburnumstep.core._keys import choose_by_rendezvous
 from laburnumstep.core._keys import KEY_SKEW_SECONDS
@@ -84,6 +85,7 @@
     'KEY_VALID_SECONDS',
     'KeyHolder',
     'LinkBudget',
+    'MALFORMED_ERRORS',
     'METRICS_CONTENT_TYPE',
     'ManualClock',
     'Metrics',
--- a/packages/laburnumstep/src/laburnumstep/core/_json.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_json.py
@@ -5,6 +5,17 @@
 import json
 import typing
 
+MALFORMED_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+"""What decoding raises for a document of an unexpected shape, or with numbers
+out of range."""
+
 
 def parse_json(
     data: str | bytes,
--- a/packages/laburnumstep/src/laburnumstep/crash_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/crash_exchange.py
@@ -14,37 +14,12 @@
 from laburnumstep import siblings
 from laburnumstep import targets
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 MAX_EVIDENCE_BYTES = 4096
 """Largest encoded evidence, in bytes; that of a gossip entry's value."""
 
 _LOGGER = core.get_logger('siblings')
 
 
-class EvidenceSiblings(typing.Protocol):
-    """The siblings with which evidence is exchanged."""
-
-    def publish(
-        self,
-        kind: siblings.EntryKind,
-        subject: str,
-        data: bytes,
-        expires_at: float,
-    ) -> None:
-        """Publish an opaque value to all VMs."""
-        ...
-
-    def subscribe(
-        self,
-        kind: siblings.EntryKind,
-        listener: collections.abc.Callable[[siblings.GossipEntry], None],
-    ) -> None:
-        """Call a listener with each fresh entry of a kind."""
-        ...
-
-
 class CrashExchange:
     """Publishes the evidence of a ledger and merges that of the siblings.
 
@@ -54,7 +29,7 @@
     """
 
     def __init__(
-        self, ledger: targets.CrashLedger, neighbours: EvidenceSiblings
+        self, ledger: targets.CrashLedger, neighbours: siblings.EntrySiblings
     ) -> None:
         self._ledger = ledger
         self._neighbours = neighbours
--- a/packages/laburnumstep/src/laburnumstep/log/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_client.py
@@ -104,7 +104,7 @@
             raise LogUnavailable(message, reply.status >= 500)
         try:
             return AppendResult(int(reply.body['first_offset']))
-        except (KeyError, OverflowError, TypeError, ValueError) as error:
+        except core.MALFORMED_ERRORS as error:
             message = f'the log sent a malformed reply: {error!r}'
             raise LogUnavailable(message, True) from error
 
@@ -144,13 +144,7 @@
             raise LogUnavailable(message, False)
         try:
             page = _codec.decode_page(reply.body)
-        except (
-            AttributeError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except core.MALFORMED_ERRORS as error:
             message = f'the log sent a malformed page: {error!r}'
             raise LogUnavailable(message, False) from error
         if not self._epochs.observe(page.epoch, f'stream {stream}'):
--- a/packages/laburnumstep/src/laburnumstep/permit_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/permit_exchange.py
@@ -22,9 +22,6 @@
 from laburnumstep import siblings
 from laburnumstep.targets import limits
 
-if typing.TYPE_CHECKING:
-    import collections.abc
-
 ASK_SECONDS = 0.15
 """How long an answer of the owner is awaited, in seconds. The latency between
 regions is 12 ms each way."""
@@ -38,7 +35,7 @@
 _LOGGER = core.get_logger('siblings')
 
 
-class PermitSiblings(typing.Protocol):
+class PermitSiblings(siblings.EntrySiblings, typing.Protocol):
     """The siblings with which limits and permits are shared."""
 
     @property
@@ -62,24 +59,6 @@
         """Send a question for permits without waiting."""
         ...
 
-    def publish(
-        self,
-        kind: siblings.EntryKind,
-        subject: str,
-        data: bytes,
-        expires_at: float,
-    ) -> None:
-        """Publish an opaque value to all VMs."""
-        ...
-
-    def subscribe(
-        self,
-        kind: siblings.EntryKind,
-        listener: collections.abc.Callable[[siblings.GossipEntry], None],
-    ) -> None:
-        """Call a listener with each fresh entry of a kind."""
-        ...
-
 
 @attrs.define(eq=False)
 class _Question:
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -74,13 +74,7 @@
             document = core.parse_json(value)
             table = _decode_table(document)
             services = _decode_services(document)
-        except (
-            AttributeError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except core.MALFORMED_ERRORS as error:
             _LOGGER.error('configuration is malformed; reason=%r', error)
             return
         if self._active_routes.apply(table):
--- a/packages/laburnumstep/src/laburnumstep/platform/_directory.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_directory.py
@@ -166,13 +166,7 @@
             int(value.get('born', 0)),
             _get_count(value, 'sequence'),
         )
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except core.MALFORMED_ERRORS as error:
         _LOGGER.warning(
             'entry ignored; target=%s reason=%r', record.key, error
         )
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 import typing
 
@@ -12,8 +11,9 @@
 from laburnumstep import core
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _headers
+from laburnumstep.platform import _responses
+from laburnumstep.platform import _watchers
 from laburnumstep.targets import relay
-from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
     from starlette import types
@@ -24,7 +24,6 @@
 """Deadline of a request without a valid deadline header, in seconds."""
 MIN_RETRY_AFTER_SECONDS = 0.05
 """Lower bound of the `Retry-After` header, in seconds."""
-_CLOSE_CONNECTION = (b'connection', b'close')
 _TOKEN_SCHEME = b'token '
 
 _LOGGER = core.get_logger('front')
@@ -90,7 +89,7 @@
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         """Serve one request, as an ASGI application."""
-        sink = _ResponseSink(send, self)
+        sink = _responses.ResponseSink(send, lambda: self.leaving)
         arrived_at = self._clock.now()
         try:
             with self._gate.enter():
@@ -206,7 +205,7 @@
     async def _serve(
         self,
         request: relay.RelayRequest,
-        sink: _ResponseSink,
+        sink: _responses.ResponseSink,
         receive: types.Receive,
     ) -> None:
         """Relay a request until it ends or its caller disconnects.
@@ -216,10 +215,10 @@
         """
         error: core.CodedError | None = None
         outcome = 'gone'
-        watcher = _DisconnectWatcher()
+        watcher = _watchers.DisconnectWatcher()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watcher.run, receive, tasks.cancel_scope)
-            stop = _StopWatcher(sink)
+            stop = _watchers.StopWatcher(sink)
             tasks.start_soon(stop.run, self._gate, tasks.cancel_scope)
             try:
                 await self._relay(request, sink)
@@ -263,7 +262,7 @@
         self._metrics.record_time(f'callers.{kind}', seconds)
 
     async def _relay(
-        self, request: relay.RelayRequest, sink: _ResponseSink
+        self, request: relay.RelayRequest, sink: _responses.ResponseSink
     ) -> None:
         match request.route.kind:
             case core.CallKind():
@@ -274,7 +273,10 @@
                 typing.assert_never(request.route.kind)
 
     async def _handle_error(
-        self, scope: types.Scope, sink: _ResponseSink, error: core.CodedError
+        self,
+        scope: types.Scope,
+        sink: _responses.ResponseSink,
+        error: core.CodedError,
     ) -> None:
         self._metrics.count(f'callers.refused.{error.code.value}')
         _LOGGER.info(
@@ -299,106 +301,6 @@
         await sink.refuse(status, error.code.value, retry_after)
 
 
-class _DisconnectWatcher:
-    """Cancels a request when its caller disconnects."""
-
-    def __init__(self) -> None:
-        self.disconnected = False
-
-    async def run(
-        self, receive: types.Receive, scope: anyio.CancelScope
-    ) -> None:
-        await transport.wait_for_disconnect(receive)
-        self.disconnected = True
-        scope.cancel()
-
-
-class _StopWatcher:
-    """Ends a request without an answer when the VM is about to stop.
-
-    Its caller gets an answer then, instead of a connection that is cut. An
-    answer that has begun goes on as long as the VM runs.
-
-    Args:
-        sink: Writes the answer.
-    """
-
-    def __init__(self, sink: _ResponseSink) -> None:
-        self._sink = sink
-        self.error: core.CodedError | None = None
-
-    async def run(
-        self, gate: callers.RequestGate, scope: anyio.CancelScope
-    ) -> None:
-        error = await gate.wait_for_stop_deadline()
-        if not self._sink.begun:
-            self.error = error
-            scope.cancel()
-
-
-class _ResponseSink:
-    """Writes one answer to an ASGI server; implements `relay.AnswerSink`."""
-
-    def __init__(self, send: types.Send, front: FrontEnd) -> None:
-        self._send = send
-        self._front = front
-        self.begun = False
-
-    async def answer(self, answer: relay.Answered) -> None:
-        headers = list(answer.headers)
-        headers.append((b'content-length', b'%d' % len(answer.body)))
-        await self.begin(answer.status, headers)
-        await self._send(
-            {
-                'type': 'http.response.body',
-                'body': answer.body,
-                'more_body': False,
-            }
-        )
-
-    async def begin(self, status: int, headers: relay.Headers) -> None:
-        self.begun = True
-        if self._front.leaving:
-            headers = [*headers, _CLOSE_CONNECTION]
-        await self._send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': headers,
-            }
-        )
-
-    async def send(self, data: bytes) -> None:
-        await self._send(
-            {'type': 'http.response.body', 'body': data, 'more_body': True}
-        )
-
-    async def finish(self) -> None:
-        await self._send(
-            {'type': 'http.response.body', 'body': b'', 'more_body': False}
-        )
-
-    async def refuse(
-        self, status: int, code: str, retry_after: float | None
-    ) -> None:
-        """Send an error answer of the VM.
-
-        Args:
-            status: HTTP status.
-            code: Error code in the JSON body.
-            retry_after: Time until the caller may resend, in seconds; None
-                leaves the header out.
-        """
-        headers = [(b'content-type', b'application/json')]
-        if retry_after is not None:
-            value = f'{retry_after:.3f}'.encode()
-            headers.append((_headers.RETRY_AFTER, value))
-        if status == 400:
-            headers.append(_CLOSE_CONNECTION)
-        body = json.dumps({'error': {'code': code}}).encode()
-        await self.answer(relay.Answered(status, headers, body))
-
-
 def _choose_status(error: core.CodedError) -> int:
     match error.code:
         case core.ErrorCode.BAD_REQUEST:
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -7,6 +7,7 @@
 import typing
 
 from laburnumstep import core
+from laburnumstep.platform import _answers
 from laburnumstep.platform import _events
 from laburnumstep.platform import _headers
 from laburnumstep import targets
@@ -25,17 +26,11 @@
 REFUSAL_TIMEOUT_SECONDS = 0.2
 """Limit for reading the body of a refusal, in seconds. The connection is
 closed after it, and the request goes to another server."""
-DEFAULT_IDLE_SECONDS = 1.0
-"""Idle timeout of a connection whose server states none, in seconds."""
-IDLE_MARGIN_SECONDS = 0.5
-"""How long before its server this client drops an idle connection, in
-seconds."""
 REPORT_LAG_SECONDS = 0.5
 """Age of a load report when it arrives, in seconds."""
 _LOWEST_PRIORITY = 9
 _MULTIPLE_CHOICES = 300
 _MISDIRECTED_REQUEST = 421
-_EVENT_STREAM = b'text/event-stream'
 
 _LOGGER = core.get_logger('platform')
 
@@ -83,7 +78,7 @@
             sent_at = self._clock.now()
             await connection.send(head, attempt.request.body, attempt.deadline)
             response = await connection.read_head(attempt.deadline)
-            if _is_own_answer(attempt, connection, response):
+            if _answers.is_own_answer(attempt, connection, response):
                 self._record_limit(attempt.target, response, sent_at)
             reply = await self._read_reply(attempt, connection, response)
             intact = not isinstance(reply, relay.Lost)
@@ -161,7 +156,7 @@
                 models=list(target.models),
                 reclaim_at=self._find_reclaim_time(report),
             )
-        except (KeyError, OverflowError, TypeError, ValueError) as error:
+        except core.MALFORMED_ERRORS as error:
             raise targets.MalformedStream(repr(error)) from error
 
     def _find_reclaim_time(
@@ -208,13 +203,7 @@
                 target.name,
                 error,
             )
-        except (
-            IndexError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except core.MALFORMED_ERRORS as error:
             _LOGGER.warning(
                 'list of runs is malformed; target=%s reason=%r',
                 target.name,
@@ -333,7 +322,7 @@
         connection: transport.HttpConnection,
         response: transport.ResponseHead,
     ) -> relay.Reply:
-        if not _is_own_answer(attempt, connection, response):
+        if not _answers.is_own_answer(attempt, connection, response):
             return relay.Lost('the answer has the ID of another request')
         if response.find(_headers.NOT_EXECUTED) is not None:
             return await self._read_refusal(attempt, connection, response)
@@ -343,7 +332,7 @@
         if succeeded and response.find(_headers.SIGNATURE) is None:
             return relay.Lost('the answer has no signature')
         headers = _headers.drop_hop_by_hop(response.headers)
-        if succeeded and _is_stream(attempt.request, response):
+        if succeeded and _answers.is_stream(attempt.request, response):
             return self._open_stream(attempt, connection, response, headers)
         body = await connection.read_body(MAX_RESPONSE_BYTES, attempt.deadline)
         self._release_connection(attempt.target, connection, response)
@@ -409,42 +398,5 @@
         if pool is None:
             connection.close()
             return
-        seconds = _compute_idle_seconds(response)
+        seconds = _answers.compute_idle_seconds(response)
         pool.release(connection, self._clock.now() + seconds)
-
-
-def _is_own_answer(
-    attempt: relay.Attempt,
-    connection: transport.HttpConnection,
-    response: transport.ResponseHead,
-) -> bool:
-    """Return whether an answer belongs to the request of an attempt."""
-    echoed = response.find(_headers.REQUEST_ID)
-    refused = response.find(_headers.NOT_EXECUTED) is not None
-    # Only the first answer on a connection cannot be a repetition of an
-    # earlier one, so only there may a refusal lack the ID.
-    if echoed is None and refused and not connection.was_reused:
-        return True
-    return (echoed or b'').decode('latin-1') == attempt.request.key
-
-
-def _is_stream(
-    request: relay.RelayRequest, response: transport.ResponseHead
-) -> bool:
-    content_type = response.find(b'content-type') or b''
-    return isinstance(request.route.kind, core.StreamKind) and (
-        content_type.startswith(_EVENT_STREAM)
-    )
-
-
-def _compute_idle_seconds(response: transport.ResponseHead) -> float:
-    """Return how long an idle connection may be reused, in seconds.
-
-    This is the idle timeout that the server states, less a margin.
-    """
-    value = response.find(b'keep-alive') or b''
-    for item in value.split(b','):
-        name, _, seconds = item.strip().partition(b'=')
-        if name.lower() == b'timeout' and seconds.strip().isdigit():
-            return float(seconds) - IDLE_MARGIN_SECONDS
-    return DEFAULT_IDLE_SECONDS
--- a/packages/laburnumstep/src/laburnumstep/platform/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_store.py
@@ -83,12 +83,7 @@
                 if not page['hasMore'] or not page['items']:
                     return log.KeyedPage(records, position)
                 after = str(page['items'][-1]['key'])
-            except (
-                KeyError,
-                OverflowError,
-                TypeError,
-                ValueError,
-            ) as error:
+            except core.MALFORMED_ERRORS as error:
                 message = f'the store sent a malformed page: {error!r}'
                 raise log.TopicUnavailable(message) from error
 
--- a/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/__init__.py
@@ -38,6 +38,7 @@
 from laburnumstep.siblings._messages import TopicRecord
 from laburnumstep.siblings._messages import TopicUnavailable
 from laburnumstep.siblings._presence import Identity
+from laburnumstep.siblings._publishing import EntrySiblings
 from laburnumstep.siblings._server import SiblingHandler
 from laburnumstep.siblings._server import SiblingServer
 from laburnumstep.siblings._store import GossipStore
@@ -57,6 +58,7 @@
     'EngineSend',
     'EntryKey',
     'EntryKind',
+    'EntrySiblings',
     'EntryValue',
     'GossipEntry',
     'GossipStore',
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
@@ -91,13 +91,7 @@
                 )
             case 'failed':
                 return _engine_events.Failed(str(body['code']))
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except core.MALFORMED_ERRORS as error:
         message = f'malformed event: {event[:80]!r}'
         raise _engine_events.MalformedStream(message) from error
     raise _engine_events.MalformedStream(f'unknown event: {event[:80]!r}')
@@ -125,7 +119,7 @@
                 for model in body['models']
             },
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except core.MALFORMED_ERRORS as error:
         message = f'malformed load report: {body!r}'[:120]
         raise _engine_events.MalformedStream(message) from error
 
@@ -156,6 +150,6 @@
             for item in body['events']
         ]
         return CachePage(events, int(body['next']))
-    except (KeyError, TypeError, ValueError) as error:
+    except core.MALFORMED_ERRORS as error:
         message = f'malformed cache events: {body!r}'[:120]
         raise _engine_events.MalformedStream(message) from error
