--- a/review/lab.py
+++ b/review/lab.py
@@ -141,7 +141,7 @@
                 }
                 items = [
                     {
-                        'key': key.decode(),
+                        'key': key.decode('utf-8', 'replace'),
                         'value': base64.b64encode(value).decode(),
                         'offset': offset,
                     }
@@ -594,10 +594,17 @@
 
     async def run() -> int:
         vms: list[VM] = []
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, task.cancel
+            )
         try:
             async with asyncio.timeout(110):
                 return 1 if await play(record, vms) else 0
-        except (CannotRun, TimeoutError, OSError) as error:
+        except (
+            CannotRun, TimeoutError, OSError, asyncio.CancelledError
+        ) as error:
             record.note(f'the case could not run: {error!r}')
             return 2
         finally:
