--- a/review/lab.py
+++ b/review/lab.py
@@ -12,6 +12,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -360,7 +361,6 @@
         self.folder = tempfile.mkdtemp(prefix='review-')
         self.settings = os.path.join(self.folder, 'node.toml')
         self.process: asyncio.subprocess.Process | None = None
-        internal = find_port('127.0.0.1')
         zone_lines = '\n'.join(f'{k} = "{v}"' for k, v in zones.items())
         with open(self.settings, 'w') as file:
             file.write(f'''nodeName = "{name}"
@@ -610,6 +610,8 @@
         finally:
             for vm in vms:
                 await vm.end()
+                if 'KEEP' not in os.environ:
+                    shutil.rmtree(vm.folder, ignore_errors=True)
 
     code = asyncio.run(run())
     record.note(f'exit code {code}')
