Let other tasks run while a peer sends without end

Callers saw: one engine of five sent line feeds without end, and the VM answered nobody, on any route, nor its readiness probe.

Cause: a read of a socket that has bytes does not wait, and decoding them does not either. A peer that sends faster than this process decodes held the event loop, so neither its own deadline nor that of any other task took effect. Beside it, limits counted decoded bytes: line feeds are no event and chunks of one byte are one sixth of what is received, so the limits were reached late or never.

Fix: HttpConnection counts what it reads and decodes and lets other tasks run after 64 KiB or 64 items, checking the deadline there. The limit of a body and the distance between two events of a stream count received bytes. Blank lines are no events. The end of an event is no longer searched from its beginning for each chunk.

The fake connection of decoding_steps.py counts received bytes, as the reader asks for them now; its checks are unchanged.

--- a/packages/laburnumstep/src/laburnumstep/platform/_events.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_events.py
@@ -11,6 +11,9 @@
 _ID_FIELD = b'id:'
 MAX_EVENT_BYTES = 256 * 1024
 """Size limit of one event, in bytes."""
+MAX_BYTES_BETWEEN_EVENTS = 2 * MAX_EVENT_BYTES
+"""Limit on what is received from one event to the next, in bytes. It includes
+blank lines and the framing of the body."""
 
 
 class EventReader:
@@ -32,7 +35,8 @@
         self._connection = connection
         self._release = release
         self._tokens_per_event = tokens_per_event
-        self._incomplete = b''
+        self._incomplete = bytearray()
+        self._bytes_at_last_event = connection.received_bytes
         self._ended = False
 
     async def read(self, deadline: float) -> list[relay.StreamEvent] | None:
@@ -40,8 +44,8 @@
 
         Raises:
             StreamBroken: No complete event arrived before the deadline,
-                the connection failed, or an event was too long or was
-                cut off by the end of the stream.
+                the connection failed, too many bytes arrived without an
+                event, or an event was cut off by the end of the stream.
         """
         while True:
             try:
@@ -52,8 +56,12 @@
                 self._finish()
                 return None
             events = self._split_events(chunk)
+            received = self._connection.received_bytes
             if events:
+                self._bytes_at_last_event = received
                 return events
+            if received - self._bytes_at_last_event > MAX_BYTES_BETWEEN_EVENTS:
+                raise relay.StreamBroken('too many bytes without an event')
 
     def close(self) -> None:
         """Close the connection unless the stream has ended.
@@ -73,15 +81,25 @@
         self._release()
 
     def _split_events(self, chunk: bytes) -> list[relay.StreamEvent]:
-        data = self._incomplete + chunk
-        *complete, self._incomplete = data.split(_EVENT_END)
+        # Only the last byte can begin an end that the chunk completes.
+        # Searching all bytes for each chunk would take quadratic time.
+        searched = max(0, len(self._incomplete) - 1)
+        self._incomplete += chunk
+        end = self._incomplete.rfind(_EVENT_END, searched)
+        if end >= 0:
+            end += len(_EVENT_END)
+            complete = bytes(self._incomplete[:end])
+            del self._incomplete[:end]
+        else:
+            complete = b''
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise relay.StreamBroken('an event exceeds the size limit')
         return [
             relay.StreamEvent(
                 event + _EVENT_END, _find_id(event), self._tokens_per_event
             )
-            for event in complete
+            for event in complete.split(_EVENT_END)
+            if event.strip()
         ]
 
 
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -15,6 +15,7 @@
 
 from laburnumstep.transport import _client
 from laburnumstep.transport import _sockets
+from laburnumstep.transport import _turns
 
 if typing.TYPE_CHECKING:
     from laburnumstep import core
@@ -73,6 +74,8 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._closed_by_peer = False
         self._requests = 0
+        self._received_bytes = 0
+        self._turn = _turns.Turn()
 
     @classmethod
     async def open(
@@ -108,6 +111,14 @@
         """Whether the connection has carried more than one request."""
         return self._requests > 1
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received since the last request was sent.
+
+        They include the head and the framing of the body.
+        """
+        return self._received_bytes
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request.
@@ -136,6 +147,7 @@
             ValueError: The request is malformed.
         """
         self._requests += 1
+        self._received_bytes = 0
         headers = list(head.headers)
         if body or head.method not in (b'GET', b'HEAD', b'DELETE'):
             headers.append((b'Content-Length', b'%d' % len(body)))
@@ -196,19 +208,21 @@
         """Return the whole body.
 
         Args:
-            limit: Largest accepted body, in bytes.
+            limit: Largest accepted body, in bytes. It bounds the framing too:
+                a body of small chunks consists mostly of framing.
             deadline: When to give up, in epoch seconds.
 
         Raises:
             ExchangeFailed: The body is incomplete or exceeds the limit.
         """
         body = bytearray()
+        max_received = self._received_bytes + limit + _sockets.MAX_READ_BYTES
         while True:
             chunk = await self.read_chunk(deadline)
             if chunk is None:
                 return bytes(body)
             body += chunk
-            if len(body) > limit:
+            if len(body) > limit or self._received_bytes > max_received:
                 raise _client.ExchangeFailed(
                     f'the body is longer than {limit} bytes'
                 )
@@ -220,11 +234,20 @@
     async def _read_event(self, deadline: float) -> typing.Any:
         try:
             while True:
+                # Reading and decoding do not wait while bytes are there. A
+                # peer that never stops sending would hold the event loop,
+                # and no deadline of any task would take effect.
+                if self._turn.is_over:
+                    with anyio.fail_after(self._compute_timeout(deadline)):
+                        await self._turn.yield_to_others()
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
+                    self._turn.record_item()
                     return event
                 with anyio.fail_after(self._compute_timeout(deadline)):
                     data = await self._stream.receive()
+                self._turn.record_bytes(len(data))
+                self._received_bytes += len(data)
                 self._closed_by_peer = not data
                 self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
--- a/packages/laburnumstep/src/laburnumstep/transport/_sockets.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_sockets.py
@@ -82,6 +82,8 @@
     async def receive(self) -> bytes:
         """Return the next bytes, or no bytes if the peer has closed.
 
+        It does not wait, and other tasks do not run, if bytes are there.
+
         Raises:
             OSError: The connection has failed.
         """
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -206,9 +206,14 @@
     """Connection that returns given chunks of a response body."""
 
     chunks: list[bytes]
+    received_bytes: int = 0
 
     async def read_chunk(self, deadline: float) -> bytes | None:
-        return self.chunks.pop(0) if self.chunks else None
+        if not self.chunks:
+            return None
+        chunk = self.chunks.pop(0)
+        self.received_bytes += len(chunk)
+        return chunk
 
     def close(self) -> None:
         pass
