Extend the idle timeout of a stream only by new events

Callers would see: a stream that stalled did not end before its deadline while its engine repeated an event or sent comments now and then, or without end.

Cause: each read of events began a new idle timeout, also after a read whose events were dropped as repeated or had no ID.

Fix: the deadline of the idle timeout is stored and renewed by events with a new ID, by an open stream and by a migration. A stream whose events have no IDs at all is treated as before.

Evidence: of the four rows 'Only new events extend the idle timeout' three failed on the old relay (event 1, event 2, a comment); the row with new events held.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -81,6 +81,7 @@
         self._may_have_run = False
         self._attempts = 0
         self._delivered_at = request.arrived_at
+        self._idle_deadline: float | None = None
         self._first_event_seconds = 0.0
         self._longest_pause = 0.0
         self._excluded: frozenset[str] = frozenset()
@@ -155,8 +156,10 @@
             if self._migration_requested and self._response_begun:
                 self._migration_requested = False
                 await self._migrate()
+                self._idle_deadline = None
             if self._prepared_copy is not None:
                 await self._hand_over(self._prepared_copy)
+                self._idle_deadline = None
 
     async def _open(self) -> bool:
         """Open the stream.
@@ -239,6 +242,7 @@
             self._source = reply.source
             self._backup = backup
             self._first_reply = self._first_reply or reply
+            self._idle_deadline = None
             self._running.add(placement.target.name, self)
             self._migration_requested = not self._placer.is_usable(
                 placement.target.name
@@ -274,10 +278,9 @@
 
     async def _read_events(self) -> list[_ports.StreamEvent] | None:
         assert self._source is not None
-        deadline = min(
-            self._request.deadline,
-            self._clock.now() + self._get_idle_timeout(),
-        )
+        if self._idle_deadline is None:
+            self._idle_deadline = self._clock.now() + self._get_idle_timeout()
+        deadline = min(self._request.deadline, self._idle_deadline)
         events: list[_ports.StreamEvent] | None = []
         with anyio.CancelScope() as self._read_scope:
             events = await self._source.read(deadline)
@@ -303,8 +306,13 @@
         await self._begin_response()
         data = b''.join(event.data for event in events)
         await self._sink.send(data)
+        # Only events with a new position extend the idle timeout. An engine
+        # that repeats an event, or sends comments, may do so without end.
+        has_positions = self._position is not None
         for event in events:
             self._position = event.position or self._position
+            if event.position is not None or not has_positions:
+                self._idle_deadline = None
         if self._placement is not None:
             tokens = sum(event.tokens for event in events)
             self._placement.record_tokens(tokens, len(data))
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -172,6 +172,50 @@
     add_stream(context, name, [relay_fakes.make_events(first, last), broken])
 
 
+def make_later_event(kind: str, number: int) -> relay.StreamEvent:
+    match kind.split():
+        case ['event', text]:
+            return relay_fakes.make_events(int(text), int(text))[0]
+        case ['a', 'comment']:
+            return relay.StreamEvent(b':;', None)
+        case ['the', 'next', 'event']:
+            return relay_fakes.make_events(number, number)[0]
+    raise ValueError(kind)
+
+
+@behave.given(
+    '"{name}" streams events 1 to {last:d} and then {kind} every'
+    ' {seconds:f} s, {count:d} times'
+)
+def step_then(
+    context: typing.Any,
+    name: str,
+    last: int,
+    kind: str,
+    seconds: float,
+    count: int,
+) -> None:
+    def make_step(number: int) -> typing.Any:
+        async def send_later() -> list[relay.StreamEvent]:
+            context.clock.advance(seconds)
+            return [make_later_event(kind, last + 1 + number)]
+
+        return send_later
+
+    context.start = context.clock.now()
+    steps = [make_step(number) for number in range(count)]
+    add_stream(context, name, [relay_fakes.make_events(1, last), *steps])
+
+
+@behave.then('the read deadlines of "a" were {deadlines} s after the start')
+def step_read_deadlines(context: typing.Any, deadlines: str) -> None:
+    found = [
+        round(deadline - context.start, 3)
+        for deadline in context.sources[0].deadlines
+    ]
+    assert found == [float(item) for item in deadlines.split(',')], found
+
+
 @behave.given('"{name}" breaks off before its first event')
 def step_breaks_early(context: typing.Any, name: str) -> None:
     add_stream(context, name, [relay.StreamBroken('reset')])
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -187,6 +187,21 @@
       | single    | a copy ahead | 6     | 1     |
       | resumable | no copy      | 6     | 1     |
 
+  # Guards against a stalled stream that never ends because its engine repeats
+  # an event or sends comments.
+  Scenario Outline: Only new events extend the idle timeout
+    Given a resumable stream of events 1 to 3
+    And "a" streams events 1 to 2 and then <events> every 0.4 s, 3 times
+    When the request is relayed
+    Then the read deadlines of "a" were <deadlines> s after the start
+
+    Examples:
+      | events        | deadlines               |
+      | event 1       | 6, 1, 1, 1, 1           |
+      | event 2       | 6, 1, 1, 1, 1           |
+      | a comment     | 6, 1, 1, 1, 1           |
+      | the next event | 6, 1, 1.4, 1.8, 2.2    |
+
   Scenario: Events that an engine sends again reach the caller once
     Given a resumable stream of events 1 to 5
     And "a" streams events 1 to 3 and breaks off
