Bound the memory of answers that are read at the same time

An operator reported: a faulty server sent bytes that were no answer without end, the machine that had called it kept them all and ran out of memory, and the requests of other clients there ended with it.

Fix: the answers of all targets that are read as a whole share a budget of 16 MiB. When it is exceeded, the largest of them is dropped and its request fails; small answers are kept. Heads were bounded before.

--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -21,6 +21,9 @@
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 """Size limit of an answer that is read as a whole, in bytes. Several servers
 in trouble may send bytes without end to a VM with 128 MB of memory."""
+MAX_BODIES_BYTES = 16 * 1024 * 1024
+"""Limit on the answers that are read as a whole at the same time, in bytes.
+Most answers are shorter than 1 KB."""
 MAX_REFUSAL_BYTES = 64 * 1024
 """Size limit of the body of a refusal, which nobody reads, in bytes."""
 REFUSAL_TIMEOUT_SECONDS = 0.2
@@ -55,6 +58,7 @@
         self._get_tokens_per_event = get_tokens_per_event
         self._target_limits = target_limits
         self._pools: dict[str, transport.ConnectionPool] = {}
+        self._body_budget = transport.BodyBudget(MAX_BODIES_BYTES)
 
     async def send(self, attempt: relay.Attempt) -> relay.Reply:
         """Send a request to a target.
@@ -265,7 +269,9 @@
             await connection.send(head, body, deadline)
             response = await connection.read_head(deadline)
             self._record_limit(target, response, sent_at)
-            content = await connection.read_body(MAX_RESPONSE_BYTES, deadline)
+            content = await connection.read_body(
+                MAX_RESPONSE_BYTES, deadline, self._body_budget
+            )
             complete = True
         finally:
             if not complete:
@@ -334,7 +340,9 @@
         headers = _headers.drop_hop_by_hop(response.headers)
         if succeeded and _answers.is_stream(attempt.request, response):
             return self._open_stream(attempt, connection, response, headers)
-        body = await connection.read_body(MAX_RESPONSE_BYTES, attempt.deadline)
+        body = await connection.read_body(
+            MAX_RESPONSE_BYTES, attempt.deadline, self._body_budget
+        )
         self._release_connection(attempt.target, connection, response)
         return relay.Answered(response.status, headers, body)
 
@@ -365,7 +373,9 @@
         refusal_deadline = self._clock.now() + REFUSAL_TIMEOUT_SECONDS
         try:
             await connection.read_body(
-                MAX_REFUSAL_BYTES, min(attempt.deadline, refusal_deadline)
+                MAX_REFUSAL_BYTES,
+                min(attempt.deadline, refusal_deadline),
+                self._body_budget,
             )
             self._release_connection(attempt.target, connection, response)
         except transport.ExchangeFailed:
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -3,6 +3,7 @@
 from laburnumstep.transport._bodies import MAX_BODY_BYTES
 from laburnumstep.transport._bodies import read_body
 from laburnumstep.transport._bodies import wait_for_disconnect
+from laburnumstep.transport._body_budget import BodyBudget
 from laburnumstep.transport._client import ConnectFailed
 from laburnumstep.transport._client import ConnectRefused
 from laburnumstep.transport._client import EXCHANGE_ERRORS
@@ -22,6 +23,7 @@
 from laburnumstep.transport._server import serve_app
 
 __all__ = [
+    'BodyBudget',
     'ConnectFailed',
     'ConnectRefused',
     'ConnectionPool',
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -13,6 +13,7 @@
 import attrs
 import h11
 
+from laburnumstep.transport import _body_budget
 from laburnumstep.transport import _client
 from laburnumstep.transport import _sockets
 from laburnumstep.transport import _turns
@@ -204,28 +205,43 @@
             case _:
                 raise _client.ExchangeFailed('the body is incomplete')
 
-    async def read_body(self, limit: int, deadline: float) -> bytes:
+    async def read_body(
+        self,
+        limit: int,
+        deadline: float,
+        budget: _body_budget.BodyBudget | None = None,
+    ) -> bytes:
         """Return the whole body.
 
         Args:
             limit: Largest accepted body, in bytes. It bounds the framing too:
                 a body of small chunks consists mostly of framing.
             deadline: When to give up, in epoch seconds.
+            budget: Bounds this body and others that are read meanwhile; None
+                for no bound but the limit.
 
         Raises:
-            ExchangeFailed: The body is incomplete or exceeds the limit.
+            ExchangeFailed: The body is incomplete, exceeds the limit, or was
+                dropped because the budget was exceeded.
         """
-        body = bytearray()
+        budget = budget or _body_budget.BodyBudget(limit + 1)
         max_received = self._received_bytes + limit + _sockets.MAX_READ_BYTES
-        while True:
-            chunk = await self.read_chunk(deadline)
-            if chunk is None:
-                return bytes(body)
-            body += chunk
-            if len(body) > limit or self._received_bytes > max_received:
-                raise _client.ExchangeFailed(
-                    f'the body is longer than {limit} bytes'
-                )
+        body = budget.open()
+        try:
+            while True:
+                chunk = await self.read_chunk(deadline)
+                if body.is_dropped:
+                    message = 'bodies that are read exceed the memory budget'
+                    raise _client.ExchangeFailed(message)
+                if chunk is None:
+                    return bytes(body.data)
+                budget.extend(body, chunk)
+                size = len(body.data)
+                if size > limit or self._received_bytes > max_received:
+                    message = f'the body is longer than {limit} bytes'
+                    raise _client.ExchangeFailed(message)
+        finally:
+            budget.close(body)
 
     def close(self) -> None:
         """Close the connection immediately."""
