Bound the responses that a JSON client reads, in bytes and in time

An operator reported: a faulty server sent bytes that were no answer without end, in a head or in a body, and the machine that had called it kept them all and ran out of memory.

It can happen here on the product's own front, with each peer that is called through JsonClient: plain services, load reports and orders of engines, the log, the VM list and the weight store. The whole body was read without a limit. The timeouts of httpcore apply to each read, so a peer that goes on sending never exceeded them, neither with a body nor with responses 1xx; the call then lasted for good.

Fix: a client reads at most 16 MiB at the same time from its peer (4 MiB from a target), counted with the framing of chunks, and the deadline covers the whole exchange. If it passes before the request was begun to be sent, the request is still reported as not sent; httpcore's trace tells. Decoding many small chunks lets other tasks run.

--- a/packages/laburnumstep/src/laburnumstep/targets/_bounds.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_bounds.py
@@ -1,7 +1,11 @@
-"""Time limits of single attempts."""
+"""Limits of single attempts and of their answers."""
 
 from __future__ import annotations
 
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Limit on the JSON answers of one target that are read at the same time, in
+bytes. A target in trouble may send without end."""
+
 
 def bound_attempt(now: float, deadline: float, targets_left: int) -> float:
     """Return the deadline of an attempt on one target, in epoch seconds.
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -10,6 +10,7 @@
 import attrs
 import httpcore
 
+from laburnumstep.targets import _bounds
 from laburnumstep.targets import _coalescing
 from laburnumstep.targets import _engine_codec
 from laburnumstep.targets import _engine_events
@@ -84,7 +85,9 @@
         self._record_headers = record_headers
         # Short requests have a separate pool: httpcore iterates over all
         # connections of a pool for each request.
-        self._http = transport.JsonClient(address)
+        self._http = transport.JsonClient(
+            address, max_bytes=_bounds.MAX_ANSWER_BYTES
+        )
         self._streams = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             max_keepalive_connections=_MAX_CONNECTIONS,
--- a/packages/laburnumstep/src/laburnumstep/targets/_orders_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_orders_client.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from laburnumstep.targets import _bounds
 from laburnumstep import transport
 
 
@@ -46,7 +47,9 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._http = transport.JsonClient(address)
+        self._http = transport.JsonClient(
+            address, max_bytes=_bounds.MAX_ANSWER_BYTES
+        )
 
     async def send(
         self, order: Order, fence: int, deadline: float
--- a/packages/laburnumstep/src/laburnumstep/targets/_service_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_service_client.py
@@ -8,6 +8,7 @@
 import attrs
 
 from laburnumstep import core
+from laburnumstep.targets import _bounds
 from laburnumstep.targets import limits
 from laburnumstep import transport
 
@@ -77,7 +78,9 @@
         self._name = target.name
         self._target_limits = target_limits
         self._clock = clock
-        self._http = transport.JsonClient(target.address)
+        self._http = transport.JsonClient(
+            target.address, max_bytes=_bounds.MAX_ANSWER_BYTES
+        )
 
     async def call(
         self, call: core.ServiceCall, deadline: float
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -8,9 +8,13 @@
 import time
 import typing
 
+import anyio
 import attrs
 import httpcore
 
+from laburnumstep.transport import _body_budget
+from laburnumstep.transport import _turns
+
 if importlib.util.find_spec('sniffio') is None:
     # httpcore tries to import sniffio for each new lock. Each failed import
     # takes 0.1 ms; this entry makes the import fail without a search.
@@ -20,6 +24,11 @@
 """Most connections to one peer; allows one for each request in progress."""
 _CONNECT_SECONDS = 2.0
 """Timeout of connecting, in seconds."""
+MAX_JSON_BYTES = 16 * 1024 * 1024
+"""Default limit on the responses of one peer that are read at the same time,
+in bytes. The largest ones are pages of the log with whole configurations."""
+_CHUNK_FRAMING_BYTES = 5
+"""Fewest bytes that the framing of a chunk adds to a body."""
 EXCHANGE_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -62,18 +71,38 @@
     """Headers by name in lower case; several of a name are a list."""
 
 
+class _SendObserver:
+    """Observes whether httpcore has begun to send a request."""
+
+    def __init__(self) -> None:
+        self.has_begun = False
+        """Whether the peer may have received a part of the request."""
+
+    async def trace(self, event: str, info: dict[str, typing.Any]) -> None:
+        """Receive an event; httpcore calls this for each step."""
+        if event.endswith('.send_request_headers.started'):
+            self.has_begun = True
+
+
 class JsonClient:
     """Sends JSON requests to one peer.
 
     Args:
         address: IP address and port of the peer.
         pool: Connection pool to use; None creates one.
+        max_bytes: Limit on a response, and on all responses that are read
+            at the same time, in bytes.
     """
 
     def __init__(
-        self, address: str, pool: httpcore.AsyncConnectionPool | None = None
+        self,
+        address: str,
+        pool: httpcore.AsyncConnectionPool | None = None,
+        max_bytes: int = MAX_JSON_BYTES,
     ) -> None:
         self._address = address
+        self._max_bytes = max_bytes
+        self._body_budget = _body_budget.BodyBudget(max_bytes)
         self._pool = pool or httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             max_keepalive_connections=_MAX_CONNECTIONS,
@@ -109,30 +138,68 @@
         all_headers = {'Content-Type': 'application/json', **(headers or {})}
         content = None if body is None else json.dumps(body).encode()
         timeouts = timeouts_until(deadline)
+        observer = _SendObserver()
         try:
-            response = await self._pool.request(
-                method,
-                url,
-                headers=list(all_headers.items()),
-                content=content,
-                extensions={'timeout': timeouts},
-            )
+            # The timeouts of httpcore apply to each read. A peer that sends
+            # a byte now and then would never exceed them.
+            with anyio.fail_after(timeouts['read']):
+                async with self._pool.stream(
+                    method,
+                    url,
+                    headers=list(all_headers.items()),
+                    content=content,
+                    extensions={'timeout': timeouts, 'trace': observer.trace},
+                ) as response:
+                    answer = await self._read_body(response)
         except (
             httpcore.ConnectError,
             httpcore.ConnectTimeout,
             httpcore.PoolTimeout,
         ) as error:
             raise ConnectFailed(f'{self._address}: {error}') from error
+        except TimeoutError as error:
+            message = f'{self._address}: the deadline has passed'
+            if observer.has_begun:
+                raise ExchangeFailed(message) from error
+            raise ConnectFailed(message) from error
         except EXCHANGE_ERRORS as error:
             name = type(error).__name__
             message = f'{self._address}: {name}: {error}'
             raise ExchangeFailed(message) from error
         return JsonResponse(
             response.status,
-            _decode_json(response.content, self._address),
+            _decode_json(answer, self._address),
             join_headers(response.headers),
         )
 
+    async def _read_body(self, response: httpcore.Response) -> bytes:
+        """Return the body of a response.
+
+        Raises:
+            ExchangeFailed: The body is too long.
+        """
+        turn = _turns.Turn()
+        received = 0
+        body = self._body_budget.open()
+        try:
+            async for chunk in response.aiter_stream():
+                received += len(chunk) + _CHUNK_FRAMING_BYTES
+                if body.is_dropped or received > self._max_bytes:
+                    break
+                self._body_budget.extend(body, chunk)
+                turn.record_bytes(len(chunk))
+                turn.record_item()
+                if turn.is_over:
+                    await turn.yield_to_others()
+            if body.is_dropped or received > self._max_bytes:
+                raise ExchangeFailed(
+                    f'{self._address}: responses are longer than'
+                    f' {self._max_bytes} bytes'
+                )
+            return bytes(body.data)
+        finally:
+            self._body_budget.close(body)
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
