End a generation's stream when its engine sends nothing new

Callers would see: a generation that waited beyond its deadline, because its engine repeated one token, or sent "preempted" or responses 1xx, without end.

Cause: the timeouts of httpcore apply to each read, so an engine that goes on sending never exceeds them. Repeated events were dropped, but nothing counted them, and the deadline is checked only between two reads of the stream. Decoding many small chunks did not let other tasks run.

Fix: the follower tells the engine's client whether an event was new. A stream without a new event within its idle timeout counts as idle, one with 1 MiB and no new event as broken; both lead to the existing retries, which check the deadline. The idle timeout covers the whole head. Other tasks run between chunks.

--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import secrets
 import time
 import typing
 
+import anyio
 import attrs
 import httpcore
 
@@ -17,6 +19,8 @@
 from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
+    import collections.abc
+
     from laburnumstep.targets import _reports
 
 _MAX_CONNECTIONS = 2000
@@ -26,7 +30,11 @@
 RecordHeaders = typing.Callable[[dict[str, str], float], None]
 """Called with the headers of an answer, by name in lower case, and when its
 request was sent, in epoch seconds."""
-Deliver = typing.Callable[[_engine_events.EngineEvent], typing.Awaitable[None]]
+MAX_BYTES_WITHOUT_NEWS = 1024 * 1024
+"""Limit on what an engine sends without a new event, in bytes. An engine may
+repeat events when a stream is resumed."""
+Deliver = typing.Callable[[_engine_events.EngineEvent], typing.Awaitable[bool]]
+"""Called with an event; returns whether it was new."""
 
 
 class NotStarted(Exception):
@@ -216,21 +224,14 @@
         deliver: Deliver,
         idle_deadline: float,
     ) -> None:
-        url = f'http://{self._http.address}{path}'
         timeouts = transport.timeouts_until(idle_deadline)
         self._pacer.add_stream()
         sent_at = time.time()
         try:
-            async with self._streams.stream(
-                method,
-                url,
-                headers=[('Content-Type', 'application/json')],
-                content=content,
-                extensions={'timeout': timeouts},
-            ) as response:
+            async with self._open(method, path, content, timeouts) as response:
                 headers = transport.join_headers(response.headers)
                 self._record_headers(headers, sent_at)
-                await self._read_events(response, deliver)
+                await self._read_events(response, deliver, timeouts['read'])
         except httpcore.ConnectError as error:
             raise NotStarted(f'refused: {error}') from error
         except (httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
@@ -241,8 +242,41 @@
         finally:
             self._pacer.remove_stream()
 
+    @contextlib.asynccontextmanager
+    async def _open(
+        self,
+        method: str,
+        path: str,
+        content: bytes | None,
+        timeouts: dict[str, float],
+    ) -> collections.abc.AsyncIterator[httpcore.Response]:
+        """Send a request and open its response, whose head has been read."""
+        observer = transport.SendObserver()
+        request = self._streams.stream(
+            method,
+            f'http://{self._http.address}{path}',
+            headers=[('Content-Type', 'application/json')],
+            content=content,
+            extensions={'timeout': timeouts, 'trace': observer.trace},
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                # The timeouts of httpcore apply to each read, and responses
+                # 1xx may come without end.
+                with anyio.fail_after(timeouts['read']):
+                    response = await stack.enter_async_context(request)
+            except TimeoutError as error:
+                message = 'no response within the idle timeout'
+                if observer.has_begun:
+                    raise StreamBroken(message) from error
+                raise NotReached(message) from error
+            yield response
+
     async def _read_events(
-        self, response: httpcore.Response, deliver: Deliver
+        self,
+        response: httpcore.Response,
+        deliver: Deliver,
+        idle_seconds: float,
     ) -> None:
         if response.status == 404:
             raise GenerationUnknown(self._http.address)
@@ -251,28 +285,39 @@
         if response.status != 200:
             raise StreamBroken(f'the engine answered {response.status}')
         decoder = _engine_codec.EventDecoder()
+        turn = transport.Turn()
         pending: list[bytes] = []
         ended = False
+        bytes_without_news = 0
+        news_deadline = time.monotonic() + idle_seconds
 
         async def flush() -> None:
-            nonlocal ended
-            if not pending:
-                return
+            nonlocal ended, bytes_without_news, news_deadline
             data = b''.join(pending)
             pending.clear()
+            bytes_without_news += len(data)
             for event in decoder.decode(data):
-                await deliver(event)
+                if await deliver(event):
+                    bytes_without_news = 0
+                    news_deadline = time.monotonic() + idle_seconds
                 match event:
                     case _engine_events.Finished() | _engine_events.Failed():
                         ended = True
                     case _:
                         pass
+            if bytes_without_news > MAX_BYTES_WITHOUT_NEWS:
+                raise StreamBroken('too many bytes without a new event')
+            if not ended and time.monotonic() >= news_deadline:
+                raise StreamIdle('no new event within the idle timeout')
 
         network = response.extensions['network_stream']
         network.flush = flush
         try:
             async for chunk in response.aiter_stream():
                 pending.append(chunk)
+                turn.record_item()
+                if turn.is_over:
+                    await turn.yield_to_others()
             await flush()
         except httpcore.ReadTimeout as error:
             raise StreamIdle('no event within the idle timeout') from error
--- a/packages/laburnumstep/src/laburnumstep/targets/_stream_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_stream_follower.py
@@ -174,7 +174,8 @@
                 core.Outcome.RAN,
             )
 
-    async def _receive(self, event: _engine_events.EngineEvent) -> None:
+    async def _receive(self, event: _engine_events.EngineEvent) -> bool:
+        """Receive an event; return whether it was new."""
         match event:
             case _engine_events.TokenBatch():
                 unseen = self._position.advance(event)
@@ -182,10 +183,13 @@
                     size = sum(len(item) for item in unseen)
                     self._placement.record_tokens(len(unseen), size)
                     await self._deliver(unseen)
+                return bool(unseen)
             case _engine_events.Preempted():
                 self._placement.record_preemption()
+                return False
             case _engine_events.Finished() | _engine_events.Failed():
                 self._end_event = event
+                return True
             case _:
                 typing.assert_never(event)
 
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -11,6 +11,7 @@
 from laburnumstep.transport._client import join_headers
 from laburnumstep.transport._client import JsonClient
 from laburnumstep.transport._client import JsonResponse
+from laburnumstep.transport._client import SendObserver
 from laburnumstep.transport._client import timeouts_until
 from laburnumstep.transport._errors import encode_error
 from laburnumstep.transport._exchange import Headers
@@ -21,6 +22,7 @@
 from laburnumstep.transport._pool import ConnectionPool
 from laburnumstep.transport._server import HttpServer
 from laburnumstep.transport._server import serve_app
+from laburnumstep.transport._turns import Turn
 
 __all__ = [
     'BodyBudget',
@@ -37,6 +39,8 @@
     'MAX_BODY_BYTES',
     'RequestHead',
     'ResponseHead',
+    'SendObserver',
+    'Turn',
     'encode_error',
     'is_refusing',
     'join_headers',
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -71,8 +71,11 @@
     """Headers by name in lower case; several of a name are a list."""
 
 
-class _SendObserver:
-    """Observes whether httpcore has begun to send a request."""
+class SendObserver:
+    """Observes whether httpcore has begun to send a request.
+
+    Pass its method `trace` as the extension `trace` of the request.
+    """
 
     def __init__(self) -> None:
         self.has_begun = False
@@ -138,7 +141,7 @@
         all_headers = {'Content-Type': 'application/json', **(headers or {})}
         content = None if body is None else json.dumps(body).encode()
         timeouts = timeouts_until(deadline)
-        observer = _SendObserver()
+        observer = SendObserver()
         try:
             # The timeouts of httpcore apply to each read. A peer that sends
             # a byte now and then would never exceed them.
