Pass on an event once when its engine repeats it in one read

Cause: all events of a read were compared with the last one delivered before the read, not with each other.

Fix: each event is compared with the one selected before it.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -299,7 +299,7 @@
         )
 
     async def _deliver(self, events: list[_ports.StreamEvent]) -> None:
-        events = [event for event in events if self._is_new(event)]
+        events = self._select_new(events)
         if not events:
             return
         self._record_pause()
@@ -317,18 +317,21 @@
             tokens = sum(event.tokens for event in events)
             self._placement.record_tokens(tokens, len(data))
 
-    def _is_new(self, event: _ports.StreamEvent) -> bool:
-        """Return whether an event comes after the last one delivered.
+    def _select_new(
+        self, events: list[_ports.StreamEvent]
+    ) -> list[_ports.StreamEvent]:
+        """Return the events that come after the last one delivered.
 
         An engine that continues a run may repeat events that the previous
-        engine has sent.
+        engine has sent, and one in trouble may repeat its own.
         """
-        last, position = self._position, event.position
-        if last is None or position is None:
-            return True
-        if not (last.isdigit() and position.isdigit()):
-            return position != last
-        return int(position) > int(last)
+        last = self._position
+        selected = []
+        for event in events:
+            if _is_after(event.position, last):
+                selected.append(event)
+                last = event.position or last
+        return selected
 
     def _record_pause(self) -> None:
         now = self._clock.now()
@@ -533,3 +536,12 @@
     """Return whether a stream is too short for a copy of its run to help."""
     prompt = request.prompt
     return prompt is None or prompt.max_tokens <= SHORT_ANSWER_TOKENS
+
+
+def _is_after(position: bytes | None, last: bytes | None) -> bool:
+    """Return whether an event comes after another one; unknown counts."""
+    if last is None or position is None:
+        return True
+    if not (last.isdigit() and position.isdigit()):
+        return position != last
+    return int(position) > int(last)
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -166,6 +166,18 @@
     add_stream(context, name, [relay_fakes.make_events(first, last), None])
 
 
+@behave.given(
+    '"{name}" streams events {first:d} to {last:d}, each twice, in one read'
+    ' and ends'
+)
+def step_repeats(
+    context: typing.Any, name: str, first: int, last: int
+) -> None:
+    events = relay_fakes.make_events(first, last)
+    twice = [event for event in events for _ in range(2)]
+    add_stream(context, name, [twice, None])
+
+
 @behave.given('"{name}" streams events {first:d} to {last:d} and breaks off')
 def step_breaks(context: typing.Any, name: str, first: int, last: int) -> None:
     broken = relay.StreamBroken('reset')
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -209,6 +209,12 @@
     When the request is relayed
     Then the caller received each event once, in order, and the end
 
+  Scenario: An event that an engine repeats in one read reaches the caller once
+    Given a resumable stream of events 1 to 3
+    And "a" streams events 1 to 3, each twice, in one read and ends
+    When the request is relayed
+    Then the caller received each event once, in order, and the end
+
   Scenario: The placement of a copy is released when the run ends first
     Given a single stream of events 1 to 4
     And "a" leaves after events 1 to 3 and ends at 4 after the first copy
