Read less of a request at once

Callers would see: one caller that sent its body in chunks of one byte, as fast as it could, stopped the process for 1.0 s at a time, four of them for 4.0 s; everyone else waited meanwhile.

Cause: asyncio reads up to 256 KiB at once, and uvicorn decodes all chunks of a read before other tasks run.

Fix: the protocol of the HTTP servers reads at most 16 KiB at once.

--- a/packages/laburnumstep/src/laburnumstep/transport/_server.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_server.py
@@ -8,10 +8,12 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http import h11_impl
 
 from laburnumstep.transport import _framing
 
 if typing.TYPE_CHECKING:
+    import asyncio
     import collections.abc
 
     from starlette import types
@@ -22,6 +24,26 @@
 """Default idle timeout of a connection, in seconds."""
 
 
+MAX_REQUEST_READ_BYTES = 16384
+"""Most bytes of a request to read at once. They are decoded before other
+tasks run, which takes about 30 ms if they are chunks of one byte."""
+
+
+class _Protocol(h11_impl.H11Protocol):
+    """uvicorn's protocol with shorter reads.
+
+    asyncio reads 256 KiB at once. A caller that sends many small chunks would
+    hold the event loop for a second with each read.
+    """
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        # The selector event loop has no public setting for the size.
+        transport.max_size = MAX_REQUEST_READ_BYTES  # type: ignore
+        super().connection_made(transport)
+
+
 class _UvicornServer(uvicorn.Server):
     """A uvicorn server that installs no signal handlers."""
 
@@ -62,7 +84,7 @@
         self._host = host
         config = uvicorn.Config(
             typing.cast(typing.Any, _framing.FramingGuard(app)),
-            http='h11',
+            http=_Protocol,
             interface='asgi3',
             ws='none',
             lifespan='off',
