Fail a dropped body at once, and show a whole VM beside a flood

A body that was dropped from the budget failed with its next chunk or at its deadline; it fails at once now if it dropped itself. Both clients check a body after adding to it, and the budget ignores bytes of a dropped body.

--- a/packages/laburnumstep/src/laburnumstep/transport/_body_budget.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_body_budget.py
@@ -44,7 +44,12 @@
         return body
 
     def extend(self, body: HeldBody, chunk: bytes) -> None:
-        """Add bytes to a body; drop the largest if the budget is exceeded."""
+        """Add bytes to a body; drop the largest if the budget is exceeded.
+
+        Bytes for a body that was dropped are ignored.
+        """
+        if body.is_dropped:
+            return
         body.data += chunk
         self._held_bytes += len(chunk)
         while self._held_bytes > self._max_bytes:
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -175,6 +175,10 @@
             join_headers(response.headers),
         )
 
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
     async def _read_body(self, response: httpcore.Response) -> bytes:
         """Return the body of a response.
 
@@ -187,25 +191,25 @@
         try:
             async for chunk in response.aiter_stream():
                 received += len(chunk) + _CHUNK_FRAMING_BYTES
-                if body.is_dropped or received > self._max_bytes:
-                    break
                 self._body_budget.extend(body, chunk)
+                if body.is_dropped or received > self._max_bytes:
+                    raise self._make_size_error()
                 turn.record_bytes(len(chunk))
                 turn.record_item()
                 if turn.is_over:
                     await turn.yield_to_others()
-            if body.is_dropped or received > self._max_bytes:
-                raise ExchangeFailed(
-                    f'{self._address}: responses are longer than'
-                    f' {self._max_bytes} bytes'
-                )
+            # Another response may have displaced it since its last chunk.
+            if body.is_dropped:
+                raise self._make_size_error()
             return bytes(body.data)
         finally:
             self._body_budget.close(body)
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._pool.aclose()
+    def _make_size_error(self) -> ExchangeFailed:
+        return ExchangeFailed(
+            f'{self._address}: responses are longer than {self._max_bytes}'
+            ' bytes'
+        )
 
 
 def timeouts_until(deadline: float) -> dict[str, float]:
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -230,12 +230,13 @@
         try:
             while True:
                 chunk = await self.read_chunk(deadline)
+                if chunk is not None:
+                    budget.extend(body, chunk)
                 if body.is_dropped:
                     message = 'bodies that are read exceed the memory budget'
                     raise _client.ExchangeFailed(message)
                 if chunk is None:
                     return bytes(body.data)
-                budget.extend(body, chunk)
                 size = len(body.data)
                 if size > limit or self._received_bytes > max_received:
                     message = f'the body is longer than {limit} bytes'
--- a/tests/laburnumstep/platform/event_floods.feature
+++ b/tests/laburnumstep/platform/event_floods.feature
@@ -30,3 +30,15 @@
       | 14   |
       | 15   |
       | 28   |
+
+  Scenario Outline: A VM goes on serving while one of its engines floods it
+    Given a VM on the platform whose first engine of 2 sends "<repeated>" without end
+    When requests that may be resumed are sent until it has flooded 2 of them
+    Then each of them got a whole stream
+    And a request to another service was answered meanwhile
+
+    Examples:
+      | repeated       |
+      | \n             |
+      | 1\r\ny\r\n     |
+      | 2\r\n\n\n\r\n   |
--- a/tests/support/platform_engine.py
+++ b/tests/support/platform_engine.py
@@ -1,12 +1,15 @@
-"""Engine whose process ends when it begins certain prompts."""
+"""Engines of the platform with faults: they crash or send without end."""
 
 from __future__ import annotations
 
 import json
+import select
+import socket
 import typing
 
 import anyio
 import anyio.abc
+import anyio.to_thread
 import h11
 
 from support import listening
@@ -21,6 +24,9 @@
     ('Response-Stamp', 'mac'),
     ('Transfer-Encoding', 'chunked'),
 ]
+_FLOOD_BYTES = 8 * 1024 * 1024
+"""Length of a flood, in bytes. Without an end, a VM that fails the test would
+hold the event loop for good."""
 _REPORT = {
     'queued': 0,
     'running': 0,
@@ -94,7 +100,15 @@
             stream,
             [h11.Response(status_code=200, headers=head)],
         )
-        prompt = headers['prompt-prefix']
+        await self._stream(protocol, stream, headers['prompt-prefix'])
+
+    async def _stream(
+        self,
+        protocol: h11.Connection,
+        stream: anyio.abc.SocketStream,
+        prompt: str,
+    ) -> None:
+        """Send the body of an answer whose head has been sent."""
         if self._deadly_part in prompt:
             self.crashed = True
             self._listening.cancel()
@@ -111,6 +125,47 @@
         self.answered.append(prompt)
 
 
+class FloodingEngine(CrashingEngine):
+    """Streams bytes without an event until its caller closes.
+
+    It sends from a thread of its own, so that it goes on while the event loop
+    of the test is held.
+
+    Args:
+        name: Name of the engine.
+        repeated: Bytes that it sends again and again.
+    """
+
+    def __init__(self, name: str, repeated: bytes) -> None:
+        super().__init__(name, '')
+        self.floods = 0
+        """Number of streams that it has flooded."""
+        self._block = repeated * (65536 // len(repeated))
+
+    async def _stream(
+        self,
+        protocol: h11.Connection,
+        stream: anyio.abc.SocketStream,
+        prompt: str,
+    ) -> None:
+        self.floods += 1
+        sock = stream.extra(anyio.abc.SocketAttribute.raw_socket).dup()
+        await anyio.to_thread.run_sync(self._flood, sock)
+        raise anyio.BrokenResourceError
+
+    def _flood(self, sock: socket.socket) -> None:
+        sent = 0
+        with sock:
+            while sent < _FLOOD_BYTES:
+                select.select([], [sock], [], 1.0)
+                try:
+                    sent += sock.send(self._block)
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    return
+
+
 async def _read_request(
     protocol: h11.Connection, stream: anyio.abc.SocketStream
 ) -> h11.Request | None:
