--- a/tests/laburnumstep/platform/steps/crashes_steps.py
+++ b/tests/laburnumstep/platform/steps/crashes_steps.py
@@ -21,12 +21,7 @@
 def step_engines(context: typing.Any, count: int, part: str) -> None:
     context.harness = context.portal.call(make_harness, count, part)
     hooks.enter_context(context, context.harness.run())
-    context.portal.call(
-        context.harness.store.append_record,
-        'keyed.op',
-        'config',
-        platform_harness.make_configuration(),
-    )
+    context.portal.call(context.harness.write_configuration)
     context.sent = 0
     clocks.run_bounded(context, wait_for_answer, context.harness)
 
--- a/tests/laburnumstep/platform/steps/event_floods_steps.py
+++ b/tests/laburnumstep/platform/steps/event_floods_steps.py
@@ -93,12 +93,7 @@
         make_harness, flooding.unescape(repeated)
     )
     hooks.enter_context(context, context.harness.run())
-    context.portal.call(
-        context.harness.store.append_record,
-        'keyed.op',
-        'config',
-        platform_harness.make_configuration(),
-    )
+    context.portal.call(context.harness.write_configuration)
 
 
 async def send_until_flooded(context: typing.Any, count: int) -> None:
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -356,6 +356,10 @@
             yield self
             tasks.cancel_scope.cancel()
 
+    def write_configuration(self) -> None:
+        """Write the default configuration to the store."""
+        self.store.append_record('keyed.op', 'config', make_configuration())
+
     async def _serve(self, vm: platform.PlatformVM) -> None:
         await vm.serve(self.stopping)
         self.stopped.set()
