Split progress and positions of streams into modules of their own

The client of engines kept the progress of a stream in three variables of a nested function, and StreamRun compared positions of events itself.

--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -16,6 +16,7 @@
 from laburnumstep.targets import _coalescing
 from laburnumstep.targets import _engine_codec
 from laburnumstep.targets import _engine_events
+from laburnumstep.targets import _stream_progress
 from laburnumstep import transport
 
 if typing.TYPE_CHECKING:
@@ -30,9 +31,6 @@
 RecordHeaders = typing.Callable[[dict[str, str], float], None]
 """Called with the headers of an answer, by name in lower case, and when its
 request was sent, in epoch seconds."""
-MAX_BYTES_WITHOUT_NEWS = 1024 * 1024
-"""Limit on what an engine sends without a new event, in bytes. An engine may
-repeat events when a stream is resumed."""
 Deliver = typing.Callable[[_engine_events.EngineEvent], typing.Awaitable[bool]]
 """Called with an event; returns whether it was new."""
 
@@ -288,26 +286,26 @@
         turn = transport.Turn()
         pending: list[bytes] = []
         ended = False
-        bytes_without_news = 0
-        news_deadline = time.monotonic() + idle_seconds
+        progress = _stream_progress.StreamProgress(
+            time.monotonic() + idle_seconds
+        )
 
         async def flush() -> None:
-            nonlocal ended, bytes_without_news, news_deadline
+            nonlocal ended
             data = b''.join(pending)
             pending.clear()
-            bytes_without_news += len(data)
+            progress.record_bytes(len(data))
             for event in decoder.decode(data):
                 if await deliver(event):
-                    bytes_without_news = 0
-                    news_deadline = time.monotonic() + idle_seconds
+                    progress.record_new_event(time.monotonic() + idle_seconds)
                 match event:
                     case _engine_events.Finished() | _engine_events.Failed():
                         ended = True
                     case _:
                         pass
-            if bytes_without_news > MAX_BYTES_WITHOUT_NEWS:
+            if progress.is_flooded:
                 raise StreamBroken('too many bytes without a new event')
-            if not ended and time.monotonic() >= news_deadline:
+            if progress.is_idle and not ended:
                 raise StreamIdle('no new event within the idle timeout')
 
         network = response.extensions['network_stream']
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -13,6 +13,7 @@
 from laburnumstep.targets.relay import _copies
 from laburnumstep.targets.relay import _placements
 from laburnumstep.targets.relay import _ports
+from laburnumstep.targets.relay import _positions
 from laburnumstep.targets.relay import _running
 
 IDLE_TIMEOUT_SECONDS = 1.0
@@ -299,7 +300,7 @@
         )
 
     async def _deliver(self, events: list[_ports.StreamEvent]) -> None:
-        events = self._select_new(events)
+        events = _positions.select_new(events, self._position)
         if not events:
             return
         self._record_pause()
@@ -317,22 +318,6 @@
             tokens = sum(event.tokens for event in events)
             self._placement.record_tokens(tokens, len(data))
 
-    def _select_new(
-        self, events: list[_ports.StreamEvent]
-    ) -> list[_ports.StreamEvent]:
-        """Return the events that come after the last one delivered.
-
-        An engine that continues a run may repeat events that the previous
-        engine has sent, and one in trouble may repeat its own.
-        """
-        last = self._position
-        selected = []
-        for event in events:
-            if _is_after(event.position, last):
-                selected.append(event)
-                last = event.position or last
-        return selected
-
     def _record_pause(self) -> None:
         now = self._clock.now()
         pause = now - self._delivered_at
@@ -536,12 +521,3 @@
     """Return whether a stream is too short for a copy of its run to help."""
     prompt = request.prompt
     return prompt is None or prompt.max_tokens <= SHORT_ANSWER_TOKENS
-
-
-def _is_after(position: bytes | None, last: bytes | None) -> bool:
-    """Return whether an event comes after another one; unknown counts."""
-    if last is None or position is None:
-        return True
-    if not (last.isdigit() and position.isdigit()):
-        return position != last
-    return int(position) > int(last)
