Count chunks where the size of a body or a stream is limited

Callers would see: on a busy VM a flood of chunks of one byte was given up only after most of the request's time, too late to continue elsewhere.

Cause: the limit between two events, 512 KiB, is some 87,000 chunks of one byte.

Fix: each chunk counts 128 bytes beside its content, for streams, bodies and JSON responses. A stream is given up after some 4,000 chunks without an event.

Evidence: 'Many small chunks end a stream early' failed before.

--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_client.py
@@ -293,8 +293,9 @@
         async def flush() -> None:
             nonlocal ended
             data = b''.join(pending)
+            overhead = len(pending) * transport.CHUNK_OVERHEAD_BYTES
             pending.clear()
-            progress.record_bytes(len(data))
+            progress.record_bytes(len(data) + overhead)
             for event in decoder.decode(data):
                 if await deliver(event):
                     progress.record_new_event(time.monotonic() + idle_seconds)
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -22,10 +22,12 @@
 from laburnumstep.transport._pool import ConnectionPool
 from laburnumstep.transport._server import HttpServer
 from laburnumstep.transport._server import serve_app
+from laburnumstep.transport._turns import CHUNK_OVERHEAD_BYTES
 from laburnumstep.transport._turns import Turn
 
 __all__ = [
     'BodyBudget',
+    'CHUNK_OVERHEAD_BYTES',
     'ConnectFailed',
     'ConnectRefused',
     'ConnectionPool',
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -27,8 +27,6 @@
 MAX_JSON_BYTES = 16 * 1024 * 1024
 """Default limit on the responses of one peer that are read at the same time,
 in bytes. The largest ones are pages of the log with whole configurations."""
-_CHUNK_FRAMING_BYTES = 5
-"""Fewest bytes that the framing of a chunk adds to a body."""
 EXCHANGE_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -190,7 +188,7 @@
         body = self._body_budget.open()
         try:
             async for chunk in response.aiter_stream():
-                received += len(chunk) + _CHUNK_FRAMING_BYTES
+                received += len(chunk) + _turns.CHUNK_OVERHEAD_BYTES
                 self._body_budget.extend(body, chunk)
                 if body.is_dropped or received > self._max_bytes:
                     raise self._make_size_error()
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -116,7 +116,8 @@
     def received_bytes(self) -> int:
         """Bytes received since the last request was sent.
 
-        They include the head and the framing of the body.
+        They include the head and the framing of the body, and a chunk counts
+        `CHUNK_OVERHEAD_BYTES` more.
         """
         return self._received_bytes
 
@@ -260,6 +261,7 @@
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
                     self._turn.record_item()
+                    self._received_bytes += _turns.CHUNK_OVERHEAD_BYTES
                     return event
                 with anyio.fail_after(self._compute_timeout(deadline)):
                     data = await self._stream.receive()
--- a/packages/laburnumstep/src/laburnumstep/transport/_turns.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_turns.py
@@ -9,6 +9,9 @@
 ITEM_BYTES = 1024
 """Bytes that take as long to process as one item, such as a chunk of a body.
 Decoding an item takes some 20 us however short it is."""
+CHUNK_OVERHEAD_BYTES = 128
+"""What a chunk counts beside its content where a size is limited. Half a
+megabyte in chunks of one byte would take seconds to decode on a busy VM."""
 
 
 class Turn:
