--- a/tests/laburnumstep/siblings/steps/server_steps.py
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -109,6 +109,8 @@
                     read = pb.TopicRequest(topic='op')
                     await stub.ReadTopic(read, metadata=metadata)
         except grpc.aio.AioRpcError as error:
+            # behave shows this if the scenario fails.
+            print(f'{error.code().name}: {error.details()}')
             return error.code().name
     return 'none'
 
