Move what VMs tell one another into the package fleet

Eight modules stood loose at the top of the package. Moved and renamed only; no behaviour changes. Users import the package and its re-exports. The tests move with them.

--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -7,15 +7,11 @@
 import typing
 
 from laburnumstep import core
-from laburnumstep import crash_archive
-from laburnumstep import crash_exchange
-from laburnumstep import load_sharing
+from laburnumstep import fleet
 from laburnumstep import log
-from laburnumstep import permit_exchange
 from laburnumstep.platform import _store
 from laburnumstep import siblings
 from laburnumstep.targets import limits
-from laburnumstep import topic_sharing
 
 if typing.TYPE_CHECKING:
     from laburnumstep.platform import _settings
@@ -55,7 +51,7 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._topics: dict[str, topic_sharing.SharedTopic] = {}
+        self._topics: dict[str, fleet.SharedTopic] = {}
         self._epochs = log.EpochTracker()
         self._membership = siblings.Membership(
             siblings.Identity(settings.name, settings.data_centre),
@@ -73,10 +69,10 @@
             metrics,
             random.Random(),
         )
-        self._loads = load_sharing.LoadSharing(
+        self._loads = fleet.LoadSharing(
             settings.name, self._membership, registry.find, clock
         )
-        self._permits = permit_exchange.PermitExchange(
+        self._permits = fleet.PermitExchange(
             settings.name,
             self._membership,
             target_limits,
@@ -86,12 +82,12 @@
         )
 
     @property
-    def loads(self) -> load_sharing.LoadSharing:
+    def loads(self) -> fleet.LoadSharing:
         """Exchange of load reports with the siblings."""
         return self._loads
 
     @property
-    def permits(self) -> permit_exchange.PermitExchange:
+    def permits(self) -> fleet.PermitExchange:
         """Permits to send to limited targets, shared with the siblings."""
         return self._permits
 
@@ -101,7 +97,7 @@
 
     def share_topic(
         self, name: str, find_fingerprint: log.Fingerprint
-    ) -> topic_sharing.SharedTopic:
+    ) -> fleet.SharedTopic:
         """Return a topic of the store that siblings can read from this VM.
 
         Args:
@@ -112,7 +108,7 @@
         client = _store.KeyedTopicClient(
             self._settings.store_address, name, self._clock, self._epochs
         )
-        topic = topic_sharing.SharedTopic(
+        topic = fleet.SharedTopic(
             name,
             self._settings.name,
             client,
@@ -124,22 +120,20 @@
         self._topics[name] = topic
         return topic
 
-    def share_crashes(
-        self, ledger: targets.CrashLedger
-    ) -> crash_archive.CrashArchive:
+    def share_crashes(self, ledger: targets.CrashLedger) -> fleet.CrashArchive:
         """Exchange the evidence of a crash ledger with the siblings.
 
         Returns:
             The archive of the evidence in the store, which has to be run.
         """
-        crash_exchange.CrashExchange(ledger, self._membership)
+        fleet.CrashExchange(ledger, self._membership)
         store = _store.KeyedTopicClient(
             self._settings.store_address,
             CRASH_TOPIC,
             self._clock,
             self._epochs,
         )
-        archive = crash_archive.CrashArchive(
+        archive = fleet.CrashArchive(
             ledger, store, self._membership.owns, self._clock
         )
         self._epochs.subscribe(archive.record_restore)
--- a/packages/laburnumstep/src/laburnumstep/vm.py
+++ b/packages/laburnumstep/src/laburnumstep/vm.py
@@ -9,16 +9,12 @@
 import anyio
 
 from laburnumstep import callers
-from laburnumstep import claim_forwarding
 from laburnumstep import core
-from laburnumstep import crash_exchange
+from laburnumstep import fleet
 from laburnumstep import log
 from laburnumstep import operations
 from laburnumstep import operators
-from laburnumstep import permit_exchange
-from laburnumstep import routing_gossip
 from laburnumstep import services
-from laburnumstep import share_exchange
 from laburnumstep import siblings
 from laburnumstep import targets
 from laburnumstep.targets import limits
@@ -65,7 +61,7 @@
             self._state.clients, clock
         )
         self._membership = self._build_membership()
-        crash_exchange.CrashExchange(self._state.ledger, self._membership)
+        fleet.CrashExchange(self._state.ledger, self._membership)
         self._permits = self._build_permits()
         self._permit_gate = limits.PermitGate(
             self._target_limits, self._permits, clock, self._metrics
@@ -78,7 +74,7 @@
         self._operations = operations.VMOperations(
             settings.vm, self._follower, self._membership, self._gate, clock
         )
-        self._gossip = routing_gossip.RoutingGossip(
+        self._gossip = fleet.RoutingGossip(
             self._state,
             self._membership,
             settings.vm.name,
@@ -104,7 +100,7 @@
             clock,
             self._handle_reclaim,
         )
-        self._shares = share_exchange.ShareExchange(
+        self._shares = fleet.ShareExchange(
             self._state.limits,
             self._membership,
             self._follower,
@@ -253,9 +249,7 @@
 
     def _build_claims(self) -> log.ClaimStore:
         name = self._settings.vm.name
-        forwarder = claim_forwarding.SiblingClaims(
-            name, lambda: self._membership
-        )
+        forwarder = fleet.SiblingClaims(name, lambda: self._membership)
         return log.ClaimStore(self._log, name, self._clock, forwarder)
 
     def _build_membership(self) -> siblings.Membership:
@@ -277,9 +271,9 @@
             random.Random(),
         )
 
-    def _build_permits(self) -> permit_exchange.PermitExchange:
+    def _build_permits(self) -> fleet.PermitExchange:
         assumed_vms = DEFAULT_VMS if self._settings.siblings.seeds else 1
-        return permit_exchange.PermitExchange(
+        return fleet.PermitExchange(
             self._settings.vm.name,
             self._membership,
             self._target_limits,
@@ -291,7 +285,7 @@
     async def _serve_claims(
         self, request: siblings.ClaimForward
     ) -> core.DocumentObject:
-        return await claim_forwarding.serve_claims(self._claims, request)
+        return await fleet.serve_claims(self._claims, request)
 
     def _build_orders(self) -> targets.OrderReconciler:
         """Return the component that sends orders to engines.
--- a/tests/laburnumstep/environment.py
+++ b/tests/laburnumstep/fleet/environment.py
@@ -1,4 +1,4 @@
-"""Hooks of the folder."""
+"""Behave hooks that give each scenario an event loop."""
 
 from __future__ import annotations
 
--- a/tests/laburnumstep/steps/crash_archive_steps.py
+++ b/tests/laburnumstep/fleet/steps/crash_archive_steps.py
@@ -9,7 +9,7 @@
 import anyio.lowlevel
 import behave
 
-from laburnumstep import crash_archive
+from laburnumstep import fleet
 from laburnumstep import log
 from laburnumstep import targets
 from support import clocks
@@ -53,7 +53,7 @@
 
 @contextlib.asynccontextmanager
 async def run_archive(
-    archive: crash_archive.CrashArchive,
+    archive: fleet.CrashArchive,
 ) -> typing.AsyncIterator[None]:
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(archive.run)
@@ -72,7 +72,7 @@
 def start_vm(context: typing.Any, name: str, owner: bool) -> None:
     store = get_store(context)
     ledger = targets.CrashLedger(context.clock)
-    archive = crash_archive.CrashArchive(
+    archive = fleet.CrashArchive(
         ledger, store, lambda key: owner, context.clock
     )
     context.ledgers[name] = ledger
--- a/tests/laburnumstep/steps/load_sharing_steps.py
+++ b/tests/laburnumstep/fleet/steps/load_sharing_steps.py
@@ -10,7 +10,7 @@
 import behave
 
 from laburnumstep import core
-from laburnumstep import load_sharing
+from laburnumstep import fleet
 from laburnumstep import siblings
 from laburnumstep import targets
 from support import clocks
@@ -21,7 +21,7 @@
 
 @attrs.define(eq=False)
 class SharingVM:
-    """One VM; implements `load_sharing.LoadSiblings`."""
+    """One VM; implements `fleet.LoadSiblings`."""
 
     fleet: SharingFleet
     name: str
@@ -29,7 +29,7 @@
     sent: int = 0
     applied: dict[str, targets.LoadReport] = attrs.field(factory=dict)
     sends: list[tuple[str, int]] = attrs.field(factory=list)
-    sharing: load_sharing.LoadSharing = attrs.field(init=False)
+    sharing: fleet.LoadSharing = attrs.field(init=False)
 
     def rank_neighbours(
         self, subject: str, data_centre: str = ''
@@ -77,7 +77,7 @@
         self._ranks: dict[tuple[str, str], list[siblings.Member]] = {}
         for number in range(vms):
             vm = SharingVM(self, f'vm-{number}', names[number % centres])
-            vm.sharing = load_sharing.LoadSharing(
+            vm.sharing = fleet.LoadSharing(
                 vm.name, vm, self.engines.get, self.clock
             )
             vm.sharing.subscribe(vm.apply, vm.apply_send)
@@ -318,7 +318,7 @@
 
 @behave.given('a follower of an engine that this VM reads')
 def step_reads(context: typing.Any) -> None:
-    context.run = FollowerRun(load_sharing.READ_INTERVAL_SECONDS)
+    context.run = FollowerRun(fleet.READ_INTERVAL_SECONDS)
 
 
 @behave.when('a shared report arrives every second for 20 seconds')
--- a/tests/laburnumstep/targets/steps/crashes_steps.py
+++ b/tests/laburnumstep/targets/steps/crashes_steps.py
@@ -8,7 +8,7 @@
 import behave
 
 from laburnumstep import core
-from laburnumstep import crash_exchange
+from laburnumstep import fleet
 from laburnumstep import siblings
 from laburnumstep import targets
 from support import clocks
@@ -154,7 +154,7 @@
 
 def add_vm(context: typing.Any, name: str) -> None:
     ledger = targets.CrashLedger(context.clock)
-    crash_exchange.CrashExchange(ledger, context.bus)
+    fleet.CrashExchange(ledger, context.bus)
     context.ledgers[name] = ledger
 
 
--- a/tests/support/permit_fleet.py
+++ b/tests/support/permit_fleet.py
@@ -9,7 +9,7 @@
 import anyio
 import anyio.lowlevel
 from laburnumstep import core
-from laburnumstep import permit_exchange
+from laburnumstep import fleet
 from laburnumstep import siblings
 from laburnumstep.targets import limits
 
@@ -93,16 +93,16 @@
 
 
 class PermitVM:
-    """One VM, as `permit_exchange.PermitSiblings` of its exchange.
+    """One VM, as `fleet.PermitSiblings` of its exchange.
 
     Args:
         name: Name of the VM.
-        fleet: The VMs that it can reach.
+        vms: The VMs that it can reach.
     """
 
-    def __init__(self, name: str, fleet: PermitFleet) -> None:
+    def __init__(self, name: str, vms: PermitFleet) -> None:
         self.name = name
-        self.fleet = fleet
+        self.fleet = vms
         self.members: dict[str, siblings.Member] = {}
         """The VMs as membership of this VM sees them."""
         self.see(name, siblings.MemberState.LIVE)
@@ -111,16 +111,16 @@
         ] = []
         self.down = False
         self._largest_count = 1
-        clock, seed = fleet.clock, name
+        clock, seed = vms.clock, name
         metrics = core.Metrics(None, '')
         self.limits = limits.TargetLimits(clock, metrics)
-        self.exchange = permit_exchange.PermitExchange(
+        self.exchange = fleet.PermitExchange(
             self.name,
             self,
             self.limits,
             limits.PermitIssuer(self.limits, clock, random.Random(seed)),
             clock,
-            fleet.assumed_vms,
+            vms.assumed_vms,
         )
         self.gate = limits.PermitGate(
             self.limits, self.exchange, clock, metrics, random.Random(seed)
--- a/tests/support/topic_fleet.py
+++ b/tests/support/topic_fleet.py
@@ -9,9 +9,9 @@
 import attrs
 
 from laburnumstep import core
+from laburnumstep import fleet
 from laburnumstep import log
 from laburnumstep import siblings
-from laburnumstep import topic_sharing
 
 TOPIC = 'op'
 STEP_SECONDS = 0.1
@@ -105,7 +105,7 @@
     """One VM, with the value of the topic that it has in force."""
 
     name: str
-    topic: topic_sharing.SharedTopic
+    topic: fleet.SharedTopic
     values: list[bytes] = attrs.field(factory=list)
 
     def apply_snapshot(self, records: list[log.KeyedRecord]) -> None:
@@ -140,8 +140,8 @@
         for name in names:
             self.vms[name] = TopicVM(name, self._build_topic(name))
 
-    def _build_topic(self, name: str) -> topic_sharing.SharedTopic:
-        return topic_sharing.SharedTopic(
+    def _build_topic(self, name: str) -> fleet.SharedTopic:
+        return fleet.SharedTopic(
             TOPIC,
             name,
             LogAccess(name, self.log),
