Fail responses with a status outside 200 to 599

Cause: the HTTP library rejects a status below 100, so 000 was a failure already, but it accepts any from 600 to 999. Such a status of a server in trouble reached callers as an answer on both fronts, and with Not-Executed it said that the request had not run. Change: one check for both kinds of connections (relay, reports, copies, store, the product's own engines, services and log). The streams of the product's own engines accept only 200 and are unchanged.

Red before: 9 rows (600, 999 in transport/exchange, transport/json_client and platform/answers). The rows with 000, 099 and 101 were green before.

--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -27,6 +27,11 @@
 MAX_JSON_BYTES = 16 * 1024 * 1024
 """Default limit on the responses of one peer that are read at the same time,
 in bytes. The largest ones are pages of the log with whole configurations."""
+MIN_FINAL_STATUS = 200
+"""Lowest status of a final response."""
+MAX_FINAL_STATUS = 599
+"""Highest status that HTTP assigns to a class of responses. The HTTP library
+accepts any three digits from 200 on."""
 EXCHANGE_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -151,6 +156,7 @@
                     content=content,
                     extensions={'timeout': timeouts, 'trace': observer.trace},
                 ) as response:
+                    check_status(response.status, self._address)
                     answer = await self._read_body(response)
         except (
             httpcore.ConnectError,
@@ -210,6 +216,24 @@
         )
 
 
+def check_status(status: int, peer: str) -> None:
+    """Check that a status is that of a final response.
+
+    A peer in trouble may send others, which say nothing about the request.
+
+    Args:
+        status: Status of the response.
+        peer: Address or name of the peer, for the message.
+
+    Raises:
+        ExchangeFailed: The status is not in the range of final responses.
+    """
+    if not MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS:
+        raise ExchangeFailed(
+            f'{peer}: the response has the invalid status {status:03d}'
+        )
+
+
 def timeouts_until(deadline: float) -> dict[str, float]:
     """Return the timeouts for httpcore that end at a deadline.
 
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -180,6 +180,7 @@
             event = await self._read_event(deadline)
             match event:
                 case h11.Response():
+                    _client.check_status(event.status_code, 'the peer')
                     headers = [(k, v) for k, v in event.headers]
                     return ResponseHead(event.status_code, headers)
                 case h11.InformationalResponse():
--- a/tests/laburnumstep/platform/answers.feature
+++ b/tests/laburnumstep/platform/answers.feature
@@ -59,3 +59,21 @@
       | HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n           | NotRun |
       | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n      | NotRun |
       | HTTP/1.1 503 Busy\r\n{other}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n    | Lost   |
+
+  # Guards against the status of a server in trouble that reaches a caller as
+  # an answer, or says that a request has not run.
+  Scenario Outline: A reply with a status outside 200 to 599 is lost
+    Given a server that sends "HTTP/1.1 <status> Odd\r\n{own}{mac}<headers>Content-Length: 2\r\n\r\nok" and waits
+    When a "<kind>" request is sent to it
+    Then the reply is Lost
+
+    Examples:
+      | kind | status | headers           |
+      | safe | 000    |                   |
+      | safe | 099    |                   |
+      | safe | 600    |                   |
+      | safe | 999    |                   |
+      | safe | 999    | Not-Executed: 1\r\n |
+      | plan | 000    |                   |
+      | plan | 999    |                   |
+      | plan | 600    | {sse}             |
--- a/tests/laburnumstep/transport/exchange.feature
+++ b/tests/laburnumstep/transport/exchange.feature
@@ -24,6 +24,24 @@
       |                                                                   | closes     | a failure | not kept |
       |                                                                   | resets     | a failure | not kept |
 
+  # Guards against the status of a peer in trouble that reaches a caller as an
+  # answer.
+  Scenario Outline: A response with a status outside 200 to 599 is a failure
+    Given a peer that responds "HTTP/1.1 <status> Odd\r\nContent-Length: 2\r\n\r\nok" and then waits
+    When a request is sent to it
+    Then the exchange returns <result>
+
+    Examples:
+      | status | result    |
+      | 000    | a failure |
+      | 001    | a failure |
+      | 099    | a failure |
+      | 600    | a failure |
+      | 999    | a failure |
+      | 200    | body ok   |
+      | 299    | body ok   |
+      | 599    | body ok   |
+
   Scenario Outline: Bytes without end are given up before the deadline
     Guards against a peer in trouble that fills the memory of the VM or keeps
     its processor busy until the deadline passes.
--- a/tests/laburnumstep/transport/json_client.feature
+++ b/tests/laburnumstep/transport/json_client.feature
@@ -33,3 +33,17 @@
     Given a peer whose queue of connections is full
     When a JSON request is sent to it with a deadline in 0.3 s
     Then it fails as not sent
+
+  # Guards against the status of a peer in trouble that counts as an answer.
+  Scenario Outline: A response with a status outside 200 to 599
+    Given a peer that responds "HTTP/1.1 <status> Odd\r\nContent-Length: 2\r\n\r\n{}" and then closes
+    When a JSON request is sent to it with a deadline in 5.0 s
+    Then it fails as sent
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 101    |
+      | 600    |
+      | 999    |
