Drop only the record or report that cannot be read

Causes: one record of a keyed topic whose key is no text made the whole page unreadable, so that its reader took up nothing after it; a count of 320 digits in a load report could not be converted to floating point, and the error ended the process at the next placement. Changes: such records are logged and left out while the position moves on, on pages of records and of newest records; counts of both kinds of engines are accepted in the range 0 to 2^31 - 1.

--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -34,6 +34,7 @@
 from laburnumstep.core._findings import Finding
 from laburnumstep.core._findings import FindingsError
 from laburnumstep.core._findings import SourcePosition
+from laburnumstep.core._json import decode_count
 from laburnumstep.core._json import MALFORMED_ERRORS
 from laburnumstep.core._json import parse_json
 from laburnumstep.core._keys import choose_by_rendezvous
@@ -115,6 +116,7 @@
     'cancel_at',
     'choose_by_rendezvous',
     'configure_logging',
+    'decode_count',
     'decode_document',
     'describe_settings',
     'digest_deployment',
--- a/packages/laburnumstep/src/laburnumstep/core/_json.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_json.py
@@ -17,6 +17,28 @@
 out of range."""
 
 
+MAX_COUNT = 2**31 - 1
+"""Largest number of tokens or requests that is accepted from a peer. Larger
+integers cannot be converted to floating point or sent to siblings."""
+
+
+def decode_count(value: typing.Any) -> int:
+    """Return a number of tokens or requests that a peer states.
+
+    Args:
+        value: The decoded JSON.
+
+    Raises:
+        TypeError: The value is no number.
+        ValueError: The number is not in the range from 0 to `MAX_COUNT`.
+        OverflowError: The number is infinite.
+    """
+    count = int(value)
+    if not 0 <= count <= MAX_COUNT:
+        raise ValueError(f'the count is not in the range 0 to {MAX_COUNT}')
+    return count
+
+
 def parse_json(
     data: str | bytes,
     parse_constant: typing.Callable[[str], typing.Any] | None = None,
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -152,10 +152,10 @@
         try:
             return targets.LoadReport(
                 measured_at=self._clock.now() - REPORT_LAG_SECONDS,
-                running=int(report['running']),
-                waiting=int(report['queued']),
-                kv_used=int(report['kvUsed']),
-                kv_total=int(report['kvTotal']),
+                running=core.decode_count(report['running']),
+                waiting=core.decode_count(report['queued']),
+                kv_used=core.decode_count(report['kvUsed']),
+                kv_total=core.decode_count(report['kvTotal']),
                 preemptions=0,
                 models=list(target.models),
                 reclaim_at=self._find_reclaim_time(report),
@@ -198,7 +198,7 @@
                 target, b'GET', '/v1/report', b'', deadline
             )
             return [
-                relay.EngineRun(str(run[0]), int(run[1]))
+                relay.EngineRun(str(run[0]), core.decode_count(run[1]))
                 for run in report['runs']
             ]
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
--- a/packages/laburnumstep/src/laburnumstep/platform/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_store.py
@@ -24,6 +24,8 @@
 _RECORD_LENGTH = struct.Struct('>I')
 _REQUEST_HEADERS = [(b'Host', b'store')]
 
+_LOGGER = core.get_logger('platform')
+
 
 class KeyedTopicClient:
     """Reads and writes one keyed topic; implements `log.KeyedTopic`.
@@ -73,7 +75,7 @@
                 raise log.TopicUnavailable(message)
             try:
                 page = core.parse_json(body)
-                records += [_decode_newest(item) for item in page['items']]
+                records += _decode_newest_records(page['items'])
                 # The pages are not read at one point in time. The follower
                 # continues from the end offset of the first page, so that
                 # it sees every change made while the others were read.
@@ -119,7 +121,7 @@
             raise log.TopicUnavailable(f'the store answered {status}')
         try:
             return _decode_page(position, body)
-        except (IndexError, struct.error, UnicodeDecodeError) as error:
+        except (IndexError, struct.error) as error:
             message = f'the store sent malformed records: {error!r}'
             raise log.TopicUnavailable(message) from error
 
@@ -201,23 +203,36 @@
     return int(value)
 
 
-def _decode_newest(item: typing.Any) -> log.KeyedRecord:
-    value = base64.b64decode(item['value'])
-    return log.KeyedRecord(str(item['key']), value, int(item['offset']))
+def _decode_newest_records(
+    items: list[dict[str, typing.Any]],
+) -> list[log.KeyedRecord]:
+    """Return the records of a page; those that cannot be read are left out."""
+    records = []
+    for item in items:
+        try:
+            # A key that is no text cannot be sent to siblings.
+            item['key'].encode()
+            value = base64.b64decode(item['value'])
+            records.append(
+                log.KeyedRecord(item['key'], value, int(item['offset']))
+            )
+        except core.MALFORMED_ERRORS as error:
+            _LOGGER.warning('record ignored; key=%.80r reason=%r', item, error)
+    return records
 
 
 def _decode_page(position: log.TopicPosition, body: bytes) -> log.KeyedPage:
     """Decode a page: two offsets of the partition, then its records.
 
     Raises:
-        IndexError: A record is cut off or empty.
+        IndexError: A record is cut off.
         struct.error: An offset or a length is cut off.
-        UnicodeDecodeError: A key is not UTF-8.
     """
     end, _first = _PAGE_HEADER.unpack_from(body)
     index = _PAGE_HEADER.size
     offset = position.offset
     records: list[log.KeyedRecord] = []
+    count = 0
     while index < len(body):
         (length,) = _RECORD_LENGTH.unpack_from(body, index)
         index += _RECORD_LENGTH.size
@@ -225,17 +240,29 @@
         if len(content) < length:
             raise IndexError('a record is cut off')
         index += length
-        records.append(_decode_record(offset + len(records), content))
+        try:
+            records.append(_decode_record(offset + count, content))
+        except (IndexError, UnicodeDecodeError) as error:
+            _LOGGER.warning(
+                'record ignored; offset=%d reason=%r', offset + count, error
+            )
+        count += 1
     # `end` is the end offset of the partition. The page may hold fewer
     # records, so the next read starts after its last one.
-    next_offset = offset + len(records)
-    if not records:
+    next_offset = offset + count
+    if not count:
         next_offset = max(offset, end)
     following = log.TopicPosition(position.epoch, next_offset)
     return log.KeyedPage(records, following)
 
 
 def _decode_record(offset: int, content: bytes) -> log.KeyedRecord:
+    """Decode one record.
+
+    Raises:
+        IndexError: The record is empty.
+        UnicodeDecodeError: The key is not UTF-8.
+    """
     key_length = content[0]
     key = content[1 : 1 + key_length].decode()
     value = content[1 + key_length :]
--- a/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_engine_codec.py
@@ -107,11 +107,11 @@
         reclaim_at = body['reclaim_at']
         return _reports.LoadReport(
             measured_at=float(body['measured_at']),
-            running=int(body['running']),
-            waiting=int(body['waiting']),
-            kv_used=int(body['kv_used']),
-            kv_total=int(body['kv_total']),
-            preemptions=int(body['preemptions']),
+            running=core.decode_count(body['running']),
+            waiting=core.decode_count(body['waiting']),
+            kv_used=core.decode_count(body['kv_used']),
+            kv_total=core.decode_count(body['kv_total']),
+            preemptions=core.decode_count(body['preemptions']),
             models=[str(model['name']) for model in body['models']],
             reclaim_at=None if reclaim_at is None else float(reclaim_at),
             versions={
--- a/tests/laburnumstep/platform/decoding.feature
+++ b/tests/laburnumstep/platform/decoding.feature
@@ -75,6 +75,19 @@
       | a start at infinity        |
       | an engine at port 99999    |
 
+  # Guards against one unreadable key that hides all entries behind it.
+  Scenario Outline: A record whose key is no text does not stop the VM
+    Given a VM on the platform with one server
+    When a record with the key bytes "<key>" is <written> beside the servers
+    And the server registers as draining
+    Then the VM is ready
+
+    Examples:
+      | key       | written                    |
+      | \xff\xfe | written                    |
+      | \xff\xfe | read with the newest ones  |
+      |           | written                    |
+
   Scenario: Servers of a service with engines become engine targets
     Given the configuration declares engines of 30000 tokens for "app"
     When an entry is written with "models" as [{"name": "m"}]
@@ -104,6 +117,12 @@
       | {"kvTotal": -1e999}  |
       | {"leaves_ms": NaN}   |
       | {"leaves_ms": []}    |
+      | {"kvTotal": 320 digits}  |
+      | {"kvUsed": 320 digits}   |
+      | {"queued": 320 digits}   |
+      | {"running": 320 digits}  |
+      | {"running": -1}          |
+      | {"kvTotal": 2147483648}  |
 
   Scenario Outline: A malformed configuration leaves the active one in force
     When the configuration "<document>" is written
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -273,7 +273,7 @@
         'queued': 0,
         'kvUsed': 10,
         'kvTotal': 1000,
-        **json.loads(fields),
+        **json.loads(fields.replace('320 digits', '1' * 320)),
     }
 
 
--- a/tests/laburnumstep/platform/steps/front_steps.py
+++ b/tests/laburnumstep/platform/steps/front_steps.py
@@ -252,6 +252,26 @@
     )
 
 
+@behave.when(
+    'a record with the key bytes "{key}" is {read} beside the servers'
+)
+@behave.when('a record with the key bytes "" is {read} beside the servers')
+def step_odd_key(context: typing.Any, read: str, key: str = '') -> None:
+    name = key.encode().decode('unicode_escape').encode('l1')
+    store = context.harness.store
+    context.portal.call(
+        store.append_bytes,
+        'keyed.servers',
+        name.decode('utf-8', 'surrogateescape'),
+        b'x',
+    )
+    if read == 'read with the newest ones':
+        # A new epoch lets the VM read the newest records.
+        context.portal.call(
+            store.restore, 'keyed.servers', len(store.records['keyed.servers'])
+        )
+
+
 @behave.given('the server registers as draining')
 @behave.when('the server registers as draining')
 def step_draining(context: typing.Any) -> None:
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -101,9 +101,13 @@
             for key, (value, offset) in newest.items()
             if value
         ]
-        return responses.JSONResponse(
-            {'items': items, 'hasMore': False, 'endOffset': len(records)},
-            headers=self._get_headers(),
+        page = {
+            'items': items,
+            'hasMore': False,
+            'endOffset': len(records),
+        }
+        return responses.Response(
+            json.dumps(page), 200, self._get_headers(), 'application/json'
         )
 
     async def _serve_append(
@@ -172,8 +176,14 @@
 
 
 def encode_record(key: str, value: bytes) -> bytes:
-    """Return a record in the encoding of the store's pages."""
-    content = bytes([len(key)]) + key.encode() + value
+    """Return a record in the encoding of the store's pages.
+
+    Args:
+        key: Key; its surrogates stand for bytes that are no text.
+        value: The value.
+    """
+    name = key.encode('utf-8', 'surrogateescape')
+    content = bytes([len(name)]) + name + value
     return _RECORD_LENGTH.pack(len(content)) + content
 
 
