Keep requests in the regions that route and workspace allow

Requests of a route or workspace with allowedRegions were placed on any target: the field was not read. First sends, retries, copies and backups chose among all regions.

The configuration's allowedRegions of routes and workspaces are decoded to core.AnyRegion or core.OnlyRegions, intersected once per request and carried in RelayRequest and PlacementRequest. Placement samples from the permitted part of a pool, so that a request uses all engines of its regions; a VM of a large deployment also uses engines of the regions that are named. CheckedPort checks each send, backup and copy last; a request that is barred there is placed anew without counting an attempt. Waiting requests for one region do not hold up those for another. Regions that cannot be read keep the configuration out of force.

Red before: 13 of 19 scenarios of tests/laburnumstep/platform/places.feature (requests answered outside their regions). The scenario on waiting requests timed out with the earlier order of the queue. Green after: tests/run.py laburnumstep/targets laburnumstep/platform laburnumstep/callers, and make lint.

--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -231,8 +231,16 @@
 
     def _place_waiters(self, queue: _admission_queue.WaitQueue) -> None:
         now = self._clock.now()
-        unplaced: list[tuple[int, float]] = []
+        # Requests for other regions compete for other engines, so they do
+        # not hold one another up.
+        by_regions: dict[core.Regions, list[tuple[int, float]]] = {}
+        exhausted = 0
         for waiter in queue:
+            unplaced = by_regions.setdefault(
+                waiter.request.placement.regions, []
+            )
+            if len(unplaced) >= MAX_SKIPPED:
+                continue
             priority = waiter.get_aged_priority(now)
             if any(
                 priority <= other and waiter.size >= size
@@ -242,7 +250,9 @@
             if self._try_place(waiter, priority, queue):
                 continue
             if len(unplaced) + 1 >= MAX_SKIPPED:
-                return
+                exhausted += 1
+                if exhausted >= queue.restrictions:
+                    return
             overdue = now > waiter.due_at + MAX_OVERTAKING_SECONDS
             placement = waiter.request.placement
             if overdue:
--- a/packages/laburnumstep/src/laburnumstep/callers/_admission_queue.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import collections
 import math
 import typing
 
@@ -122,6 +123,9 @@
     def __init__(self) -> None:
         self._waiters: list[Waiter] = []
         self._workspaces: dict[str, int] = {}
+        self._regions: collections.Counter[core.Regions] = (
+            collections.Counter()
+        )
         self._departures = targets.EventRate(DEPARTURE_WINDOW_SECONDS)
 
     def __len__(self) -> int:
@@ -135,6 +139,11 @@
         """The waiter with the earliest due time, if any."""
         return self._waiters[0] if self._waiters else None
 
+    @property
+    def restrictions(self) -> int:
+        """Number of different sets of regions that the waiters allow."""
+        return len(self._regions)
+
     def compute_due_time(
         self, request: AdmissionRequest, expected: float, now: float
     ) -> float:
@@ -158,6 +167,7 @@
         bisect.insort(self._waiters, waiter, key=lambda item: item.key)
         workspace = waiter.request.placement.workspace
         self._workspaces[workspace] = self._workspaces.get(workspace, 0) + 1
+        self._regions[waiter.request.placement.regions] += 1
 
     def remove(self, waiter: Waiter) -> None:
         """Remove a waiter if it is in the queue."""
@@ -171,6 +181,10 @@
         self._workspaces[workspace] -= 1
         if not self._workspaces[workspace]:
             del self._workspaces[workspace]
+        regions = waiter.request.placement.regions
+        self._regions[regions] -= 1
+        if not self._regions[regions]:
+            del self._regions[regions]
 
     def record_departure(self, now: float) -> None:
         """Count a request that was placed, whether or not it waited."""
--- a/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
@@ -60,7 +60,7 @@
         self._rng = rng
 
     async def sample(
-        self, model: str, excluded: frozenset[str]
+        self, model: str, excluded: frozenset[str], regions: core.Regions
     ) -> tuple[str, ...]:
         """Sample a few engines and return those with recent load reports.
 
@@ -75,6 +75,7 @@
             LOCAL_CANDIDATES,
             REMOTE_CANDIDATES,
             self._rng,
+            regions,
         )
         now = self._clock.now()
         await self._refresh(
@@ -87,7 +88,7 @@
         return self._select_recent(names, now) or names
 
     def sample_substitutes(
-        self, model: str, excluded: frozenset[str]
+        self, model: str, excluded: frozenset[str], regions: core.Regions
     ) -> tuple[str, ...]:
         """Sample engines whose reports are recent without being read now."""
         names = targets.sample_engines(
@@ -97,6 +98,7 @@
             LOCAL_SUBSTITUTES,
             REMOTE_SUBSTITUTES,
             self._rng,
+            regions,
         )
         return self._select_recent(names, self._clock.now())
 
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -93,8 +93,13 @@
     def place_on(
         self, request: relay.RelayRequest, target: str
     ) -> _relay_placement.RelayPlacement | None:
-        """Place a request on a named target; None if it is not declared."""
-        if self._state.view.find(target) is None:
+        """Place a request on a named target.
+
+        Returns:
+            The placement, or None if the target is not declared or the
+            request must not be sent to it.
+        """
+        if not self._state.view.permits(request.regions, target):
             return None
         return self._begin(request, target)
 
@@ -275,7 +280,11 @@
         self, request: relay.RelayRequest, excluded: frozenset[str]
     ) -> _relay_placement.RelayPlacement:
         placement = targets.choose_service(
-            self._state.view, request.service, excluded, self._rng
+            self._state.view,
+            request.service,
+            excluded,
+            self._rng,
+            request.regions,
         )
         match placement:
             case targets.Placed():
@@ -319,12 +328,14 @@
         excluded: frozenset[str],
     ) -> _relay_placement.RelayPlacement:
         placement = _make_placement_request(request, prompt, excluded)
-        candidates = await self._sampler.sample(prompt.model, excluded)
+        candidates = await self._sampler.sample(
+            prompt.model, excluded, request.regions
+        )
         placement = attrs.evolve(
             placement,
             candidates=candidates,
             substitutes=self._sampler.sample_substitutes(
-                prompt.model, excluded.union(candidates)
+                prompt.model, excluded.union(candidates), request.regions
             ),
         )
         if not relay.is_short(request):
@@ -394,6 +405,7 @@
         excluded=excluded,
         max_tokens=prompt.max_tokens,
         hinted_tokens=prompt.hinted_tokens,
+        regions=request.regions,
     )
 
 
--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -49,6 +49,9 @@
 from laburnumstep.core._metrics import Metrics
 from laburnumstep.core._metrics_page import METRICS_CONTENT_TYPE
 from laburnumstep.core._metrics_page import MetricsPage
+from laburnumstep.core._regions import AnyRegion
+from laburnumstep.core._regions import OnlyRegions
+from laburnumstep.core._regions import Regions
 from laburnumstep.core._requests import CallResult
 from laburnumstep.core._requests import Delivery
 from laburnumstep.core._requests import Generation
@@ -67,6 +70,7 @@
 from laburnumstep.core._settings import VMSettings
 
 __all__ = [
+    'AnyRegion',
     'CallKind',
     'CallResult',
     'Clock',
@@ -90,11 +94,13 @@
     'ManualClock',
     'Metrics',
     'MetricsPage',
+    'OnlyRegions',
     'Operation',
     'Outcome',
     'Place',
     'PolicyWeights',
     'PrefixAdapter',
+    'Regions',
     'RequestKey',
     'Route',
     'RouteKind',
--- a/packages/laburnumstep/src/laburnumstep/core/_routes.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_routes.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from laburnumstep.core import _regions
+
 if typing.TYPE_CHECKING:
     import random
 
@@ -61,6 +63,8 @@
     """Priority; higher numbers are served first."""
     public: bool = False
     """Whether requests are accepted without a key."""
+    regions: _regions.Regions = _regions.AnyRegion()
+    """Regions in which the requests may run."""
 
     def choose_service(self, rng: random.Random) -> str:
         """Return the service for one request, drawn at random by weight."""
@@ -80,6 +84,8 @@
     """Name of the workspace."""
     priority: int | None = None
     """Priority that overrides the route's, or None."""
+    regions: _regions.Regions = _regions.AnyRegion()
+    """Regions in which requests of the workspace may run."""
 
 
 @attrs.frozen
@@ -104,6 +110,13 @@
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
 
+    @property
+    def regions(self) -> list[_regions.Regions]:
+        """Allowed regions of all routes and of all holders of keys."""
+        regions = [route.regions for route in self.routes]
+        regions += [item.regions for item in (self.keys or {}).values()]
+        return regions
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None."""
         for route in self._by_host.get(host, ()):
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -103,7 +103,9 @@
     # On the platform 0 is the highest priority; in `core` a higher number
     # is a higher priority.
     return core.KeyHolder(
-        tenant['name'], None if priority is None else -int(priority)
+        tenant['name'],
+        None if priority is None else -int(priority),
+        _decode_regions(tenant),
     )
 
 
@@ -118,9 +120,28 @@
         attempts=int(item.get('attempts', 1)),
         priority=-int(item.get('priority', 0)),
         public=bool(item.get('skipAuth', False)),
+        regions=_decode_regions(item),
     )
 
 
+def _decode_regions(item: dict[str, typing.Any]) -> core.Regions:
+    """Return the regions that a route or a workspace allows.
+
+    Raises:
+        ValueError: The value is not a list of names. The configuration does
+            not come into force then, since a request that runs in a wrong
+            region cannot be undone.
+    """
+    names = item.get('allowedRegions')
+    if names is None or names == []:
+        return core.AnyRegion()
+    if not isinstance(names, list) or not all(
+        isinstance(name, str) for name in names
+    ):
+        raise ValueError(f'allowedRegions is not a list of names: {names!r}')
+    return core.OnlyRegions(frozenset(names))
+
+
 def _decode_kind(item: dict[str, typing.Any]) -> core.RouteKind:
     match item['kind']:
         case 'safe':
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -13,6 +13,7 @@
 from laburnumstep.platform import _headers
 from laburnumstep.platform import _responses
 from laburnumstep.platform import _watchers
+from laburnumstep.targets import places
 from laburnumstep.targets import relay
 
 if typing.TYPE_CHECKING:
@@ -158,6 +159,7 @@
             deadline=arrived_at + wait_seconds,
             prompt=self._decode_prompt(service, headers),
             position=_headers.find(headers, _headers.LAST_EVENT) or None,
+            regions=_choose_regions(route, holder),
         )
 
     def _check_end(self, route: core.Route, deadline: float) -> None:
@@ -317,6 +319,15 @@
             return 502
 
 
+def _choose_regions(
+    route: core.Route, holder: core.KeyHolder | None
+) -> core.Regions:
+    """Return the regions that both the route and the workspace allow."""
+    if holder is None:
+        return route.regions
+    return places.intersect(route.regions, holder.regions)
+
+
 def _decode_request_id(headers: _headers.Headers) -> str:
     return _headers.find(headers, _headers.REQUEST_ID).decode('latin-1')
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -23,6 +23,7 @@
 from laburnumstep.platform import _settings
 from laburnumstep import targets
 from laburnumstep.targets import limits
+from laburnumstep.targets import places
 from laburnumstep.targets import relay
 from laburnumstep import transport
 
@@ -118,11 +119,13 @@
             clock, self._get_tokens_per_event, self._target_limits
         )
         self._services: _configuration.Services = {}
+        self._region_names: frozenset[str] = frozenset()
+        self._deployment = core.Deployment(
+            '', places=settings.places, weights=PLACEMENT_WEIGHTS
+        )
         self._registry = targets.TargetRegistry(
             clock,
-            core.Deployment(
-                '', places=settings.places, weights=PLACEMENT_WEIGHTS
-            ),
+            self._deployment,
             self._apply_targets,
             self._evacuate,
             self._target_limits.forget,
@@ -301,7 +304,12 @@
             self._load_follower.refresh,
             self._permit_gate,
         )
-        port = relay.LimitedPort(self._server_client, self._permit_gate)
+        # A request may wait for a permit, so where it may run is checked
+        # after that.
+        port = relay.LimitedPort(
+            relay.CheckedPort(self._server_client, self._fleet_view.places),
+            self._permit_gate,
+        )
         return _front.FrontEnd(
             self._active_routes,
             relay.CallRelay(placer, port, self._clock),
@@ -351,12 +359,23 @@
         self._services = services
         self._front.apply_services(services)
         self._directory.apply_services(services)
+        self._apply_regions()
+
+    def _apply_regions(self) -> None:
+        """Use engines of the regions to which requests are restricted."""
+        table = self._active_routes.table
+        names = places.list_names(table.regions if table is not None else [])
+        if names != self._region_names:
+            self._region_names = names
+            self._apply_targets(self._deployment)
 
     def _apply_targets(self, deployment: core.Deployment) -> None:
+        self._deployment = deployment
         limited = targets.limit_engines(
             deployment,
             self._settings.name,
             self._settings.data_centre,
+            regions=self._region_names,
         )
         self._fleet_view.apply_deployment(limited)
         self._admission.apply_deployment(limited)
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -7,15 +7,16 @@
 
 import attrs
 
+from laburnumstep import core
 from laburnumstep.targets import _forecast
 from laburnumstep.targets import _policy
 from laburnumstep.targets import _results
 from laburnumstep.targets import _view
+from laburnumstep.targets import places
 
 if typing.TYPE_CHECKING:
     import random
 
-    from laburnumstep import core
     from laburnumstep.targets import _lengths
     from laburnumstep.targets import _states
 
@@ -118,6 +119,8 @@
         state = self.view.find(name)
         if state is None or not state.takes_requests(self.now):
             return None
+        if not self.view.places.permits(self.request.regions, state.declared):
+            return None
         if self.request.suspect and state.has_suspect():
             return None
         remote_cost = 0.0 if state.local else self._get_link_cost(state)
@@ -239,8 +242,10 @@
         weights: Weights of the deployment's policy.
         rng: Source of random numbers.
     """
-    if len(view.get_pool(request.model)) == 0:
-        return _explain_missing(view, request.model, request.excluded)
+    if len(view.get_pool(request.model, request.regions)) == 0:
+        return _explain_missing(
+            view, request.model, request.excluded, request.regions
+        )
     policy = _policy.MemoryPolicy.from_weights(weights)
     expected = request.hinted_tokens
     if expected is None:
@@ -256,7 +261,9 @@
     if not ranked:
         fallback = _sample_fallback(view, request, rng, names)
         if not names and not fallback:
-            return _explain_missing(view, request.model, request.excluded)
+            return _explain_missing(
+                view, request.model, request.excluded, request.regions
+            )
         ranked = ranker.rank(fallback)
     if not ranked:
         return _results.NoRoom(_compute_retry_at(view, request.model))
@@ -273,6 +280,7 @@
     local: int,
     remote: int,
     rng: random.Random,
+    regions: core.Regions = core.AnyRegion(),
 ) -> tuple[str, ...]:
     """Return a random sample of engines, in random order.
 
@@ -284,8 +292,9 @@
         remote: Number of engines from other regions. If the VM's region
             has too few engines, this number grows accordingly.
         rng: Source of random numbers.
+        regions: Regions from which engines are sampled.
     """
-    pool = view.get_pool(model)
+    pool = view.get_pool(model, regions)
     extra = len(excluded)
     engines = [
         n for n in pool.sample(True, local + extra, rng) if n not in excluded
@@ -304,6 +313,7 @@
     service: str,
     excluded: frozenset[str],
     rng: random.Random,
+    regions: core.Regions = core.AnyRegion(),
 ) -> _results.PlacementResult:
     """Choose a server of a plain service, the less loaded of two.
 
@@ -315,9 +325,10 @@
         service: Name of the service.
         excluded: Servers that must not be chosen.
         rng: Source of random numbers.
+        regions: Regions whose servers may be chosen.
     """
     pool_key = _view.get_service_pool_key(service)
-    pool = view.get_pool(pool_key)
+    pool = view.get_pool(pool_key, regions)
     for local in (True, False):
         names = [n for n in pool.get_names(local) if n not in excluded]
         if not names:
@@ -329,7 +340,7 @@
         reason = f'{loads[first]} own calls, {where}'
         others = [name for name in pair if name != pair[first]]
         return _results.Placed(pair[first], reason, others)
-    return _explain_missing(view, pool_key, excluded)
+    return _explain_missing(view, pool_key, excluded, regions)
 
 
 def _sample(
@@ -337,7 +348,7 @@
     request: _results.PlacementRequest,
     rng: random.Random,
 ) -> list[str]:
-    pool = view.get_pool(request.model)
+    pool = view.get_pool(request.model, request.regions)
     extra = len(request.excluded)
     local = pool.sample(True, SAMPLES + extra, rng)
     remote = pool.sample(
@@ -359,7 +370,7 @@
     rng: random.Random,
     seen: list[str],
 ) -> list[str]:
-    pool = view.get_pool(request.model)
+    pool = view.get_pool(request.model, request.regions)
     count = FALLBACK_SAMPLES + len(seen) + len(request.excluded)
     local = pool.sample(True, count, rng)
     names = local + pool.sample(False, max(0, count - len(local)), rng)
@@ -379,17 +390,21 @@
 
 
 def _explain_missing(
-    view: _view.FleetView, pool_key: str, excluded: frozenset[str]
+    view: _view.FleetView,
+    pool_key: str,
+    excluded: frozenset[str],
+    regions: core.Regions,
 ) -> _results.NoRoom | _results.NoTarget:
     """Return why a pool has no target.
 
     If a failed target of the pool can be used again later, the result is
     that there is no capacity until then.
     """
-    recovery = view.find_recovery(pool_key, excluded)
+    recovery = view.find_recovery(pool_key, excluded, regions)
     if recovery is not None:
         return _results.NoRoom(recovery)
     if excluded:
         names = ', '.join(sorted(excluded))
         return _results.NoTarget(f'no target but those it failed on: {names}')
-    return _results.NoTarget(f'no usable target serves {pool_key}')
+    where = places.describe(regions)
+    return _results.NoTarget(f'no usable target serves {pool_key}{where}')
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from laburnumstep import core
+
 
 @attrs.frozen
 class PlacementRequest:
@@ -37,6 +39,8 @@
     memory_fraction: float | None = None
     """Fraction of an engine's memory that may be in use with the request;
     None applies the limit of the policy."""
+    regions: core.Regions = core.AnyRegion()
+    """Regions in which the request may run."""
     suspect: bool = False
     """Whether the request has crashed a target before. Crash suspects are
     placed on different targets, so that the next crash identifies the
--- a/packages/laburnumstep/src/laburnumstep/targets/_subset.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_subset.py
@@ -19,6 +19,7 @@
     vm_name: str,
     data_centre: str,
     limit: int = MAX_ENGINES,
+    regions: frozenset[str] = frozenset(),
 ) -> core.Deployment:
     """Return the deployment with the engines that one VM uses.
 
@@ -34,6 +35,8 @@
         data_centre: Data centre of the VM.
         limit: Maximum number of engines. It may be exceeded so that each
             model has `MIN_ENGINES_BY_MODEL` engines.
+        regions: Regions to which requests are restricted. Engines of each
+            of them are used in addition, as many as of the VM's own region.
     """
     engines = [
         target
@@ -42,11 +45,8 @@
     ]
     if len(engines) <= limit:
         return deployment
-    by_model: dict[str, list[core.EngineTarget]] = {}
-    for engine in engines:
-        for model in engine.models:
-            by_model.setdefault(model, []).append(engine)
-    per_model = max(MIN_ENGINES_BY_MODEL, limit // len(by_model))
+    models = len(_group_by_model(engines))
+    per_model = max(MIN_ENGINES_BY_MODEL, limit // models)
     region = deployment.find_region(data_centre)
 
     def rank(engine: core.EngineTarget) -> tuple[bool, bool, int]:
@@ -56,11 +56,23 @@
             core.stable_hash(f'{vm_name}|{engine.name}'),
         )
 
-    selected = {
-        engine.name
-        for candidates in by_model.values()
-        for engine in sorted(candidates, key=rank)[:per_model]
-    }
+    def select(candidates: list[core.EngineTarget]) -> set[str]:
+        """Return the names of the first engines of each model."""
+        return {
+            engine.name
+            for group in _group_by_model(candidates).values()
+            for engine in sorted(group, key=rank)[:per_model]
+        }
+
+    selected = select(engines)
+    for name in regions:
+        selected |= select(
+            [
+                engine
+                for engine in engines
+                if deployment.find_region(engine.data_centre) == name
+            ]
+        )
     return attrs.evolve(
         deployment,
         targets={
@@ -71,3 +83,13 @@
             or isinstance(target, core.ServiceTarget)
         },
     )
+
+
+def _group_by_model(
+    engines: list[core.EngineTarget],
+) -> dict[str, list[core.EngineTarget]]:
+    by_model: dict[str, list[core.EngineTarget]] = {}
+    for engine in engines:
+        for model in engine.models:
+            by_model.setdefault(model, []).append(engine)
+    return by_model
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -11,6 +11,8 @@
 from laburnumstep.targets import _pools
 from laburnumstep.targets import _sends
 from laburnumstep.targets import _states
+from laburnumstep.targets import places
+from laburnumstep.targets.places import _region_pools
 
 if typing.TYPE_CHECKING:
     from laburnumstep.targets import _reports
@@ -51,6 +53,9 @@
         """Prefixes that engines probably have in their caches."""
         self.links = _links.LinkMeter(clock)
         """Budgets of the links between regions."""
+        self.places = places.PlaceRules()
+        """Where requests may be sent."""
+        self._region_pools = _region_pools.RegionPools(self.permits)
 
     @property
     def clock(self) -> core.Clock:
@@ -97,16 +102,13 @@
         self._region = deployment.find_region(self._data_centre)
         self._budget = deployment.links
         self.links.apply_budget(deployment.links, 1.0 / self._known_vms)
-        regions = {
-            data_centre: place.region
-            for place in deployment.places.values()
-            for data_centre in place.data_centres
-        }
+        self.places.apply_places(deployment.places)
         for name in list(self._states):
             if name not in deployment.targets:
                 self._remove(name)
         for name, target in deployment.targets.items():
-            self._apply_target(name, target, regions.get(target.data_centre))
+            region = self.places.find_region(target.data_centre)
+            self._apply_target(name, target, region)
         self._notify(self._pools)
 
     def record_report(
@@ -288,14 +290,32 @@
             and state.is_usable(now)
         ]
 
-    def get_pool(self, pool_key: str) -> _pools.TargetPool:
+    def get_pool(
+        self, pool_key: str, regions: core.Regions = core.AnyRegion()
+    ) -> _pools.TargetPool:
         """Return the usable targets of a model or a plain service.
 
         Args:
             pool_key: Name of the model, or the key of a service's pool.
+            regions: Regions whose targets are returned.
         """
         self._restore_recovered()
-        return self._pools.get(pool_key, _EMPTY_POOL)
+        pool = self._pools.get(pool_key, _EMPTY_POOL)
+        if isinstance(regions, core.AnyRegion):
+            return pool
+        return self._region_pools.get(pool_key, pool, regions)
+
+    def permits(self, regions: core.Regions, target_name: str) -> bool:
+        """Return whether a request may be sent to a target.
+
+        Args:
+            regions: Regions in which the request may run.
+            target_name: Name of the target.
+        """
+        state = self._states.get(target_name)
+        return state is not None and self.places.permits(
+            regions, state.declared
+        )
 
     def count_demand(self, model: str) -> float:
         """Return the number of waiting requests per target of a model.
@@ -307,13 +327,17 @@
         return waiting / max(1, len(self.get_pool(model)))
 
     def find_recovery(
-        self, pool_key: str, excluded: frozenset[str] = frozenset()
+        self,
+        pool_key: str,
+        excluded: frozenset[str] = frozenset(),
+        regions: core.Regions = core.AnyRegion(),
     ) -> float | None:
         """Return when the first target of a pool takes requests again.
 
         Args:
             pool_key: Name of the model, or the key of a service's pool.
             excluded: Targets that are not considered.
+            regions: Regions whose targets are considered.
 
         Returns:
             The time in epoch seconds, or None if no target is ejected or has
@@ -326,6 +350,7 @@
             and (state := self._states.get(name)) is not None
             and until in (state.failed_until, state.held_until)
             and not state.leaving
+            and self.places.permits(regions, state.declared)
             and pool_key in list_pool_keys(state)
         ]
         return min(times, default=None)
@@ -342,6 +367,7 @@
         elif state.declared == target and state.region == region:
             if state.local == local:
                 return
+        self._region_pools.clear()
         state.declared = target
         state.region = region
         state.local = local
@@ -375,12 +401,15 @@
         for pool_key in pool_keys:
             pool = self._pools.setdefault(pool_key, _pools.TargetPool())
             pool.add(name, state.local)
+        if pool_keys != self._pool_keys.get(name):
+            self._region_pools.clear()
         self._pool_keys[name] = pool_keys
 
     def _remove(self, name: str) -> None:
         for pool_key in self._pool_keys.pop(name, ()):
             self._pools[pool_key].discard(name)
         del self._states[name]
+        self._region_pools.clear()
         self.hints.forget(name)
 
     def _notify(self, pool_keys: typing.Iterable[str]) -> None:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from laburnumstep.targets.relay._calls import CallRelay
 from laburnumstep.targets.relay._calls import is_repeatable
+from laburnumstep.targets.relay._checked_port import CheckedPort
 from laburnumstep.targets.relay._limited_port import LimitedPort
 from laburnumstep.targets.relay._placements import FailedSend
 from laburnumstep.targets.relay._placements import RelayPlacement
@@ -9,6 +10,7 @@
 from laburnumstep.targets.relay._ports import Answered
 from laburnumstep.targets.relay._ports import AnswerSink
 from laburnumstep.targets.relay._ports import Attempt
+from laburnumstep.targets.relay._ports import Barred
 from laburnumstep.targets.relay._ports import ContinuedRun
 from laburnumstep.targets.relay._ports import Copied
 from laburnumstep.targets.relay._ports import CopyFailed
@@ -38,7 +40,9 @@
     'AnswerSink',
     'Answered',
     'Attempt',
+    'Barred',
     'CallRelay',
+    'CheckedPort',
     'ContinuedRun',
     'Copied',
     'CopyFailed',
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
@@ -105,6 +105,10 @@
             if isinstance(reply, _ports.Held):
                 log_held(request, placement, reply, self._clock.now())
                 continue
+            if isinstance(reply, _ports.Barred):
+                log_barred(request, placement, reply)
+                excluded |= {placement.target.name}
+                continue
             progress.record(reply)
             log_reply(
                 request, placement, reply, progress.sends, self._clock.now()
@@ -194,7 +198,12 @@
 def get_outcome(reply: _ports.Reply) -> core.Outcome:
     """Return whether the target ran the request, according to its reply."""
     match reply:
-        case _ports.NotRun() | _ports.Held() | _ports.NotReached():
+        case (
+            _ports.NotRun()
+            | _ports.Held()
+            | _ports.Barred()
+            | _ports.NotReached()
+        ):
             return core.Outcome.NOT_RUN
         case _ports.Lost():
             return core.Outcome.UNKNOWN
@@ -288,6 +297,21 @@
     )
 
 
+def log_barred(
+    request: _ports.RelayRequest,
+    placement: _placements.RelayPlacement,
+    barred: _ports.Barred,
+) -> None:
+    """Log that a request is placed anew because it may not run there."""
+    _LOGGER.info(
+        'barred request=%s route=%s target=%s reason="%s"',
+        request.key,
+        request.route.name,
+        placement.target.name,
+        barred.reason,
+    )
+
+
 def make_give_up(reply: _ports.Reply) -> _retry_decisions.GiveUp:
     """Return the decision for a request that has used up its dispatches."""
     outcome = get_outcome(reply)
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -7,12 +7,10 @@
 
 import attrs
 
+from laburnumstep import core
 from laburnumstep.targets import _traits
 from laburnumstep import transport
 
-if typing.TYPE_CHECKING:
-    from laburnumstep import core
-
 Headers = transport.Headers
 
 
@@ -63,6 +61,8 @@
     """Description of the prompt, if an engine answers."""
     position: bytes | None = None
     """Last event that the caller received in an earlier attempt."""
+    regions: core.Regions = core.AnyRegion()
+    """Regions in which the request may run."""
 
     @functools.cached_property
     def traits(self) -> _traits.Traits:
@@ -170,6 +170,14 @@
     """Why it was not sent."""
 
 
+@attrs.frozen
+class Barred:
+    """The request was not sent, because it may not run at the target."""
+
+    reason: str
+    """Why it may not."""
+
+
 @attrs.frozen
 class NotReached:
     """The request did not reach the target."""
@@ -188,7 +196,7 @@
     """Whether the target closed or reset the connection."""
 
 
-Reply = Answered | Streaming | NotRun | Held | NotReached | Lost
+Reply = Answered | Streaming | NotRun | Held | Barred | NotReached | Lost
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -193,8 +193,13 @@
         while True:
             placement = await self._placer.place(self._request, self._excluded)
             reply = await self._dispatch(placement, self._choose_start())
-            if not isinstance(reply, _ports.Held):
-                return placement, reply
+            match reply:
+                case _ports.Held():
+                    pass
+                case _ports.Barred():
+                    self._excluded |= {placement.target.name}
+                case _:
+                    return placement, reply
 
     def _choose_start(self) -> _ports.Start:
         if self._position is None:
@@ -232,6 +237,10 @@
             self._attempts -= 1
             _calls.log_held(request, placement, reply, now)
             return reply
+        if isinstance(reply, _ports.Barred):
+            self._attempts -= 1
+            _calls.log_barred(request, placement, reply)
+            return reply
         _calls.log_reply(request, placement, reply, self._attempts, now)
         if _calls.get_outcome(reply) is not core.Outcome.NOT_RUN:
             self._may_have_run = True
--- a/tests/laburnumstep/platform/decoding.feature
+++ b/tests/laburnumstep/platform/decoding.feature
@@ -119,6 +119,12 @@
       | {"version": 1e999, "routes": [], "services": []} |
       | nested                               |
 
+    Examples: regions that cannot be read, which must not count as every region
+      | document                             |
+      | {"version": 2, "routes": [], "services": [], "tenants": [{"name": "a", "apiKeys": ["k"], "allowedRegions": "lima"}]} |
+      | {"version": 2, "routes": [], "services": [], "tenants": [{"name": "a", "apiKeys": ["k"], "allowedRegions": [1]}]} |
+      | {"version": 2, "routes": [], "services": [], "tenants": [{"name": "a", "apiKeys": ["k"], "allowedRegions": {"a": 1}}]} |
+
   Scenario: All errors in the settings are reported together
     Given settings with "zone" removed, "bounds.graceS" as text and "listen" as a number
     When the settings are read
--- /dev/null
+++ b/tests/laburnumstep/targets/places/environment.py
@@ -0,0 +1,6 @@
+"""Hooks of the folder."""
+
+from __future__ import annotations
+
+from support.hooks import after_scenario  # noqa: F401
+from support.hooks import before_scenario  # noqa: F401
--- a/tests/laburnumstep/targets/relay/calls.feature
+++ b/tests/laburnumstep/targets/relay/calls.feature
@@ -42,6 +42,13 @@
       | idempotent | 2        | status 500  | held        | a,b   | status 500                         |
       | idempotent | 2        | lost        | held        | a,b   | error no_target unknown            |
 
+    Examples: targets where the request may no longer run
+      | kind       | attempts | first       | second      | asked | answer                             |
+      | once       | 1        | barred      | status 200  | a,b   | status 200                         |
+      | once       | 1        | barred      | lost        | a,b   | error target_failed unknown        |
+      | once       | 1        | barred      | barred      | a,b   | error no_target not_run            |
+      | idempotent | 2        | lost        | barred      | a,b   | error no_target unknown            |
+
   # Guards against a request that is counted as sent, or sent again, because a
   # target takes no more for now.
   Scenario: A target that has used up its limit costs no retry
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -50,6 +50,8 @@
             return relay.NotReached('refused')
         case ['held']:
             return relay.Held(_MUCH_LATER)
+        case ['barred']:
+            return relay.Barred('not allowed there')
     raise ValueError(text)
 
 
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -154,26 +154,36 @@
     When the request is relayed
     Then the caller received each event once, in order, and the end
 
-  Scenario: A stream goes to another engine while a limit is used up
+  Scenario Outline: A stream that was not sent goes to another engine
     Given a single stream of events 1 to 5
-    And target "a" replies held
+    And target "a" replies <reply>
     And "b" streams events 1 to 5 and ends
     When the request is relayed
     Then the caller received each event once, in order, and the end
     And 1 requests and 0 retries were counted
 
+    Examples:
+      | reply  |
+      | held   |
+      | barred |
+
   # Guards against a run that is lost because the engine with its copy takes
   # no further request for now.
-  Scenario: A copy on an engine that has used up its limit does not end the run
+  Scenario Outline: A copy where nothing may be sent does not end the run
     Given a single stream of events 1 to 8
     And "a" leaves after events 1 to 3 and goes on to event 6
-    And target "b" replies held
+    And target "b" replies <reply>
     And "c" streams events 7 to 8 and ends
     When the request is relayed
     Then the caller received each event once, in order, and the end
     And "c" started from copy a/copy at event 6
     And every run was closed and every placement released
 
+    Examples:
+      | reply  |
+      | held   |
+      | barred |
+
   Scenario Outline: The idle timeout is longer if no other engine can take over
     Given a <kind> stream of events 1 to 4
     And "b" holds <copies>
