Send nothing to targets of an evacuated data centre

The records evacuate/DC of keyed.op were ignored, so requests went on to targets that operators had asked to evacuate.

PlaceRules refuses their targets in place_on and just before each send, backup and copy. A run whose attempts are used up is no longer copied, since it may go on for long in an evacuated data centre.

Red before: the evacuation scenarios of platform/places.feature (calls and streams reached the evacuated data centre; the gauge was missing; the stream did not move before its deadline).

--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -15,6 +15,7 @@
 from laburnumstep import log
 from laburnumstep.platform import _configuration
 from laburnumstep.platform import _directory
+from laburnumstep.platform import _evacuations
 from laburnumstep.platform import _fleet
 from laburnumstep.platform import _front
 from laburnumstep.platform import _pages
@@ -86,6 +87,8 @@
         self._metrics = core.Metrics(None, '', self._metrics_page)
         self._target_limits = limits.TargetLimits(clock, self._metrics)
         self._fleet_view = targets.FleetView(clock, settings.data_centre)
+        self._evacuations = self._fleet_view.places.evacuations
+        self._evacuations.subscribe(self._apply_evacuations)
         length_estimator = targets.LengthEstimator()
         self._admission = callers.Admission(
             clock, self._fleet_view, length_estimator, metrics=self._metrics
@@ -277,6 +280,9 @@
                 'targets.registered', len(self._registry.targets)
             )
             self._metrics.set_gauge('callers.waiting', self._admission.waiting)
+            self._metrics.set_gauge(
+                'places.evacuated', len(self._evacuations.names)
+            )
             await _pages.serve_metrics(self._metrics_page, send)
 
         try:
@@ -327,8 +333,11 @@
         servers = self._fleet.share_topic(
             'servers', _fleet.find_entry_fingerprint
         )
-        reader = _configuration.ConfigurationReader(
-            self._active_routes, self._apply_services
+        reader = _evacuations.OperatorsReader(
+            self._evacuations,
+            _configuration.ConfigurationReader(
+                self._active_routes, self._apply_services
+            ),
         )
         return [
             log.KeyedFollower(
@@ -369,6 +378,13 @@
             self._region_names = names
             self._apply_targets(self._deployment)
 
+    def _apply_evacuations(self, begun: frozenset[str]) -> None:
+        """Use other targets, and migrate the streams that can migrate."""
+        self._apply_targets(self._deployment)
+        for name, target in self._deployment.targets.items():
+            if target.data_centre in begun:
+                self._evacuate(name)
+
     def _apply_targets(self, deployment: core.Deployment) -> None:
         self._deployment = deployment
         limited = targets.limit_engines(
@@ -376,6 +392,7 @@
             self._settings.name,
             self._settings.data_centre,
             regions=self._region_names,
+            evacuated=self._evacuations.names,
         )
         self._fleet_view.apply_deployment(limited)
         self._admission.apply_deployment(limited)
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -12,7 +12,6 @@
 from laburnumstep.targets import _policy
 from laburnumstep.targets import _results
 from laburnumstep.targets import _view
-from laburnumstep.targets import places
 
 if typing.TYPE_CHECKING:
     import random
@@ -406,5 +405,5 @@
     if excluded:
         names = ', '.join(sorted(excluded))
         return _results.NoTarget(f'no target but those it failed on: {names}')
-    where = places.describe(regions)
-    return _results.NoTarget(f'no usable target serves {pool_key}{where}')
+    limits = view.places.describe(regions)
+    return _results.NoTarget(f'no usable target serves {pool_key}{limits}')
--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -60,6 +60,8 @@
     """Whether the target is in the VM's region."""
     observed_leaving: bool = False
     """Whether the VM list, a sibling or an operator reports it as leaving."""
+    evacuated: bool = False
+    """Whether its data centre is being evacuated."""
     failed_until: float = 0.0
     """Until when it is ejected after a failure, in epoch seconds."""
     held_until: float = 0.0
@@ -107,7 +109,9 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the target may receive new work."""
-        return not self.leaving and self.failed_until <= now
+        if self.leaving or self.evacuated:
+            return False
+        return self.failed_until <= now
 
     def takes_requests(self, now: float) -> bool:
         """Return whether the target is usable and its limit not used up."""
--- a/packages/laburnumstep/src/laburnumstep/targets/_subset.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_subset.py
@@ -20,6 +20,7 @@
     data_centre: str,
     limit: int = MAX_ENGINES,
     regions: frozenset[str] = frozenset(),
+    evacuated: frozenset[str] = frozenset(),
 ) -> core.Deployment:
     """Return the deployment with the engines that one VM uses.
 
@@ -37,6 +38,9 @@
             model has `MIN_ENGINES_BY_MODEL` engines.
         regions: Regions to which requests are restricted. Engines of each
             of them are used in addition, as many as of the VM's own region.
+        evacuated: Data centres that are being evacuated. Others take the
+            place of their engines, which are retained because requests may
+            still run there.
     """
     engines = [
         target
@@ -64,12 +68,15 @@
             for engine in sorted(group, key=rank)[:per_model]
         }
 
-    selected = select(engines)
+    usable = [
+        engine for engine in engines if engine.data_centre not in evacuated
+    ]
+    selected = select(engines) | select(usable)
     for name in regions:
         selected |= select(
             [
                 engine
-                for engine in engines
+                for engine in usable
                 if deployment.find_region(engine.data_centre) == name
             ]
         )
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -98,7 +98,10 @@
             self._waiting.pop(model, None)
 
     def apply_deployment(self, deployment: core.Deployment) -> None:
-        """Apply a new configuration; sends in progress are retained."""
+        """Apply a new configuration and the evacuations in force.
+
+        Sends in progress are retained.
+        """
         self._region = deployment.find_region(self._data_centre)
         self._budget = deployment.links
         self.links.apply_budget(deployment.links, 1.0 / self._known_vms)
@@ -360,17 +363,23 @@
     ) -> None:
         state = self._states.get(name)
         local = region == self._region
+        evacuated = self.places.is_evacuated(target.data_centre)
         if state is None:
             state = _states.TargetState(target, region, local)
             state.observed_leaving = name in self._leaving
             self._states[name] = state
-        elif state.declared == target and state.region == region:
-            if state.local == local:
-                return
+        elif (
+            state.declared == target
+            and state.region == region
+            and state.local == local
+            and state.evacuated == evacuated
+        ):
+            return
         self._region_pools.clear()
         state.declared = target
         state.region = region
         state.local = local
+        state.evacuated = evacuated
         self._update_pools(name, state)
 
     def _update_token_seconds(self, send: _sends.Send, now: float) -> None:
--- a/packages/laburnumstep/src/laburnumstep/targets/places/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/places/__init__.py
@@ -1,7 +1,7 @@
-"""Where requests may run: allowed regions."""
+"""Where requests may run: allowed regions, evacuated data centres."""
 
+from laburnumstep.targets.places._evacuations import Evacuations
 from laburnumstep.targets.places._regions import allows
-from laburnumstep.targets.places._regions import describe
 from laburnumstep.targets.places._regions import intersect
 from laburnumstep.targets.places._regions import list_names
 from laburnumstep.targets.places._rules import Forbidden
@@ -10,12 +10,12 @@
 from laburnumstep.targets.places._rules import Verdict
 
 __all__ = [
+    'Evacuations',
     'Forbidden',
     'Permitted',
     'PlaceRules',
     'Verdict',
     'allows',
-    'describe',
     'intersect',
     'list_names',
 ]
--- a/packages/laburnumstep/src/laburnumstep/targets/places/_regions.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/places/_regions.py
@@ -37,17 +37,6 @@
             raise TypeError(f'not regions: {first!r}, {second!r}')
 
 
-def describe(regions: core.Regions) -> str:
-    """Return a restriction as the end of a sentence, or nothing."""
-    match regions:
-        case core.AnyRegion():
-            return ''
-        case core.OnlyRegions(names=names):
-            return f' in the allowed regions: {", ".join(sorted(names))}'
-        case _:
-            typing.assert_never(regions)
-
-
 def list_names(restrictions: typing.Iterable[core.Regions]) -> frozenset[str]:
     """Return the names of all regions that restrictions allow by name."""
     names: frozenset[str] = frozenset()
--- a/packages/laburnumstep/src/laburnumstep/targets/places/_rules.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/places/_rules.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import typing
+
 import attrs
 
 from laburnumstep import core
+from laburnumstep.targets.places import _evacuations
 from laburnumstep.targets.places import _regions
 
 
@@ -30,6 +33,8 @@
 
     def __init__(self) -> None:
         self._regions: dict[str, str] = {}
+        self.evacuations = _evacuations.Evacuations()
+        """Data centres to whose targets nothing may be sent."""
 
     def apply_places(self, places: dict[str, core.Place]) -> None:
         """Apply the places of a new configuration."""
@@ -43,6 +48,10 @@
         """Return the region of a data centre, or None if undeclared."""
         return self._regions.get(data_centre)
 
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether a data centre is being evacuated."""
+        return data_centre in self.evacuations.names
+
     def check(self, regions: core.Regions, target: core.Target) -> Verdict:
         """Check whether a request may be sent to a target.
 
@@ -55,8 +64,24 @@
             return Forbidden(
                 f'the region {region or "unknown"} is not allowed'
             )
+        if self.is_evacuated(target.data_centre):
+            return Forbidden(f'{target.data_centre} is being evacuated')
         return _PERMITTED
 
     def permits(self, regions: core.Regions, target: core.Target) -> bool:
         """Return whether a request may be sent to a target."""
         return isinstance(self.check(regions, target), Permitted)
+
+    def describe(self, regions: core.Regions) -> str:
+        """Return what restricts a request, as the end of a sentence."""
+        text = ''
+        match regions:
+            case core.AnyRegion():
+                pass
+            case core.OnlyRegions(names=names):
+                text = f'; allowed regions: {", ".join(sorted(names))}'
+            case _:
+                typing.assert_never(regions)
+        if self.evacuations.names:
+            text += f'; evacuated: {", ".join(sorted(self.evacuations.names))}'
+        return text
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -348,6 +348,10 @@
         leaving, backup = self._placement, self._backup
         if leaving is None or self._position is None:
             return
+        if self._attempts >= MAX_ATTEMPTS:
+            # In an evacuated data centre a run may go on for long. Further
+            # copies of it would be made and never used.
+            return
         if backup is not None and self._placer.is_usable(backup.name):
             reference = self._port.get_backup_reference(self._request, backup)
             placement = self._placer.place_on(self._request, backup.name)
--- a/tests/laburnumstep/platform/places.feature
+++ b/tests/laburnumstep/platform/places.feature
@@ -50,3 +50,115 @@
     Then all have status 503 and a time to come back
     When 1 streams are sent
     Then all have status 503 and a time to come back
+
+  # Guards against a VM that starts during an evacuation and sends requests
+  # there before it has heard of it.
+  Scenario Outline: A VM that starts sends nothing to an evacuated data centre
+    Given targets <targets>
+    And the route allows "<route>" and the workspace ""
+    And the evacuation of <evacuated> is written
+    When the VM starts
+    And 8 <kind> are sent
+    Then all have status <status>
+    And requests reached only "<reached>"
+
+    Examples:
+      | kind    | targets                          | route | evacuated      | status | reached |
+      | calls   | i1@lima-1, i2@lima-2, i3@piura-1 |       | lima-1         | 200    | i2      |
+      | calls   | i1@lima-1, i2@lima-2, i3@piura-1 |       | lima-1, lima-2 | 200    | i3      |
+      | calls   | i1@lima-1, i2@lima-2, i3@piura-1 | lima  | lima-1, lima-2 | 503    |         |
+      | calls   | i1@lima-1                        |       | lima-1         | 503    |         |
+      | streams | e1@lima-1, e2@lima-2, e3@piura-1 |       | lima-1, lima-2 | 200    | e3      |
+      | streams | e1@lima-1, e2@lima-2, e3@piura-1 | lima  | lima-1         | 200    | e2      |
+      | streams | e1@lima-1, e3@piura-1            | lima  | lima-1         | 503    |         |
+
+  # Guards against an evacuation that a record in trouble hides.
+  Scenario Outline: An evacuation begins with its record, whatever its value is
+    Given targets i1@lima-1, i2@lima-2, e1@lima-1, e2@lima-2
+    And the route allows "" and the workspace ""
+    When the VM starts
+    And the record "evacuate/lima-1" is written with <value>
+    Then 1 evacuations are in force
+    When 8 calls are sent
+    And 8 streams are sent
+    Then requests reached only "i2 e2"
+
+    Examples:
+      | value                     |
+      | {}                        |
+      | []                        |
+      | {                         |
+      | \xff\xfe                  |
+      | nested                    |
+      | a number of 100000 digits |
+
+  # Guards against a record without a data centre that stops its reader.
+  Scenario: A record that names no data centre is ignored
+    Given targets i1@lima-1, i2@lima-2
+    And the route allows "" and the workspace ""
+    When the VM starts
+    And the record "evacuate/" is written with {}
+    And the evacuation of lima-1 is written
+    Then 1 evacuations are in force
+
+  Scenario: A data centre is used again after its evacuation
+    Given targets i1@lima-1, i3@piura-1
+    And the route allows "" and the workspace ""
+    And the evacuation of lima-1 is written
+    When the VM starts
+    Then 1 evacuations are in force
+    When the evacuation of lima-1 is taken back
+    Then 0 evacuations are in force
+    When 8 calls are sent
+    Then requests reached only "i1"
+
+  # Guards against an evacuation that ends with an outage of the store.
+  Scenario: An evacuation outlasts the store
+    Given targets i1@lima-1, i3@piura-1
+    And the route allows "" and the workspace ""
+    When the VM starts
+    And the evacuation of lima-1 is written
+    Then 1 evacuations are in force
+    When the store is away and the VM has noticed it
+    Then 1 evacuations are in force
+    When 8 calls are sent
+    Then all have status 200
+    And requests reached only "i3"
+
+  Scenario Outline: The newest snapshot of an older store tells what is evacuated
+    Given targets i1@lima-1, i3@piura-1
+    And the route allows "" and the workspace ""
+    When the VM starts
+    And the evacuation of lima-1 is written
+    And the evacuation of lima-2 is written
+    Then 2 evacuations are in force
+    When the store comes back with its first <kept> records
+    Then <count> evacuations are in force
+
+    Examples:
+      | kept | count |
+      | 1    | 0     |
+      | 2    | 1     |
+
+  # Guards against streams that stay where nothing more may be sent, although
+  # they can move.
+  Scenario: A stream in an evacuated data centre moves to another one
+    Given targets e1@lima-1, e2@lima-2
+    And the route allows "" and the workspace ""
+    And the engines stop after one event of a new run
+    When the VM starts
+    And a long stream begins
+    And the data centre of its engine is evacuated
+    Then the stream goes on at the other engine and ends
+
+  # Guards against streams that are cut because they cannot move.
+  Scenario: A stream that cannot move goes on until it ends
+    Given targets e1@lima-1
+    And the route allows "" and the workspace ""
+    And the engines stop after one event of a new run
+    When the VM starts
+    And a long stream begins
+    And the data centre of its engine is evacuated
+    Then 1 evacuations are in force
+    When the engine goes on
+    Then the stream ends
--- a/tests/laburnumstep/targets/places/places.feature
+++ b/tests/laburnumstep/targets/places/places.feature
@@ -19,14 +19,14 @@
       | lima       | any        |        | forbidden |
 
   Scenario Outline: A restricted request uses every engine of its regions
-    Given 6 engines in lima, 8 in piura and a VM in lima
-    When 200 requests that allow "<regions>" are placed
-    Then they use <count> engines, all in "<used>"
+    Given <local> engines in lima, <remote> in piura and a VM in lima
+    When 200 requests that allow "<region>" are placed
+    Then they use <count> engines, all in "<region>"
 
-    Examples:
-      | regions    | count | used  |
-      | piura      | 8     | piura |
-      | lima       | 6     | lima  |
+    Examples: more engines elsewhere than are compared for a request
+      | local | remote | region | count |
+      | 30    | 8      | piura  | 8     |
+      | 6     | 30     | lima   | 6     |
 
   # Guards against a VM of a large deployment that knows no engine of the region
   # to which requests are restricted.
@@ -73,3 +73,71 @@
     When 5 requests that allow "piura" wait, and then one that allows "any"
     And the engine in lima has room
     Then the last request is placed in lima and 5 go on waiting
+
+  # In the following scenarios the engines of lima are in lima-1, and those of
+  # piura in piura-1.
+  Scenario Outline: Backups and copies go to no evacuated data centre
+    Given 3 engines in lima, 3 in piura and a VM in lima
+    And 3 more engines are in lima-2
+    And <evacuated> are being evacuated
+    When the run of a request that allows "any" is on an engine in lima
+    Then its backup is in data centre "<copy>"
+    And its copy goes to data centre "<copy>"
+    And it can be placed on an engine in piura: <piura>
+
+    Examples:
+      | evacuated       | copy   | piura |
+      | lima-1          | lima-2 | yes   |
+      | lima-2, piura-1 | lima-1 | no    |
+      | lima-1, lima-2  |        | yes   |
+
+  Scenario Outline: The last check before a send heeds evacuations
+    Given 2 engines in lima, 2 in piura and a VM in lima
+    And <evacuated> are being evacuated
+    When a request that allows "any" is sent to lima with a backup in piura
+    Then the send <result>
+    And a copy of its run to lima is <copy>
+
+    Examples:
+      | evacuated | result                | copy    |
+      | lima-2    | has a backup in piura | made    |
+      | piura-1   | has no backup         | made    |
+      | lima-1    | does not happen       | refused |
+
+  # Guards against a send to where nothing may be sent any more, after a wait
+  # for a permit of a limited target.
+  Scenario: An evacuation begins while a request waits for its permit
+    Given 2 engines in lima, 2 in piura and a VM in lima
+    When a request is sent to lima, whose evacuation begins while it waits for a permit
+    Then the send does not happen
+
+  # Guards against a waiting request that is placed in an evacuated data centre
+  # once there is room, or that waits although no other is left.
+  Scenario Outline: An evacuation begins while a request waits for capacity
+    Given <engines> and a VM in lima
+    And all engines are full
+    When 1 requests that allow "<regions>" wait
+    And the evacuation of lima-1 begins
+    Then <waiting> go on waiting and <refused> are refused
+    When the engines in lima-1 have room
+    Then <waiting> go on waiting and <refused> are refused
+
+    Examples:
+      | engines                   | regions | waiting | refused |
+      | 1 engines in lima, 1 in piura | any  | 1       | 0       |
+      | 1 engines in lima, 1 in piura | lima | 0       | 1       |
+      | 2 engines in lima, 0 in piura | any  | 0       | 1       |
+
+  # Guards against a VM of a large deployment that knows no engine but those of
+  # an evacuated data centre.
+  Scenario: A VM of a large deployment uses other engines during an evacuation
+    Given 90 engines in lima, 90 in piura and a VM in lima
+    When the VM chooses its engines while lima-1 is evacuated
+    Then the VM uses 64 engines in lima and 64 in piura
+
+  # Guards against moves that are copied again and again for as long as a run
+  # goes on in an evacuated data centre.
+  Scenario: A run is copied no more once its attempts are used up
+    Given a stream whose copies are all refused
+    When its engine goes on for 30 events
+    Then at most 8 copies were made and the stream is complete
--- a/tests/laburnumstep/targets/places/steps/places_steps.py
+++ b/tests/laburnumstep/targets/places/steps/places_steps.py
@@ -256,19 +256,33 @@
     ' "{last}"'
 )
 def step_wait(context: typing.Any, count: int, first: str, last: str) -> None:
+    start_waiting(context, [*[first] * count, last])
+
+
+@behave.when('{count:d} requests that allow "{regions}" wait')
+def step_wait_only(context: typing.Any, count: int, regions: str) -> None:
+    start_waiting(context, [regions] * count)
+
+
+def start_waiting(context: typing.Any, requests: list[str]) -> None:
+    """Let requests with these regions wait, in this order."""
     context.placed = []
+    context.refused = []
 
     async def place(regions: str) -> None:
-        placement = await context.placer.place(
-            make_request(context, regions), frozenset()
-        )
-        context.placed.append((regions, placement.target))
+        request = make_request(context, regions)
+        try:
+            placement = await context.placer.place(request, frozenset())
+        except core.CodedError as error:
+            context.refused.append(error)
+        else:
+            context.placed.append((regions, placement.target))
 
     async def wait(waiting: int) -> None:
         while context.admission.waiting < waiting:
             await anyio.lowlevel.checkpoint()
 
-    for number, regions in enumerate([*[first] * count, last]):
+    for number, regions in enumerate(requests):
         task = context.portal.start_task_soon(place, regions)
         context.stack.callback(task.cancel)
         clocks.run_bounded(context, wait, number + 1)
@@ -293,3 +307,156 @@
     assert regions == 'any', context.placed
     assert find_region(context, target) == 'lima', target
     assert context.admission.waiting == count, context.admission.waiting
+
+
+@behave.given('{count:d} more engines are in lima-2')
+def step_more_engines(context: typing.Any, count: int) -> None:
+    source = find_engine(context, 'lima')
+    more = {
+        f'other-{number}': attrs.evolve(
+            source, name=f'other-{number}', data_centre='lima-2'
+        )
+        for number in range(count)
+    }
+    context.deployment = attrs.evolve(
+        context.deployment, targets={**context.deployment.targets, **more}
+    )
+    context.view.apply_deployment(context.deployment)
+
+
+@behave.given('{data_centres} are being evacuated')
+@behave.when('the evacuation of {data_centres} begins')
+def step_evacuate(context: typing.Any, data_centres: str) -> None:
+    context.portal.call(evacuate, context, frozenset(data_centres.split(', ')))
+
+
+def evacuate(context: typing.Any, data_centres: frozenset[str]) -> None:
+    context.view.places.evacuations.replace(data_centres)
+    context.view.apply_deployment(context.deployment)
+
+
+def find_data_centre(target: core.Target | None) -> str:
+    return target.data_centre if target is not None else ''
+
+
+@behave.then('its backup is in data centre "{data_centre}"')
+@behave.then('its backup is in data centre ""')
+def step_backup_centre(context: typing.Any, data_centre: str = '') -> None:
+    found = context.placer.choose_backup(context.request, context.source)
+    assert find_data_centre(found) == data_centre, found
+
+
+@behave.then('its copy goes to data centre "{data_centre}"')
+@behave.then('its copy goes to data centre ""')
+def step_copy_centre(context: typing.Any, data_centre: str = '') -> None:
+    found = context.placer.choose_destination(
+        context.request, context.source, frozenset()
+    )
+    assert find_data_centre(found) == data_centre, found
+
+
+@attrs.define
+class EvacuatingGate:
+    """Lets a request pass after an evacuation has begun."""
+
+    evacuate: typing.Callable[[], None]
+
+    async def acquire(self, target: str) -> None:
+        self.evacuate()
+
+
+@behave.when(
+    'a request is sent to lima, whose evacuation begins while it waits for a'
+    ' permit'
+)
+def step_late_evacuation(context: typing.Any) -> None:
+    context.port = relay_fakes.FakeTargetPort({})
+    checked = relay.CheckedPort(context.port, context.view.places)
+    gate: typing.Any = EvacuatingGate(
+        lambda: evacuate(context, frozenset(['lima-1']))
+    )
+    request = make_request(context, 'any')
+    attempt = relay.Attempt(
+        request, find_engine(context, 'lima'), relay.NewRun(), request.deadline
+    )
+    context.reply = clocks.run_bounded(
+        context, relay.LimitedPort(checked, gate).send, attempt
+    )
+
+
+@behave.then('{waiting:d} go on waiting and {refused:d} are refused')
+def step_waiting(context: typing.Any, waiting: int, refused: int) -> None:
+    async def wait() -> None:
+        while len(context.refused) < refused:
+            await anyio.lowlevel.checkpoint()
+
+    clocks.run_bounded(context, wait)
+    assert context.admission.waiting == waiting, context.admission.waiting
+    assert not context.placed, context.placed
+    assert len(context.refused) == refused, context.refused
+    for error in context.refused:
+        assert error.outcome is core.Outcome.NOT_RUN, error
+        assert error.resend_at > context.clock.now(), error
+
+
+@behave.when('the engines in lima-1 have room')
+def step_room_again(context: typing.Any) -> None:
+    context.clock.advance(0.1)
+    for name in list_engines(context):
+        if context.deployment.targets[name].data_centre == 'lima-1':
+            report = fleets.make_report(context.clock.now(), 0, 0)
+            context.portal.call(context.view.record_report, name, report)
+
+
+@behave.when('the VM chooses its engines while {data_centre} is evacuated')
+def step_limit_evacuated(context: typing.Any, data_centre: str) -> None:
+    context.limited = targets.limit_engines(
+        context.deployment,
+        'vm-1',
+        'lima-1',
+        evacuated=frozenset([data_centre]),
+    )
+
+
+@behave.given('a stream whose copies are all refused')
+def step_refused_copies(context: typing.Any) -> None:
+    context.clock = core.ManualClock(clocks.START)
+    context.placer = relay_fakes.FakePlacer(['a', 'b'], context.clock)
+    context.port = relay_fakes.FakeTargetPort(
+        {'a': [], 'b': [relay.NotRun('full')] * 100}
+    )
+    context.sink = relay_fakes.RecordingSink()
+    context.running = relay.RunningStreams()
+    context.request = relay_fakes.make_request(
+        core.StreamKind(False), context.clock.now()
+    )
+
+
+@behave.when('its engine goes on for {count:d} events')
+def step_many_events(context: typing.Any, count: int) -> None:
+    def make_step(number: int) -> typing.Any:
+        async def step() -> list[relay.StreamEvent]:
+            if number == 1:
+                context.running.evacuate('a')
+            context.clock.advance(0.1)
+            # Gives the tasks that copy the run time to end.
+            for _ in range(20):
+                await anyio.lowlevel.checkpoint()
+            return relay_fakes.make_events(number, number)
+
+        return step
+
+    source = relay_fakes.FakeEventSource(
+        [make_step(number) for number in range(1, count + 1)]
+    )
+    context.port.replies['a'].append(relay.Streaming(200, [], source))
+    relayed = relay.StreamRelay(
+        context.placer, context.port, context.running, context.clock
+    )
+    clocks.run_bounded(context, relayed.run, context.request, context.sink)
+
+
+@behave.then('at most {limit:d} copies were made and the stream is complete')
+def step_copies(context: typing.Any, limit: int) -> None:
+    assert 1 < len(context.port.copies) <= limit, context.port.copies
+    assert context.sink.finished
--- a/tests/support/places_harness.py
+++ b/tests/support/places_harness.py
@@ -6,8 +6,12 @@
 import typing
 
 import anyio
+import anyio.abc
 import anyio.lowlevel
 import attrs
+import h11
+from starlette import responses
+from starlette import types
 
 from laburnumstep import core
 from laburnumstep import platform
@@ -42,6 +46,62 @@
     return document
 
 
+class MovingEngine(platform_engine.CrashingEngine):
+    """Continues the runs of other engines, and copies runs to them."""
+
+    def __init__(self, name: str, deadly_part: str) -> None:
+        super().__init__(name, deadly_part)
+        self.stops = False
+        """Whether a new run stops after its first event."""
+        self.go_on = anyio.Event()
+        """Set to let a run that has stopped go on."""
+        self.begun = 0
+        """Number of runs that have sent their first event."""
+        self.continued = 0
+        """Number of runs that were continued from a copy."""
+
+    async def _answer(
+        self,
+        protocol: h11.Connection,
+        stream: anyio.abc.SocketStream,
+        request: h11.Request,
+    ) -> None:
+        names = {name for name, _ in request.headers}
+        if request.target == b'/v1/report':
+            # With this much in use, it holds no backup. A stream without one
+            # is not continued elsewhere because its engine pauses.
+            report = {
+                **platform_engine.REPORT,
+                'running': 1,
+                'kvUsed': 15_000,
+            }
+            await platform_engine.send_json(protocol, stream, report)
+        elif request.target == b'/v1/kv-move':
+            await platform_engine.send_json(protocol, stream, {'handle': 'h'})
+        elif b'kv-from' in names:
+            self.continued += 1
+            await self._stream_events(protocol, stream, 2)
+        elif self.stops:
+            await self._stream_events(protocol, stream, 1)
+        else:
+            await super()._answer(protocol, stream, request)
+
+    async def _stream_events(
+        self,
+        protocol: h11.Connection,
+        stream: anyio.abc.SocketStream,
+        first: int,
+    ) -> None:
+        """Stream the events from a first one, and stop after event 1."""
+        await platform_engine.send_head(protocol, stream, 'attempt-1')
+        for number in range(first, platform_engine.EVENTS + 1):
+            await platform_engine.send_event(protocol, stream, number)
+            if number == 1:
+                self.begun += 1
+                await self.go_on.wait()
+        await platform_engine.send_end(protocol, stream)
+
+
 class PlacesHarness:
     """Runs a store, a VM, and targets in several data centres.
 
@@ -59,12 +119,12 @@
             if not name.startswith('e')
         }
         self.engines = {
-            name: platform_engine.CrashingEngine(name, DEADLY_PART)
+            name: MovingEngine(name, DEADLY_PART)
             for name in members
             if name.startswith('e')
         }
-        self.store_scope = anyio.CancelScope()
-        """Ends the store when it is cancelled."""
+        self.store_away = False
+        """Whether the store refuses all reads."""
         self.vm_started = anyio.Event()
         """Set to start the VM."""
         self.address = ''
@@ -76,7 +136,9 @@
         """Run the store and the targets, and the VM once it is started."""
         async with contextlib.AsyncExitStack() as stack:
             tasks = await stack.enter_async_context(anyio.create_task_group())
-            store = await tasks.start(self._run_store)
+            store = await stack.enter_async_context(
+                transport.serve_app(self._serve_store)
+            )
             for name, server in self.servers.items():
                 running = await stack.enter_async_context(
                     transport.serve_app(server.app)
@@ -90,7 +152,7 @@
                     service='llm',
                     models=[{'name': 'm'}],
                 )
-            tasks.start_soon(self._run_vm, store)
+            tasks.start_soon(self._run_vm, store.address)
             yield self
             tasks.cancel_scope.cancel()
 
@@ -123,13 +185,14 @@
         ):
             await anyio.lowlevel.checkpoint()
 
-    async def _run_store(
-        self, *, task_status: anyio.abc.TaskStatus[str]
+    async def _serve_store(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
-        with self.store_scope:
-            async with transport.serve_app(self.store.app) as store:
-                task_status.started(store.address)
-                await anyio.sleep_forever()
+        if self.store_away:
+            answer = responses.Response(status_code=503)
+            await answer(scope, receive, send)
+        else:
+            await self.store.app(scope, receive, send)
 
     async def _run_vm(self, store_address: str) -> None:
         await self.vm_started.wait()
--- a/tests/support/platform_engine.py
+++ b/tests/support/platform_engine.py
@@ -27,13 +27,14 @@
 _FLOOD_BYTES = 8 * 1024 * 1024
 """Length of a flood, in bytes. Without an end, a VM that fails the test would
 hold the event loop for good."""
-_REPORT = {
+REPORT = {
     'queued': 0,
     'running': 0,
     'kvUsed': 0,
     'kvTotal': 30_000,
     'runs': [],
 }
+"""Load report of an idle engine."""
 
 
 class CrashingEngine:
@@ -193,8 +194,45 @@
         await stream.send(protocol.send(event) or b'')
 
 
+async def send_head(
+    protocol: h11.Connection, stream: anyio.abc.SocketStream, attempt: str
+) -> None:
+    """Send the head of a stream."""
+    headers = [*_STREAM_HEADERS, ('Attempt-Id', attempt)]
+    head = h11.Response(status_code=200, headers=headers)
+    await _send(protocol, stream, [head])
+
+
+async def send_event(
+    protocol: h11.Connection, stream: anyio.abc.SocketStream, number: int
+) -> None:
+    """Send one event of a stream."""
+    data = b'id: %d\ndata: x\n\n' % number
+    await _send(protocol, stream, [h11.Data(data=data)])
+
+
+async def send_end(
+    protocol: h11.Connection, stream: anyio.abc.SocketStream
+) -> None:
+    """End a stream."""
+    await _send(protocol, stream, [h11.EndOfMessage()])
+
+
+async def send_json(
+    protocol: h11.Connection,
+    stream: anyio.abc.SocketStream,
+    content: dict[str, typing.Any],
+) -> None:
+    """Send a whole answer in JSON."""
+    await _send(protocol, stream, _make_answer(content))
+
+
 def _make_report() -> list[typing.Any]:
-    body = json.dumps(_REPORT).encode()
+    return _make_answer(REPORT)
+
+
+def _make_answer(content: dict[str, typing.Any]) -> list[typing.Any]:
+    body = json.dumps(content).encode()
     headers = [('Content-Length', str(len(body)))]
     return [
         h11.Response(status_code=200, headers=headers),
