--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -15,6 +15,7 @@
 from laburnumstep import log
 from laburnumstep.platform import _configuration
 from laburnumstep.platform import _directory
+from laburnumstep.platform import _evacuations
 from laburnumstep.platform import _fleet
 from laburnumstep.platform import _front
 from laburnumstep.platform import _pages
@@ -23,6 +24,7 @@
 from laburnumstep.platform import _settings
 from laburnumstep import targets
 from laburnumstep.targets import limits
+from laburnumstep.targets import places
 from laburnumstep.targets import relay
 from laburnumstep import transport
 
@@ -85,6 +87,8 @@
         self._metrics = core.Metrics(None, '', self._metrics_page)
         self._target_limits = limits.TargetLimits(clock, self._metrics)
         self._fleet_view = targets.FleetView(clock, settings.data_centre)
+        self._evacuations = self._fleet_view.places.evacuations
+        self._evacuations.subscribe(self._apply_evacuations)
         length_estimator = targets.LengthEstimator()
         self._admission = callers.Admission(
             clock, self._fleet_view, length_estimator, metrics=self._metrics
@@ -118,11 +122,13 @@
             clock, self._get_tokens_per_event, self._target_limits
         )
         self._services: _configuration.Services = {}
+        self._region_names: frozenset[str] = frozenset()
+        self._deployment = core.Deployment(
+            '', places=settings.places, weights=PLACEMENT_WEIGHTS
+        )
         self._registry = targets.TargetRegistry(
             clock,
-            core.Deployment(
-                '', places=settings.places, weights=PLACEMENT_WEIGHTS
-            ),
+            self._deployment,
             self._apply_targets,
             self._evacuate,
             self._target_limits.forget,
@@ -274,6 +280,9 @@
                 'targets.registered', len(self._registry.targets)
             )
             self._metrics.set_gauge('callers.waiting', self._admission.waiting)
+            self._metrics.set_gauge(
+                'places.evacuated', len(self._evacuations.names)
+            )
             await _pages.serve_metrics(self._metrics_page, send)
 
         try:
@@ -301,7 +310,12 @@
             self._load_follower.refresh,
             self._permit_gate,
         )
-        port = relay.LimitedPort(self._server_client, self._permit_gate)
+        # A request may wait for a permit, so where it may run is checked
+        # after that.
+        port = relay.LimitedPort(
+            relay.CheckedPort(self._server_client, self._fleet_view.places),
+            self._permit_gate,
+        )
         return _front.FrontEnd(
             self._active_routes,
             relay.CallRelay(placer, port, self._clock),
@@ -319,8 +333,11 @@
         servers = self._fleet.share_topic(
             'servers', _fleet.find_entry_fingerprint
         )
-        reader = _configuration.ConfigurationReader(
-            self._active_routes, self._apply_services
+        reader = _evacuations.OperatorsReader(
+            self._evacuations,
+            _configuration.ConfigurationReader(
+                self._active_routes, self._apply_services
+            ),
         )
         return [
             log.KeyedFollower(
@@ -351,12 +368,31 @@
         self._services = services
         self._front.apply_services(services)
         self._directory.apply_services(services)
+        self._apply_regions()
+
+    def _apply_regions(self) -> None:
+        """Use engines of the regions to which requests are restricted."""
+        table = self._active_routes.table
+        names = places.list_names(table.regions if table is not None else [])
+        if names != self._region_names:
+            self._region_names = names
+            self._apply_targets(self._deployment)
+
+    def _apply_evacuations(self, begun: frozenset[str]) -> None:
+        """Use other targets, and migrate the streams that can migrate."""
+        self._apply_targets(self._deployment)
+        for name, target in self._deployment.targets.items():
+            if target.data_centre in begun:
+                self._evacuate(name)
 
     def _apply_targets(self, deployment: core.Deployment) -> None:
+        self._deployment = deployment
         limited = targets.limit_engines(
             deployment,
             self._settings.name,
             self._settings.data_centre,
+            regions=self._region_names,
+            evacuated=self._evacuations.names,
         )
         self._fleet_view.apply_deployment(limited)
         self._admission.apply_deployment(limited)
--- a/packages/laburnumstep/src/laburnumstep/targets/_subset.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_subset.py
@@ -19,6 +19,8 @@
     vm_name: str,
     data_centre: str,
     limit: int = MAX_ENGINES,
+    regions: frozenset[str] = frozenset(),
+    evacuated: frozenset[str] = frozenset(),
 ) -> core.Deployment:
     """Return the deployment with the engines that one VM uses.
 
@@ -34,6 +36,11 @@
         data_centre: Data centre of the VM.
         limit: Maximum number of engines. It may be exceeded so that each
             model has `MIN_ENGINES_BY_MODEL` engines.
+        regions: Regions to which requests are restricted. Engines of each
+            of them are used in addition, as many as of the VM's own region.
+        evacuated: Data centres that are being evacuated. Others take the
+            place of their engines, which are retained because requests may
+            still run there.
     """
     engines = [
         target
@@ -42,11 +49,8 @@
     ]
     if len(engines) <= limit:
         return deployment
-    by_model: dict[str, list[core.EngineTarget]] = {}
-    for engine in engines:
-        for model in engine.models:
-            by_model.setdefault(model, []).append(engine)
-    per_model = max(MIN_ENGINES_BY_MODEL, limit // len(by_model))
+    models = len(_group_by_model(engines))
+    per_model = max(MIN_ENGINES_BY_MODEL, limit // models)
     region = deployment.find_region(data_centre)
 
     def rank(engine: core.EngineTarget) -> tuple[bool, bool, int]:
@@ -56,11 +60,26 @@
             core.stable_hash(f'{vm_name}|{engine.name}'),
         )
 
-    selected = {
-        engine.name
-        for candidates in by_model.values()
-        for engine in sorted(candidates, key=rank)[:per_model]
-    }
+    def select(candidates: list[core.EngineTarget]) -> set[str]:
+        """Return the names of the first engines of each model."""
+        return {
+            engine.name
+            for group in _group_by_model(candidates).values()
+            for engine in sorted(group, key=rank)[:per_model]
+        }
+
+    usable = [
+        engine for engine in engines if engine.data_centre not in evacuated
+    ]
+    selected = select(engines) | select(usable)
+    for name in regions:
+        selected |= select(
+            [
+                engine
+                for engine in usable
+                if deployment.find_region(engine.data_centre) == name
+            ]
+        )
     return attrs.evolve(
         deployment,
         targets={
@@ -71,3 +90,13 @@
             or isinstance(target, core.ServiceTarget)
         },
     )
+
+
+def _group_by_model(
+    engines: list[core.EngineTarget],
+) -> dict[str, list[core.EngineTarget]]:
+    by_model: dict[str, list[core.EngineTarget]] = {}
+    for engine in engines:
+        for model in engine.models:
+            by_model.setdefault(model, []).append(engine)
+    return by_model
