Follow Server-Leaving and Retry-After in the answers of servers

Cause: a server that said in its answers that it was leaving, or that it wanted no request for a while, still got requests until its entry changed.

Change: the platform decodes both headers once into targets.SelfReport, from every head of an answer that is not 421 (answers, refusals, streams, reports, copies). targets.LeavingTargets keeps who is leaving until a restart or until an entry is ready after one that was draining; runs migrate as from a leaving engine. A 503 with Retry-After sets TargetState.back_off_until, which counts in held_until; a request for which no other target is left is refused with that time, before it would queue. LimitedPort looks again before each send. Values that cannot be read are logged and ignored; back-offs are bounded by MAX_BACK_OFF_SECONDS.

--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -86,6 +86,7 @@
             CodedError: The request is shed, or no target serves it.
         """
         _crash_refusals.check(self._state, request.key, request.traits)
+        self._check_back_off(request, excluded)
         if request.prompt is None:
             return self._place_call(request, excluded)
         return await self._place_generation(request, request.prompt, excluded)
@@ -299,6 +300,20 @@
             case _:
                 typing.assert_never(placement)
 
+    def _check_back_off(
+        self, request: relay.RelayRequest, excluded: frozenset[str]
+    ) -> None:
+        """Refuse a request whose targets all want no requests for now."""
+        pool_key = (
+            targets.get_service_pool_key(request.service)
+            if request.prompt is None
+            else request.prompt.model
+        )
+        until = self._state.view.find_back_off(pool_key, excluded)
+        if until is not None:
+            reason = 'every target has asked for no requests'
+            raise _refuse(request, reason, until)
+
     def _schedule_return(self, service: str, earliest: float) -> float:
         """Return when the caller of a refused call should send it again.
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_directory.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_directory.py
@@ -19,6 +19,8 @@
 
 _LOGGER = core.get_logger('platform')
 
+EntryListener = typing.Callable[[str, targets.Registration], None]
+
 
 @attrs.frozen
 class ServerEntry:
@@ -49,10 +51,17 @@
 
     Args:
         registry: Receives a target for each valid entry.
+        on_entry: Called with the name and the registration of each valid
+            entry, before the registry.
     """
 
-    def __init__(self, registry: targets.TargetRegistry) -> None:
+    def __init__(
+        self,
+        registry: targets.TargetRegistry,
+        on_entry: EntryListener = lambda name, registration: None,
+    ) -> None:
         self._registry = registry
+        self._on_entry = on_entry
         self._entries: dict[str, ServerEntry] = {}
         self._services: _configuration.Services = {}
 
@@ -80,10 +89,7 @@
         for record in records:
             entry = _decode_entry(record)
             if entry is not None:
-                self._entries[record.key] = entry
-                registered[record.key] = self._make_registration(
-                    record.key, entry
-                )
+                registered[record.key] = self._put_entry(record.key, entry)
         self._registry.replace(registered)
 
     def apply_records(self, records: list[log.KeyedRecord]) -> None:
@@ -98,10 +104,7 @@
                 self._entries.pop(record.key, None)
                 changes[record.key] = None
             else:
-                self._entries[record.key] = entry
-                changes[record.key] = self._make_registration(
-                    record.key, entry
-                )
+                changes[record.key] = self._put_entry(record.key, entry)
         if changes:
             self._registry.update(changes)
 
@@ -109,6 +112,14 @@
         """Let the registry keep entries that lapse during a store outage."""
         self._registry.record_failure()
 
+    def _put_entry(
+        self, name: str, entry: ServerEntry
+    ) -> targets.Registration:
+        self._entries[name] = entry
+        registration = self._make_registration(name, entry)
+        self._on_entry(name, registration)
+        return registration
+
     def _make_registration(
         self, name: str, entry: ServerEntry
     ) -> targets.Registration:
--- a/packages/laburnumstep/src/laburnumstep/platform/_headers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_headers.py
@@ -24,6 +24,10 @@
 """Message authentication code that the target adds to its answer."""
 REQUEST_LIMIT = b'server-limit'
 """Requests a second that the target takes from all VMs together."""
+SERVER_LEAVING = b'server-leaving'
+"""`1` if the target accepts no new work and will stop."""
+COLD_MS = b'cold-ms'
+"""Time for which the target stays cold, in milliseconds."""
 RETRY_AFTER = b'retry-after'
 """Seconds, possibly with a fraction, until the caller may resend."""
 MODEL = b'model'
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -10,6 +10,7 @@
 from laburnumstep.platform import _answers
 from laburnumstep.platform import _events
 from laburnumstep.platform import _headers
+from laburnumstep.platform import _self_reports
 from laburnumstep import targets
 from laburnumstep.targets import limits
 from laburnumstep.targets import relay
@@ -37,6 +38,10 @@
 
 _LOGGER = core.get_logger('platform')
 
+SelfReportListener = typing.Callable[[str, targets.SelfReport, float], None]
+"""Called with the name of a target, what its answer says about it, and when
+the request was sent, in epoch seconds."""
+
 
 class ServerClient:
     """Sends requests to servers; implements `relay.TargetPort`.
@@ -46,6 +51,7 @@
         get_tokens_per_event: Returns the number of tokens in one event of
             a service.
         target_limits: Receives the limits that servers name.
+        on_self_report: Receives what else servers say about themselves.
     """
 
     def __init__(
@@ -53,10 +59,12 @@
         clock: core.Clock,
         get_tokens_per_event: typing.Callable[[str], int],
         target_limits: limits.TargetLimits,
+        on_self_report: SelfReportListener = lambda *arguments: None,
     ) -> None:
         self._clock = clock
         self._get_tokens_per_event = get_tokens_per_event
         self._target_limits = target_limits
+        self._on_self_report = on_self_report
         self._pools: dict[str, transport.ConnectionPool] = {}
         self._body_budget = transport.BodyBudget(MAX_BODIES_BYTES)
 
@@ -83,7 +91,7 @@
             await connection.send(head, attempt.request.body, attempt.deadline)
             response = await connection.read_head(attempt.deadline)
             if _answers.is_own_answer(attempt, connection, response):
-                self._record_limit(attempt.target, response, sent_at)
+                self._record_words(attempt.target, response, sent_at)
             reply = await self._read_reply(attempt, connection, response)
             intact = not isinstance(reply, relay.Lost)
             return reply
@@ -268,7 +276,7 @@
             sent_at = self._clock.now()
             await connection.send(head, body, deadline)
             response = await connection.read_head(deadline)
-            self._record_limit(target, response, sent_at)
+            self._record_words(target, response, sent_at)
             content = await connection.read_body(
                 MAX_RESPONSE_BYTES, deadline, self._body_budget
             )
@@ -346,7 +354,7 @@
         self._release_connection(attempt.target, connection, response)
         return relay.Answered(response.status, headers, body)
 
-    def _record_limit(
+    def _record_words(
         self,
         target: core.Target,
         response: transport.ResponseHead,
@@ -363,6 +371,9 @@
             ]
         )
         self._target_limits.record_answer(target.name, word, sent_at)
+        report = _self_reports.decode_self_report(target.name, response)
+        if report is not None:
+            self._on_self_report(target.name, report, sent_at)
 
     async def _read_refusal(
         self,
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -115,7 +115,10 @@
         self._gate = callers.RequestGate(clock)
         self._running_streams = relay.RunningStreams()
         self._server_client = _servers.ServerClient(
-            clock, self._get_tokens_per_event, self._target_limits
+            clock,
+            self._get_tokens_per_event,
+            self._target_limits,
+            lambda *report: self._target_words.record(*report),
         )
         self._services: _configuration.Services = {}
         self._registry = targets.TargetRegistry(
@@ -125,9 +128,17 @@
             ),
             self._apply_targets,
             self._evacuate,
-            self._target_limits.forget,
+            self._forget_words,
+        )
+        self._leaving_targets = targets.LeavingTargets(
+            clock, self._registry.find_registration, self._apply_leaving
+        )
+        self._target_words = targets.TargetWords(
+            clock, self._fleet_view, self._leaving_targets, self._metrics
+        )
+        self._directory = _directory.Directory(
+            self._registry, self._leaving_targets.apply_entry
         )
-        self._directory = _directory.Directory(self._registry)
         self._fleet = _fleet.Fleet(
             settings,
             clock,
@@ -301,7 +312,11 @@
             self._load_follower.refresh,
             self._permit_gate,
         )
-        port = relay.LimitedPort(self._server_client, self._permit_gate)
+        port = relay.LimitedPort(
+            self._server_client,
+            self._permit_gate,
+            self._target_words.find_back_off,
+        )
         return _front.FrontEnd(
             self._active_routes,
             relay.CallRelay(placer, port, self._clock),
@@ -377,6 +392,16 @@
     def _evacuate(self, target: str) -> None:
         self._running_streams.evacuate(target)
 
+    def _apply_leaving(self, target: str, leaving: bool) -> None:
+        self._fleet_view.set_leaving(target, leaving)
+        if leaving:
+            self._evacuate(target)
+
+    def _forget_words(self, target: str) -> None:
+        """Forget what a target has said before it started again."""
+        self._target_limits.forget(target)
+        self._target_words.record_restart(target)
+
     def _get_tokens_per_event(self, service: str) -> int:
         engine = self._services.get(service)
         return engine.tokens_per_event if engine is not None else 1
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -37,6 +37,7 @@
 from laburnumstep.targets._hints import CacheEvent
 from laburnumstep.targets._hints import CacheEventKind
 from laburnumstep.targets._hints import PrefixHints
+from laburnumstep.targets._leaving import LeavingTargets
 from laburnumstep.targets._lengths import LengthEstimator
 from laburnumstep.targets._lengths import LengthSketch
 from laburnumstep.targets._links import LinkMeter
@@ -74,6 +75,9 @@
 from laburnumstep.targets._retry_decisions import GiveUp
 from laburnumstep.targets._retry_decisions import Retry
 from laburnumstep.targets._retry_decisions import RetryDecision
+from laburnumstep.targets._self_reports import MAX_BACK_OFF_SECONDS
+from laburnumstep.targets._self_reports import MAX_COLD_SECONDS
+from laburnumstep.targets._self_reports import SelfReport
 from laburnumstep.targets._sends import Send
 from laburnumstep.targets._sends import SiblingSend
 from laburnumstep.targets._service_calls import CallRunner
@@ -87,6 +91,7 @@
 from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
 from laburnumstep.targets._subset import limit_engines
+from laburnumstep.targets._target_words import TargetWords
 from laburnumstep.targets._traits import describe_traits
 from laburnumstep.targets._traits import digest_fields
 from laburnumstep.targets._traits import digest_traits
@@ -130,6 +135,7 @@
     'GenerationSink',
     'GiveUp',
     'LeaseView',
+    'LeavingTargets',
     'LengthEstimator',
     'LengthSketch',
     'LinkMeter',
@@ -137,6 +143,8 @@
     'LoadClients',
     'LoadFollower',
     'LoadReport',
+    'MAX_BACK_OFF_SECONDS',
+    'MAX_COLD_SECONDS',
     'MalformedStream',
     'MemoryPolicy',
     'NoRoom',
@@ -161,6 +169,7 @@
     'Retry',
     'RetryBudget',
     'RetryDecision',
+    'SelfReport',
     'Send',
     'ServiceAnswer',
     'ServiceClient',
@@ -173,6 +182,7 @@
     'StreamPosition',
     'TargetRegistry',
     'TargetState',
+    'TargetWords',
     'TokenBatch',
     'Trait',
     'Traits',
--- a/packages/laburnumstep/src/laburnumstep/targets/_registry.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_registry.py
@@ -102,6 +102,10 @@
         entry = self._entries.get(name)
         return entry.target if entry is not None else None
 
+    def find_registration(self, name: str) -> Registration | None:
+        """Return the newest entry of a target, also after its removal."""
+        return self._last.get(name)
+
     def record_failure(self) -> None:
         """Record that the registry could not be read."""
         self._reliable_at = self._clock.now() + UNRELIABLE_SECONDS
--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -62,9 +62,10 @@
     """Whether the VM list, a sibling or an operator reports it as leaving."""
     failed_until: float = 0.0
     """Until when it is ejected after a failure, in epoch seconds."""
-    held_until: float = 0.0
-    """Until when it gets no request because its limit is used up, in epoch
-    seconds."""
+    limit_used_until: float = 0.0
+    """Until when its limit is used up, in epoch seconds."""
+    back_off_until: float = 0.0
+    """Until when it has asked for no requests, in epoch seconds."""
     report: _reports.LoadReport | None = None
     """Last report, if any."""
     sends: dict[str, _sends.Send] = attrs.field(factory=dict)
@@ -87,6 +88,11 @@
         )
         return self.declared.leaving or self.observed_leaving or reclaimed
 
+    @property
+    def held_until(self) -> float:
+        """Until when it gets no request, in epoch seconds."""
+        return max(self.limit_used_until, self.back_off_until)
+
     @property
     def measured_at(self) -> float:
         """When the last report was measured, in epoch seconds."""
@@ -110,7 +116,7 @@
         return not self.leaving and self.failed_until <= now
 
     def takes_requests(self, now: float) -> bool:
-        """Return whether the target is usable and its limit not used up."""
+        """Return whether the target is usable and takes requests now."""
         return self.is_usable(now) and self.held_until <= now
 
     def has_suspect(self) -> bool:
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -41,6 +41,7 @@
         self._recovering: list[tuple[float, str]] = []
         self._leaving: set[str] = set()
         self._limits: dict[str, float] = {}
+        self._back_off_until = 0.0
         self._listeners: list[CapacityListener] = []
         self._send_listeners: list[SendListener] = []
         self._known_vms = 1
@@ -142,12 +143,57 @@
     def set_held(self, target_name: str, until: float) -> None:
         """Place no requests on a target until a time in epoch seconds."""
         state = self._states.get(target_name)
-        if state is not None and state.held_until != until:
-            state.held_until = until
-            if until > self._clock.now():
-                heapq.heappush(self._recovering, (until, target_name))
-            self._update_pools(target_name, state)
-            self._notify(self._pool_keys[target_name])
+        if state is not None and state.limit_used_until != until:
+            state.limit_used_until = until
+            self._apply_hold(target_name, state, until)
+
+    def set_back_off(self, target_name: str, until: float) -> None:
+        """Place no requests on a target that has asked for none.
+
+        Args:
+            target_name: Name of the target.
+            until: When it may get requests again, in epoch seconds; 0 ends
+                a back-off.
+        """
+        state = self._states.get(target_name)
+        if state is not None and state.back_off_until != until:
+            state.back_off_until = until
+            self._back_off_until = max(self._back_off_until, until)
+            self._apply_hold(target_name, state, until)
+
+    def find_back_off(
+        self, pool_key: str, excluded: frozenset[str]
+    ) -> float | None:
+        """Return when a pool whose targets all back off has one again.
+
+        Args:
+            pool_key: Name of the model, or the key of a service's pool.
+            excluded: Targets that must not be used.
+
+        Returns:
+            The time in epoch seconds, or None if another target is left or
+            none has asked for a back-off.
+        """
+        now = self._clock.now()
+        # Without a back-off, placement must not pay for this search.
+        if self._back_off_until <= now:
+            return None
+        pool = self.get_pool(pool_key)
+        if any(
+            name not in excluded
+            for local in (True, False)
+            for name in pool.get_names(local)
+        ):
+            return None
+        times = []
+        for name, state in self._states.items():
+            if state.leaving or pool_key not in list_pool_keys(state):
+                continue
+            if state.back_off_until > now:
+                times.append(state.back_off_until)
+            elif name not in excluded:
+                return None
+        return min(times, default=None)
 
     def set_limit(self, target_name: str, rate: float | None) -> None:
         """Record the requests a second that a target takes from all VMs.
@@ -365,6 +411,14 @@
             if state is not None:
                 self._update_pools(name, state)
 
+    def _apply_hold(
+        self, name: str, state: _states.TargetState, until: float
+    ) -> None:
+        if until > self._clock.now():
+            heapq.heappush(self._recovering, (until, name))
+        self._update_pools(name, state)
+        self._notify(self._pool_keys[name])
+
     def _update_pools(self, name: str, state: _states.TargetState) -> None:
         pool_keys: tuple[str, ...] = ()
         if state.takes_requests(self._clock.now()):
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_limited_port.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_limited_port.py
@@ -20,13 +20,21 @@
     Args:
         port: Sends the requests.
         gate: Issues the permits.
+        find_back_off: Returns until when a target has asked for no requests,
+            in epoch seconds, or None.
     """
 
     def __init__(
-        self, port: _ports.TargetPort, gate: limits.PermitGate
+        self,
+        port: _ports.TargetPort,
+        gate: limits.PermitGate,
+        find_back_off: typing.Callable[[str], float | None] = lambda name: (
+            None
+        ),
     ) -> None:
         self._port = port
         self._gate = gate
+        self._find_back_off = find_back_off
 
     async def send(self, attempt: _ports.Attempt) -> _ports.Reply:
         """Send a request if its target takes it now.
@@ -37,6 +45,13 @@
         withheld = await self._gate.acquire(attempt.target.name)
         if withheld is not None:
             return _ports.Held(withheld.until)
+        # The target may have asked for a back-off since the request was
+        # placed, and runs continue at targets that were not placed on.
+        back_off = self._find_back_off(attempt.target.name)
+        if back_off is not None:
+            return _ports.Held(
+                back_off, 'the target has asked for no requests'
+            )
         return await self._port.send(attempt)
 
     async def copy_run(
--- a/tests/laburnumstep/platform/answers.feature
+++ b/tests/laburnumstep/platform/answers.feature
@@ -59,3 +59,21 @@
       | HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n           | NotRun |
       | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n      | NotRun |
       | HTTP/1.1 503 Busy\r\n{other}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n    | Lost   |
+
+  # Guards against a word of a server that is missed in a refusal or at the
+  # beginning of a stream, or taken from an answer to another request.
+  Scenario Outline: What a server says about itself is read from each head
+    Given a server that sends "<bytes>" and waits
+    When a "plan" request is sent to it
+    Then the server's words are <words>
+
+    Examples:
+      | bytes                                                                    | words           |
+      | HTTP/1.1 200 OK\r\n{own}{mac}{sse}{chunked}Server-Leaving: 1\r\n\r\n0\r\n\r\n | leaving    |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n | leaving |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n | back-off 1.5 |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nCold-Ms: 2500\r\nContent-Length: 0\r\n\r\n | cold 2.5 |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nCold-Ms: 9999999999\r\nContent-Length: 0\r\n\r\n | cold 600 |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nCold-Ms: 1e3\r\nContent-Length: 0\r\n\r\n | nothing |
+      | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n | none |
+      | HTTP/1.1 503 Busy\r\n{other}Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n | none |
--- a/tests/laburnumstep/platform/steps/answers_steps.py
+++ b/tests/laburnumstep/platform/steps/answers_steps.py
@@ -11,6 +11,7 @@
 
 from laburnumstep import core
 from laburnumstep.platform import _servers
+from laburnumstep import targets
 from laburnumstep.targets import relay
 from support import clocks
 from support import hooks
@@ -74,7 +75,10 @@
 
 
 async def send_requests(
-    server: scripted_server.ScriptedServer, kind: str, keys: list[str]
+    server: scripted_server.ScriptedServer,
+    kind: str,
+    keys: list[str],
+    words: list[targets.SelfReport],
 ) -> str:
     """Send requests one after the other and describe the last reply."""
     clock = core.SystemClock()
@@ -82,6 +86,7 @@
         clock,
         lambda service: 1,
         permits.make_limits(clock),
+        lambda name, report, sent_at: words.append(report),
     )
     target = attrs.evolve(relay_fakes.make_target('a'), address=server.address)
     description = ''
@@ -114,15 +119,16 @@
 
 @behave.when('a "{kind}" request is sent to it')
 def step_send(context: typing.Any, kind: str) -> None:
+    context.words = []
     context.reply = clocks.run_bounded(
-        context, send_requests, context.server, kind, ['key-1']
+        context, send_requests, context.server, kind, ['key-1'], context.words
     )
 
 
 @behave.when('two "{kind}" requests are sent over one connection')
 def step_send_two(context: typing.Any, kind: str) -> None:
     context.reply = clocks.run_bounded(
-        context, send_requests, context.server, kind, ['key-0', 'key-1']
+        context, send_requests, context.server, kind, ['key-0', 'key-1'], []
     )
     assert context.server.requests == 2, context.server.requests
 
@@ -130,3 +136,18 @@
 @behave.then('the reply is {reply}')
 def step_reply(context: typing.Any, reply: str) -> None:
     assert context.reply == reply, context.reply
+
+
+def describe_words(report: targets.SelfReport) -> str:
+    parts = ['leaving'] if report.leaving else []
+    if report.back_off_seconds is not None:
+        parts.append(f'back-off {report.back_off_seconds:g}')
+    if report.cold_seconds is not None:
+        parts.append(f'cold {report.cold_seconds:g}')
+    return ' '.join(parts) or 'nothing'
+
+
+@behave.then("the server's words are {words}")
+def step_words(context: typing.Any, words: str) -> None:
+    found = ','.join(describe_words(item) for item in context.words)
+    assert (found or 'none') == words, found
--- a/tests/laburnumstep/targets/steps/view_steps.py
+++ b/tests/laburnumstep/targets/steps/view_steps.py
@@ -431,3 +431,37 @@
 @behave.then('{name} still has {count:d} calls')
 def step_still(context: typing.Any, name: str, count: int) -> None:
     assert context.placed[name] == count, context.placed
+
+
+@behave.given('2 engines, of which {states}')
+def step_engines_state(context: typing.Any, states: str) -> None:
+    context.view = view = _make_view(context, fleets.make_deployment(2))
+    for state in states.split('; '):
+        name, *words = state.split()
+        match words:
+            case ['says', 'anything']:
+                pass
+            case ['backs', 'off', second]:
+                until = _START + float(second) if float(second) else 0.0
+                view.set_back_off(name, until)
+            case ['fails', second]:
+                view.set_failed(name, _START + float(second))
+            case ['is-held', second]:
+                view.set_held(name, _START + float(second))
+            case ['leaves', _]:
+                view.set_leaving(name, True)
+            case _:
+                raise ValueError(state)
+
+
+@behave.when('a request may not use {names}')
+def step_excluded_names(context: typing.Any, names: str) -> None:
+    context.until = context.view.find_back_off(
+        fleets.MODEL, frozenset(names.split(','))
+    )
+
+
+@behave.then('the pool is closed until {until}')
+def step_closed(context: typing.Any, until: str) -> None:
+    expected = None if until == 'never' else _START + float(until.split()[1])
+    assert context.until == expected, context.until
--- a/tests/laburnumstep/targets/view.feature
+++ b/tests/laburnumstep/targets/view.feature
@@ -52,6 +52,26 @@
       | its limit ends                   | 10     | is used                 |
       | is leaving                       | 35     | is not used             |
 
+  # Guards against a request that waits for a target which wants none, and one
+  # that is refused although another target is left.
+  Scenario Outline: A pool is closed while all of its targets back off
+    Given 2 engines, of which <state>
+    When a request may not use <excluded>
+    Then the pool is closed until <until>
+
+    Examples:
+      | state                                     | excluded | until     |
+      | none says anything                        | none     | never     |
+      | engine-0 backs off 40                     | none     | never     |
+      | engine-0 backs off 40                     | engine-1 | second 40 |
+      | engine-0 backs off 40                     | engine-0 | never     |
+      | engine-0 backs off 40; engine-1 backs off 30 | none  | second 30 |
+      | engine-0 backs off 40; engine-1 backs off 30 | engine-1 | second 30 |
+      | engine-0 backs off 40; engine-1 fails 30  | none     | never     |
+      | engine-0 backs off 40; engine-1 leaves 0  | none     | second 40 |
+      | engine-0 backs off 40; engine-1 is-held 30 | none    | never     |
+      | engine-0 backs off 40; engine-1 leaves 0; engine-0 backs off 0 | none | never |
+
   Scenario: A resumed generation is not added to a report that includes it
     Given an engine with a report measured at second 0 of 3 requests
     When a generation of another VM is resumed and yields 1000 tokens at once
