Let the test of homes have engines in a third region

With two regions the single remote candidate was always in the home, so the test passed without the sampling that it is about.

--- a/tests/laburnumstep/targets/places/places.feature
+++ b/tests/laburnumstep/targets/places/places.feature
@@ -20,6 +20,7 @@
 
   Scenario Outline: A restricted request uses every engine of its regions
     Given <local> engines in lima, <remote> in piura and a VM in lima
+    And 30 more engines are in cuzco-1
     When 200 requests that allow "<region>" are placed
     Then they use <count> engines, all in "<region>"
 
--- a/tests/laburnumstep/targets/places/steps/places_steps.py
+++ b/tests/laburnumstep/targets/places/steps/places_steps.py
@@ -19,6 +19,8 @@
 from support import permits
 from support import relay_fakes
 
+CUZCO = core.Place('cuzco', ['cuzco-1'])
+
 
 def parse_regions(text: str) -> core.Regions:
     match text:
@@ -309,17 +311,21 @@
     assert context.admission.waiting == count, context.admission.waiting
 
 
-@behave.given('{count:d} more engines are in lima-2')
-def step_more_engines(context: typing.Any, count: int) -> None:
+@behave.given('{count:d} more engines are in {data_centre}')
+def step_more_engines(
+    context: typing.Any, count: int, data_centre: str
+) -> None:
     source = find_engine(context, 'lima')
     more = {
         f'other-{number}': attrs.evolve(
-            source, name=f'other-{number}', data_centre='lima-2'
+            source, name=f'other-{number}', data_centre=data_centre
         )
         for number in range(count)
     }
     context.deployment = attrs.evolve(
-        context.deployment, targets={**context.deployment.targets, **more}
+        context.deployment,
+        places={**context.deployment.places, 'cuzco': CUZCO},
+        targets={**context.deployment.targets, **more},
     )
     context.view.apply_deployment(context.deployment)
 
