Test that a VM of a large deployment finds permitted engines

Covers the wiring of limit_engines in PlatformVM: without the named regions and the evacuations both scenarios were refused with 503. The selection of an undisturbed deployment groups the engines once again, as before.

--- a/packages/laburnumstep/src/laburnumstep/targets/_subset.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_subset.py
@@ -49,8 +49,8 @@
     ]
     if len(engines) <= limit:
         return deployment
-    models = len(_group_by_model(engines))
-    per_model = max(MIN_ENGINES_BY_MODEL, limit // models)
+    by_model = _group_by_model(engines)
+    per_model = max(MIN_ENGINES_BY_MODEL, limit // len(by_model))
     region = deployment.find_region(data_centre)
 
     def rank(engine: core.EngineTarget) -> tuple[bool, bool, int]:
@@ -60,26 +60,27 @@
             core.stable_hash(f'{vm_name}|{engine.name}'),
         )
 
-    def select(candidates: list[core.EngineTarget]) -> set[str]:
-        """Return the names of the first engines of each model."""
+    def select(groups: dict[str, list[core.EngineTarget]]) -> set[str]:
+        """Return the names of the first engines of each group."""
         return {
             engine.name
-            for group in _group_by_model(candidates).values()
+            for group in groups.values()
             for engine in sorted(group, key=rank)[:per_model]
         }
 
+    selected = select(by_model)
     usable = [
         engine for engine in engines if engine.data_centre not in evacuated
     ]
-    selected = select(engines) | select(usable)
+    if evacuated:
+        selected |= select(_group_by_model(usable))
     for name in regions:
-        selected |= select(
-            [
-                engine
-                for engine in usable
-                if deployment.find_region(engine.data_centre) == name
-            ]
-        )
+        inside = [
+            engine
+            for engine in usable
+            if deployment.find_region(engine.data_centre) == name
+        ]
+        selected |= select(_group_by_model(inside))
     return attrs.evolve(
         deployment,
         targets={
--- a/tests/laburnumstep/platform/places.feature
+++ b/tests/laburnumstep/platform/places.feature
@@ -72,6 +72,22 @@
       | streams | e1@lima-1, e2@lima-2, e3@piura-1 | lima  | lima-1         | 200    | e2      |
       | streams | e1@lima-1, e3@piura-1            | lima  | lima-1         | 503    |         |
 
+  # Guards against a VM that knows only the nearest engines of a large
+  # deployment, where these may not be used.
+  Scenario Outline: A VM of a large deployment finds the engines that it may use
+    Given targets <target>
+    And 70 more engines are registered in lima-1
+    And the route allows "<route>" and the workspace ""
+    And the evacuation of <evacuated> is written
+    When the VM starts
+    And 2 streams are sent
+    Then all have status 200
+
+    Examples:
+      | target     | route | evacuated |
+      | e9@piura-1 | piura | lima-2    |
+      | e9@lima-2  |       | lima-1    |
+
   # Guards against an evacuation that a record in trouble hides.
   Scenario Outline: An evacuation begins with its record, whatever its value is
     Given targets i1@lima-1, i2@lima-2, e1@lima-1, e2@lima-2
--- a/tests/laburnumstep/platform/steps/places_steps.py
+++ b/tests/laburnumstep/platform/steps/places_steps.py
@@ -62,6 +62,23 @@
     server.headers = {'Not-Executed': '1'}
 
 
+@behave.given('{count:d} more engines are registered in {data_centre}')
+def step_registered(context: typing.Any, count: int, data_centre: str) -> None:
+    for number in range(count):
+        entry = platform_harness.make_entry(
+            '127.0.0.1:1',
+            zone=data_centre,
+            service='llm',
+            models=[{'name': 'm'}],
+        )
+        context.portal.call(
+            context.harness.store.append_record,
+            'keyed.servers',
+            f'x{number}',
+            entry,
+        )
+
+
 @behave.when('the VM starts')
 def step_start(context: typing.Any) -> None:
     clocks.run_bounded(context, context.harness.start_vm)
