Issue the permits of cold targets, within the bound of each second

Cause: a target that has just started takes few requests and crashes above that, but only limits that targets name were shared. The parameters of those permits hold over four seconds, not in each one.

Change: limits.ColdTargets knows the cold time of each target from entries, answers and the configuration, and gives its rate; after the cold time the rate doubles sixteenfold over coldStartS and ends. TargetLimits takes the lower of it and a named limit. limits.Pacing holds the bursts, the lease and the fractions of a new owner and of VMs without an owner: smaller ones for cold targets, and 0.8 of the rate. The rate of a cold target travels in questions for permits as one that nobody keeps. Nothing feeds ColdTargets yet.

Tests: permit_exchange.feature has cold targets and faults of the owner, with requests that arrive up to 0.1 s after their permit.

--- a/packages/laburnumstep/src/laburnumstep/targets/limits/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/__init__.py
@@ -6,6 +6,11 @@
 """
 
 from laburnumstep.targets.limits._bucket import PermitBucket
+from laburnumstep.targets.limits._cold import COLD_FRACTION
+from laburnumstep.targets.limits._cold import ColdEntry
+from laburnumstep.targets.limits._cold import ColdStart
+from laburnumstep.targets.limits._cold import ColdTargets
+from laburnumstep.targets.limits._cold import MAX_RAMP_SECONDS
 from laburnumstep.targets.limits._gate import PermitGate
 from laburnumstep.targets.limits._issuer import PermitIssuer
 from laburnumstep.targets.limits._knowledge import KnownLimit
@@ -28,10 +33,15 @@
 from laburnumstep.targets.limits._words import UnreadableLimit
 
 __all__ = [
+    'COLD_FRACTION',
     'LIMIT_HEADER',
     'LIMIT_SECONDS',
+    'MAX_RAMP_SECONDS',
     'MAX_RATE',
     'MIN_RATE',
+    'ColdEntry',
+    'ColdStart',
+    'ColdTargets',
     'Granted',
     'KnownLimit',
     'LimitWord',
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_bucket.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_bucket.py
@@ -4,11 +4,6 @@
 
 import math
 
-BURST_SECONDS = 0.25
-"""Unused permits of this time are kept, in seconds."""
-BURST_PERMITS = 3
-"""Unused permits that are kept in addition. The VMs that want one may take a
-moment to ask again."""
 _ROUNDING = 1e-9
 
 
@@ -24,16 +19,18 @@
         self._permits = permits
         self._updated_at = now
 
-    def take(self, count: int, rate: float, now: float) -> int:
+    def take(
+        self, count: int, rate: float, now: float, capacity: float
+    ) -> int:
         """Take permits; return how many were left, at most `count`.
 
         Args:
             count: Number of permits wanted.
             rate: Permits a second since the last call.
             now: Current time, in epoch seconds.
+            capacity: Most unused permits that are kept.
         """
         gained = rate * max(0.0, now - self._updated_at)
-        capacity = rate * BURST_SECONDS + BURST_PERMITS
         self._permits = min(self._permits + gained, capacity)
         self._updated_at = now
         taken = min(count, math.floor(self._permits + _ROUNDING))
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_gate.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_gate.py
@@ -16,9 +16,6 @@
 if typing.TYPE_CHECKING:
     from laburnumstep.targets.limits import _knowledge
 
-SAFE_FRACTION = 0.5
-"""Fraction of an equal share that a VM uses if it cannot reach the VM that
-issues permits. That VM does not know about it and issues all of them."""
 PREFETCH_SECONDS = 0.25
 """Time for which permits are requested in advance, in seconds, at the rate at
 which this VM uses them."""
@@ -160,7 +157,8 @@
         self, target: str, state: _GateState, rate: float, now: float
     ) -> _permits.Withheld | None:
         """Send at a fraction of an equal share of the limit."""
-        interval = self._source.count_vms() / (rate * SAFE_FRACTION)
+        fraction = self._target_limits.find_pacing(target).safe_fraction
+        interval = self._source.count_vms() / (rate * fraction)
         if state.safe_from is None:
             # VMs that lose the issuer at the same time begin at different
             # ones.
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_issuer.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_issuer.py
@@ -9,21 +9,17 @@
 import attrs
 
 from laburnumstep.targets.limits import _bucket
+from laburnumstep.targets.limits import _knowledge
+from laburnumstep.targets.limits import _pacing
 from laburnumstep.targets.limits import _permits
 from laburnumstep.targets.limits import _words
 
 if typing.TYPE_CHECKING:
     from laburnumstep import core
-    from laburnumstep.targets.limits import _knowledge
 
-LEASE_SECONDS = 0.25
-"""How long permits may be used after they were issued, in seconds."""
 TAKEOVER_SECONDS = 3.0
-"""How long a VM that has just become the owner of a target issues half of its
-permits, in seconds. VMs that have not noticed the change may still receive
-permits from the former owner."""
-TAKEOVER_FRACTION = 0.5
-"""Fraction of the permits that are issued meanwhile."""
+"""How long a VM that has just become the owner of a target issues a part of
+its permits, in seconds."""
 IDLE_SECONDS = 10.0
 """Time without a request after which the permits of a target are forgotten, in
 seconds."""
@@ -80,30 +76,48 @@
         """
         self._target_limits.merge(wanted.target, wanted.limit, vm)
         now = self._clock.now()
-        issued = self._find_issued(wanted.target, now)
+        pacing = self._find_pacing(wanted, now)
+        issued = self._find_issued(wanted.target, now, pacing)
         issued.asked_at = issued.askers[vm] = now
-        rate = self._find_rate(wanted, issued, now)
-        count = issued.bucket.take(max(1, wanted.count), rate, now)
+        rate = self._find_rate(wanted, issued, now, pacing)
+        count = issued.bucket.take(
+            max(1, wanted.count), rate, now, pacing.compute_capacity(rate)
+        )
         if count:
-            return _permits.Granted(count, now + LEASE_SECONDS)
+            return _permits.Granted(count, now + pacing.lease_seconds)
         return _permits.Withheld(self._schedule_return(issued, rate, now))
 
-    def _find_issued(self, target: str, now: float) -> _Issued:
+    def _find_pacing(
+        self, wanted: _permits.PermitRequest, now: float
+    ) -> _pacing.Pacing:
+        """Return the pacing of a target; the VM that asks may know better."""
+        if _is_unnamed(wanted.limit, now):
+            return _pacing.COLD_PACING
+        return self._target_limits.find_pacing(wanted.target)
+
+    def _find_issued(
+        self, target: str, now: float, pacing: _pacing.Pacing
+    ) -> _Issued:
         issued = self._issued.get(target)
         if issued is None or now >= issued.asked_at + IDLE_SECONDS:
             self._drop_idle(now)
-            issued = self._issued[target] = self._make_issued(target, now)
+            issued = self._issued[target] = self._make_issued(
+                target, now, pacing
+            )
         return issued
 
-    def _make_issued(self, target: str, now: float) -> _Issued:
+    def _make_issued(
+        self, target: str, now: float, pacing: _pacing.Pacing
+    ) -> _Issued:
         """Begin to issue the permits of a target.
 
         Another VM may have issued some a moment ago, unless the limit is new.
         """
         since = self._target_limits.find_begin(target)
         settled = since >= self._started_at + SETTLED_SECONDS
-        if settled and now < since + TAKEOVER_SECONDS:
-            bucket = _bucket.PermitBucket(now, _bucket.BURST_PERMITS)
+        new = settled and now < since + TAKEOVER_SECONDS
+        if new and pacing.trusts_begin:
+            bucket = _bucket.PermitBucket(now, pacing.burst_permits)
             return _Issued(bucket, -math.inf, now)
         return _Issued(_bucket.PermitBucket(now, 1), now, now)
 
@@ -113,17 +127,21 @@
                 del self._issued[target]
 
     def _find_rate(
-        self, wanted: _permits.PermitRequest, issued: _Issued, now: float
+        self,
+        wanted: _permits.PermitRequest,
+        issued: _Issued,
+        now: float,
+        pacing: _pacing.Pacing,
     ) -> float:
         """Return the permits a second that are issued now."""
         # A VM that still asks although the limit has ended keeps to it.
-        rate = (
-            self._target_limits.find_rate(wanted.target)
-            or wanted.limit.rate
-            or _words.MIN_RATE
-        )
+        known = self._target_limits.find_rate(wanted.target)
+        rate = known or wanted.limit.rate or _words.MIN_RATE
+        if wanted.limit.rate and _is_unnamed(wanted.limit, now):
+            # This VM may not know yet that the target is cold.
+            rate = min(rate, wanted.limit.rate)
         if now < issued.owned_from + TAKEOVER_SECONDS:
-            return rate * TAKEOVER_FRACTION
+            return rate * pacing.takeover_fraction
         return rate
 
     def _schedule_return(
@@ -141,3 +159,8 @@
         spread = len(issued.askers) / MAX_ASKS_PER_SECOND
         next_at = issued.bucket.find_next(rate)
         return next_at + self._rng.uniform(0.0, spread)
+
+
+def _is_unnamed(limit: _knowledge.KnownLimit, now: float) -> bool:
+    """Return whether a limit follows from the cold time of its target."""
+    return now >= limit.named_at + _knowledge.LIMIT_SECONDS
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_knowledge.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_knowledge.py
@@ -7,6 +7,8 @@
 import attrs
 
 from laburnumstep import core
+from laburnumstep.targets.limits import _cold
+from laburnumstep.targets.limits import _pacing
 from laburnumstep.targets.limits import _words
 
 LIMIT_SECONDS = 60.0
@@ -32,6 +34,10 @@
         return 'none' if self.rate is None else f'{self.rate:g}'
 
 
+UNNAMED_AT = 0.0
+"""Time at which a limit was named that its target has not named, but that
+follows from its cold time. Other VMs do not keep it."""
+
 Listener = typing.Callable[[str, KnownLimit], None]
 
 
@@ -41,11 +47,19 @@
     Args:
         clock: Clock of the answers.
         metrics: Receives the number of limited targets.
+        cold: The targets that are limited because they are cold.
     """
 
-    def __init__(self, clock: core.Clock, metrics: core.Metrics) -> None:
+    def __init__(
+        self,
+        clock: core.Clock,
+        metrics: core.Metrics,
+        cold: _cold.ColdTargets | None = None,
+    ) -> None:
         self._clock = clock
         self._metrics = metrics
+        self._cold = cold or _cold.ColdTargets(clock, metrics)
+        self._cold.subscribe(self._handle_cold)
         self._known: dict[str, KnownLimit] = {}
         self._begins: dict[str, float] = {}
         self._change_listeners: list[Listener] = []
@@ -60,8 +74,25 @@
         self._answer_listeners.append(listener)
 
     def find(self, target: str) -> KnownLimit | None:
-        """Return the last that is known about a target's limit, if any."""
-        return self._known.get(target)
+        """Return the limit of a target, or its end; None if nothing is known.
+
+        Of a limit that the target has named and that of its cold time, this
+        is the lower one.
+        """
+        known = self._known.get(target)
+        cold_rate = self._cold.find_rate(target)
+        if cold_rate is None:
+            return known
+        if known is not None and known.rate is not None:
+            if known.rate <= cold_rate and not self._has_expired(known):
+                return known
+        return KnownLimit(cold_rate, UNNAMED_AT)
+
+    def find_pacing(self, target: str) -> _pacing.Pacing:
+        """Return how strictly the limit of a target is kept."""
+        if self._cold.find_rate(target) is not None:
+            return _pacing.COLD_PACING
+        return _pacing.NAMED_PACING
 
     def find_begin(self, target: str) -> float:
         """Return when this VM learned that a target has a limit.
@@ -79,6 +110,13 @@
 
         None stands for a target without a limit.
         """
+        named = self._find_named_rate(target)
+        cold = self._cold.find_rate(target)
+        if named is None or cold is None:
+            return cold if named is None else named
+        return min(named, cold)
+
+    def _find_named_rate(self, target: str) -> float | None:
         known = self._known.get(target)
         if known is None:
             return None
@@ -89,6 +127,7 @@
 
     def drop_expired(self) -> None:
         """Forget the limits that have not been named for a long time."""
+        self._cold.drop_ended()
         for target, known in list(self._known.items()):
             if self._has_expired(known):
                 self.forget(target)
@@ -205,7 +244,13 @@
             source,
         )
 
+    def _handle_cold(self, target: str) -> None:
+        rate = self.find_rate(target)
+        self._notify(target, KnownLimit(rate, self._clock.now()))
+
     def _notify(self, target: str, named: KnownLimit) -> None:
+        if self._cold.find_rate(target) is not None:
+            named = attrs.evolve(named, rate=self.find_rate(target))
         limited = sum(item.rate is not None for item in self._known.values())
         self._metrics.set_gauge('targets.limited', limited)
         for listener in self._change_listeners:
--- a/tests/laburnumstep/fleet/permit_exchange.feature
+++ b/tests/laburnumstep/fleet/permit_exchange.feature
@@ -55,6 +55,55 @@
       | 9   | 4    | 12     | one datagram of ten is lost              | 0.9   |
       | 195 | 4    | 40     | one datagram of ten is lost              | 0.9   |
 
+  # Guards against a target that crashes shortly after its start, because the
+  # VMs together send it more than it takes in one second.
+  Scenario Outline: A cold target gets what it takes in each second and no more
+    Given <vms> VMs and a <known> target that takes <rate> requests a second for 20 seconds
+    When callers send <demand> requests a second to <spread> of them for 30 seconds
+    Then no second of the cold time has more than one and a half times the rate and five
+    And at least <share> of what the cold target takes is sent after 6 seconds
+    And the arrivals rise at most fourfold in 5 seconds after the cold time
+
+    Examples:
+      | vms | known   | rate | demand | spread | share |
+      | 1   | new     | 2    | 20     | all    | 0.7   |
+      | 9   | new     | 1    | 20     | all    | 0.7   |
+      | 9   | new     | 20   | 200    | all    | 0.7   |
+      | 9   | new     | 20   | 200    | one    | 0.7   |
+      | 80  | new     | 2    | 100    | all    | 0.7   |
+      | 80  | new     | 10   | 200    | all    | 0.7   |
+      | 80  | new     | 60   | 600    | all    | 0.7   |
+      | 80  | known   | 10   | 200    | all    | 0.7   |
+      | 80  | known   | 60   | 600    | one    | 0.7   |
+
+  # Guards against two VMs that both issue all permits, and against shares of
+  # VMs that cannot reach the owner beside all of its permits.
+  Scenario Outline: A cold target is spared while VMs lose each other
+    Given <vms> VMs and a <known> target that takes <rate> requests a second for 20 seconds
+    And after <second> seconds <fault>
+    When callers send <demand> requests a second in bursts to all of them for 30 seconds
+    Then no second of the cold time has more than one and a half times the rate and five
+    And at least <share> of what the cold target takes is sent after 12 seconds
+
+    Examples:
+      | vms | known | rate | demand | second | fault                                        | share |
+      | 9   | new   | 20   | 200    | 0.5    | the VM that issues permits is killed         | 0.5   |
+      | 80  | new   | 10   | 200    | 5      | the VM that issues permits is killed         | 0.5   |
+      | 80  | new   | 60   | 600    | 5      | the VM that issues permits is killed         | 0.5   |
+      | 80  | known | 10   | 200    | 5      | the VM that issues permits is cut off        | 0.5   |
+      | 80  | new   | 60   | 600    | 5      | the VM that issues permits is cut off        | 0.5   |
+      | 9   | new   | 20   | 200    | 5      | the VM that issues permits answers late      | 0.15  |
+      | 80  | new   | 10   | 200    | 0.1    | the VM that issues permits answers late      | 0.15  |
+      | 80  | new   | 60   | 600    | 5      | the VM that issues permits answers late      | 0.15  |
+      | 9   | new   | 20   | 200    | 0.1    | half of the VMs take another one for it      | 0.5   |
+      | 80  | new   | 10   | 200    | 0.1    | half of the VMs take another one for it      | 0.5   |
+      | 80  | new   | 10   | 200    | 5      | half of the VMs take another one for it      | 0.5   |
+      | 80  | new   | 60   | 600    | 5      | half of the VMs take another one for it      | 0.5   |
+      | 80  | known | 60   | 600    | 5      | half of the VMs take another one for it      | 0.5   |
+      | 80  | new   | 10   | 200    | 5      | 39 VMs are cut off                           | 0.5   |
+      | 80  | new   | 10   | 200    | 5      | all VMs are cut off from each other          | 0.15  |
+      | 80  | new   | 60   | 600    | 5      | one datagram of ten is lost                  | 0.4   |
+
   # Guards against a VM that goes on with what a target said before.
   Scenario Outline: VMs follow a limit that changes
     Given <vms> VMs and a target that takes <before> requests a second
--- a/tests/laburnumstep/fleet/steps/permit_exchange_steps.py
+++ b/tests/laburnumstep/fleet/steps/permit_exchange_steps.py
@@ -12,6 +12,8 @@
 from support import permit_fleet
 
 _SEED = 1
+_PAUSE_SECONDS = 0.5
+"""Time between two bursts of requests, in seconds."""
 
 
 @behave.given(
@@ -58,6 +60,14 @@
                 for second in fleet.vms
                 if first != second
             }
+        case 'the VM that issues permits is cut off':
+            owner = fleet.find_owner().name
+            fleet.cut = {frozenset((owner, name)) for name in fleet.vms}
+        case 'the VM that issues permits answers late':
+            fleet.mute = {fleet.find_owner().name}
+        case 'half of the VMs take another one for it':
+            fleet.rivals = set(list(fleet.vms)[::2])
+            fleet.schedule(permit_fleet.DETECTION_SECONDS, fleet.rivals.clear)
         case 'one datagram of ten is lost':
             fleet.loss = 0.1
         case _:
@@ -69,6 +79,27 @@
     schedule_fault(context, seconds, 'the VM that issues permits is killed')
 
 
+@behave.given(
+    'after {seconds:g} seconds the VM that issues permits is cut off'
+)
+def step_owner_cut(context: typing.Any, seconds: float) -> None:
+    schedule_fault(context, seconds, 'the VM that issues permits is cut off')
+
+
+@behave.given(
+    'after {seconds:g} seconds the VM that issues permits answers late'
+)
+def step_owner_late(context: typing.Any, seconds: float) -> None:
+    schedule_fault(context, seconds, 'the VM that issues permits answers late')
+
+
+@behave.given(
+    'after {seconds:g} seconds half of the VMs take another one for it'
+)
+def step_rivals(context: typing.Any, seconds: float) -> None:
+    schedule_fault(context, seconds, 'half of the VMs take another one for it')
+
+
 @behave.given('after {seconds:g} seconds {count:d} VMs join')
 def step_join(context: typing.Any, seconds: float, count: int) -> None:
     schedule_fault(context, seconds, f'{count} VMs join')
@@ -95,6 +126,17 @@
     fleet.schedule(seconds + permit_fleet.DETECTION_SECONDS, fleet.detect)
 
 
+@behave.given(
+    '{count:d} VMs and a {known} target that takes {rate:g} requests a second'
+    ' for {seconds:g} seconds'
+)
+def step_cold_fleet(
+    context: typing.Any, count: int, known: str, rate: float, seconds: float
+) -> None:
+    context.fleet = permit_fleet.PermitFleet(count, None, _SEED)
+    context.fleet.start_cold(rate, seconds, 1.0, known == 'known')
+
+
 @behave.when(
     'callers send {demand:g} requests a second to {spread} of them for'
     ' {seconds:g} seconds'
@@ -106,6 +148,18 @@
     context.portal.call(context.fleet.run, seconds, demand, spread)
 
 
+@behave.when(
+    'callers send {demand:g} requests a second in bursts to all of them for'
+    ' {seconds:g} seconds'
+)
+def step_run_bursts(
+    context: typing.Any, demand: float, seconds: float
+) -> None:
+    context.portal.call(
+        context.fleet.run, seconds, demand, 'all', _PAUSE_SECONDS
+    )
+
+
 @behave.then('the limit is kept')
 def step_kept(context: typing.Any) -> None:
     excess = context.fleet.target.find_excess()
@@ -187,3 +241,39 @@
 def step_unchanged(context: typing.Any) -> None:
     assert context.answers == [], context.answers
     assert context.vm.limits.find_rate(permit_fleet.TARGET) is None
+
+
+@behave.then(
+    'no second of the cold time has more than one and a half times the rate'
+    ' and five'
+)
+def step_cold_kept(context: typing.Any) -> None:
+    excess = context.fleet.target.find_cold_excess()
+    assert excess is None, 'at {:.2f} s: {}, allowed {}'.format(*excess)
+
+
+@behave.then(
+    'at least {share:g} of what the cold target takes is sent after {start:g}'
+    ' seconds'
+)
+def step_cold_used(context: typing.Any, share: float, start: float) -> None:
+    target = context.fleet.target
+    begin, end = target.started_at + start, target.cold_until
+    found = target.count(begin, end)
+    expected = target.cold_rate * (end - begin)
+    assert found >= share * expected, (found, expected)
+
+
+@behave.then(
+    'the arrivals rise at most {factor}fold in {seconds:g} seconds after the'
+    ' cold time'
+)
+def step_ramp(context: typing.Any, factor: str, seconds: float) -> None:
+    target = context.fleet.target
+    number = {'four': 4}[factor]
+    for second in range(int(seconds)):
+        start = target.cold_until + second
+        found = target.count(start, start + 1.0)
+        allowed = number * target.cold_rate * permit_fleet.TOLERANCE
+        allowed += permit_fleet.EXTRA_ARRIVALS
+        assert found <= allowed, (second, found, allowed)
--- a/tests/support/permit_fleet.py
+++ b/tests/support/permit_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import random
 import typing
@@ -14,6 +15,8 @@
 from laburnumstep.targets import limits
 
 TARGET = 'limited'
+SERVICE = 'app'
+"""Name of the service of the target."""
 STEP_SECONDS = 0.05
 """Time by which the clock advances between two rounds of arrivals."""
 PASSES_A_STEP = 8
@@ -29,6 +32,14 @@
 """Factor on the limit up to which it counts as kept."""
 EXTRA_ARRIVALS = 5
 """Arrivals in a window that are allowed in addition."""
+COLD_WINDOW_SECONDS = 1.0
+"""Length of the windows in which arrivals at a cold target are counted, in
+seconds."""
+RAMP_SECONDS = 10.0
+"""Time over which all VMs together turn to a target after its cold time, in
+seconds."""
+TRAVEL_SECONDS = 0.1
+"""Longest time from a permit to the arrival of its request, in seconds."""
 
 
 class LimitedTarget:
@@ -44,6 +55,9 @@
         self.started_at = clock.now()
         self.rates: list[tuple[float, float | None]] = [(clock.now(), rate)]
         self.arrivals: list[float] = []
+        self.cold_rate = 0.0
+        self.cold_from = 0.0
+        self.cold_until = 0.0
 
     @property
     def rate(self) -> float | None:
@@ -58,6 +72,26 @@
         rate = self.rate
         return limits.NoLimit() if rate is None else limits.RateLimit(rate)
 
+    def find_cold_excess(self) -> tuple[float, int, float] | None:
+        """Return the first second with too many arrivals while it was cold.
+
+        Returns:
+            Second of its end, its arrivals, and how many were allowed.
+        """
+        allowed = TOLERANCE * self.cold_rate + EXTRA_ARRIVALS
+        arrivals = sorted(self.arrivals)
+        first = 0
+        for number, end in enumerate(arrivals):
+            if not self.cold_from <= end < self.cold_until:
+                continue
+            start = max(end - COLD_WINDOW_SECONDS, self.cold_from)
+            while arrivals[first] < start:
+                first += 1
+            found = number - first + 1
+            if found > allowed:
+                return end - self.started_at, found, allowed
+        return None
+
     def count(self, start: float, end: float) -> int:
         return sum(start <= at < end for at in self.arrivals)
 
@@ -110,10 +144,13 @@
             typing.Callable[[siblings.GossipEntry], None]
         ] = []
         self.down = False
+        self.knows = True
+        """Whether it knows that the target exists."""
         self._largest_count = 1
         clock, seed = vms.clock, name
         metrics = core.Metrics(None, '')
-        self.limits = limits.TargetLimits(clock, metrics)
+        self.cold = limits.ColdTargets(clock, metrics)
+        self.limits = limits.TargetLimits(clock, metrics, self.cold)
         self.exchange = fleet.PermitExchange(
             self.name,
             self,
@@ -135,7 +172,11 @@
         names = sorted(
             name for name, item in self.members.items() if item.state is live
         )
-        return core.choose_by_rendezvous(subject, names) or self.name
+        owner = core.choose_by_rendezvous(subject, names) or self.name
+        if self.name in self.fleet.rivals and len(names) > 1:
+            names.remove(owner)
+            return core.choose_by_rendezvous(subject, names) or self.name
+        return owner
 
     def count_sharing_vms(self, assumed: int) -> int:
         count = len(self.members)
@@ -152,6 +193,8 @@
         if not self.fleet.delivers(self.name, address):
             return
         for answer in self.fleet.vms[address].exchange.receive(message):
+            if address in self.fleet.mute:
+                continue
             if self.fleet.delivers(address, self.name):
                 self.exchange.receive(
                     typing.cast(siblings.PermitReply, answer)
@@ -187,7 +230,13 @@
     async def send(self) -> None:
         """Send one request to the target if its limit allows it."""
         sent_at = self.fleet.clock.now()
-        if self.down or await self.gate.acquire(TARGET) is not None:
+        if self.down or not self.knows:
+            return
+        if await self.gate.acquire(TARGET) is not None:
+            return
+        if self.fleet.target.cold_rate:
+            travel = self.fleet.rng.uniform(0.0, TRAVEL_SECONDS)
+            self.fleet.target.arrivals.append(self.fleet.clock.now() + travel)
             return
         word = self.fleet.target.answer()
         self.limits.record_answer(TARGET, word, sent_at)
@@ -209,6 +258,10 @@
         self.assumed_vms = 200 if count > 1 else 1
         self.vms: dict[str, PermitVM] = {}
         self.loss = 0.0
+        self.mute: set[str] = set()
+        """VMs whose answers come too late."""
+        self.rivals: set[str] = set()
+        """VMs that take the second VM by rank for the owner."""
         self.cut: set[frozenset[str]] = set()
         self._due: list[tuple[float, typing.Callable[[], None]]] = []
         for _ in range(count):
@@ -240,6 +293,37 @@
                 elif name in vm.members:
                     vm.see(name, siblings.MemberState.FAILED)
 
+    def start_cold(
+        self, rate: float, seconds: float, spread: float, known: bool
+    ) -> None:
+        """Let all VMs learn within some seconds that the target is cold.
+
+        Args:
+            rate: Requests a second that it takes while it is cold.
+            seconds: How long it stays cold.
+            spread: Time within which the VMs read its entry, in seconds.
+            known: Whether the VMs have sent to the target before.
+        """
+        now = self.clock.now()
+        self.target.cold_rate = rate
+        self.target.cold_from = now
+        self.target.cold_until = now + seconds
+        if known:
+            # Requests that were sent before all VMs knew do not count.
+            self.target.cold_from += spread + TRAVEL_SECONDS + 2 * STEP_SECONDS
+        starts = {SERVICE: limits.ColdStart(rate, RAMP_SECONDS)}
+        entry = limits.ColdEntry(SERVICE, 1, 1, seconds)
+
+        def learn(vm: PermitVM) -> None:
+            vm.cold.apply_starts(starts)
+            vm.cold.apply_entry(TARGET, entry)
+            vm.knows = True
+
+        for vm in self.vms.values():
+            vm.knows = known
+            delay = self.rng.uniform(0.0, spread)
+            self.schedule(delay, functools.partial(learn, vm))
+
     def find_owner(self) -> PermitVM:
         owner = self.vms['vm-0'].choose_owner(f'limit|{TARGET}')
         return self.vms[owner]
@@ -259,20 +343,32 @@
         """Run a function after some seconds of the simulated time."""
         self._due.append((self.clock.now() + seconds, action))
 
-    async def run(self, seconds: float, demand: float, spread: str) -> None:
+    async def run(
+        self,
+        seconds: float,
+        demand: float,
+        spread: str,
+        pause: float = 0.0,
+    ) -> None:
         """Let callers send requests.
 
         Args:
             seconds: Simulated time.
             demand: Requests a second of all callers.
             spread: Whether they come at `all` VMs or at `one`.
+            pause: Time without requests after each second with some, in
+                seconds. Unused permits add up meanwhile.
         """
+        begin = self.clock.now()
         until = self.clock.now() + seconds
         async with anyio.create_task_group() as tasks:
             while self.clock.now() < until:
                 self.clock.advance(STEP_SECONDS)
                 self._run_due()
-                for _ in range(self._draw_arrivals(demand * STEP_SECONDS)):
+                in_period = (self.clock.now() - begin) % (1.0 + pause)
+                paused = in_period >= 1.0 and pause > 0.0
+                mean = 0.0 if paused else demand * STEP_SECONDS
+                for _ in range(self._draw_arrivals(mean)):
                     names = list(self.vms)
                     name = names[0] if spread == 'one' else None
                     vm = self.vms[name or self.rng.choice(names)]
