Limit cold servers of the platform to the rate of their service

Change: the configuration's coldPerS and coldStartS, coldRemainingMs of an entry and Cold-Ms of an answer are decoded within stated ranges and given to ColdTargets; values that cannot be read are logged and cost neither the configuration nor the entry. The cold time is not part of a target, so that a renewal publishes no targets, and a renewal whose cold time only counts down is not passed on to the VMs that read a topic from another one.

--- a/packages/laburnumstep/src/laburnumstep/log/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/log/__init__.py
@@ -82,6 +82,7 @@
 from laburnumstep.log._snapshots import NoSnapshot
 from laburnumstep.log._snapshots import SnapshotDecision
 from laburnumstep.log._topic_cache import Fingerprint
+from laburnumstep.log._topic_cache import FingerprintCheck
 from laburnumstep.log._topic_cache import TopicCache
 
 __all__ = [
@@ -105,6 +106,7 @@
     'FIRST_REQUEST_SECONDS',
     'FollowerView',
     'Fingerprint',
+    'FingerprintCheck',
     'ForwardedRecords',
     'Granted',
     'Held',
--- a/packages/laburnumstep/src/laburnumstep/log/_topic_cache.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_topic_cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import operator
 import typing
 
 import anyio
@@ -17,6 +18,8 @@
 """Limit of the values of the recent records, in bytes."""
 
 Fingerprint = typing.Callable[[bytes], typing.Hashable]
+FingerprintCheck = typing.Callable[[typing.Hashable, typing.Hashable], bool]
+"""Returns whether a value has changed, by the former and new fingerprint."""
 
 
 class TopicCache:
@@ -29,12 +32,17 @@
         clock: Clock of the waits.
         find_fingerprint: Returns what has to differ for a value to count as
             changed.
+        is_changed: Compares the fingerprints of two values of a key.
     """
 
     def __init__(
-        self, clock: core.Clock, find_fingerprint: Fingerprint
+        self,
+        clock: core.Clock,
+        find_fingerprint: Fingerprint,
+        is_changed: FingerprintCheck = operator.ne,
     ) -> None:
         self._clock = clock
+        self._is_changed = is_changed
         self._find_fingerprint = find_fingerprint
         self._newest: dict[str, _keyed_follower.KeyedRecord] = {}
         self._fingerprints: dict[str, typing.Hashable] = {}
@@ -188,7 +196,8 @@
             self._fingerprints.pop(record.key, None)
             return self._newest.pop(record.key, None) is not None
         fingerprint = self._find_fingerprint(record.value)
-        changed = self._fingerprints.get(record.key) != fingerprint
+        previous = self._fingerprints.get(record.key)
+        changed = previous is None or self._is_changed(previous, fingerprint)
         self._newest[record.key] = record
         self._fingerprints[record.key] = fingerprint
         return changed
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -9,6 +9,8 @@
 from laburnumstep import callers
 from laburnumstep import core
 from laburnumstep import log
+from laburnumstep.platform import _numbers
+from laburnumstep.targets import limits
 
 CONFIGURATION_KEY = 'config'
 """Key of the record that holds the configuration."""
@@ -34,6 +36,8 @@
 
 Services = dict[str, EngineService | None]
 """Services by name; None stands for a plain service."""
+ColdStarts = dict[str, limits.ColdStart]
+"""What cold targets take, by name of the service."""
 
 
 class ConfigurationReader:
@@ -43,15 +47,21 @@
         active_routes: Receives the routes of each version.
         apply_services: Called with the services of each version that
             comes into force.
+        apply_cold_starts: Called before it with what the cold targets of the
+            services take.
     """
 
     def __init__(
         self,
         active_routes: callers.ActiveRoutes,
         apply_services: typing.Callable[[Services], None],
+        apply_cold_starts: typing.Callable[[ColdStarts], None] = (
+            lambda starts: None
+        ),
     ) -> None:
         self._active_routes = active_routes
         self._apply_services = apply_services
+        self._apply_cold_starts = apply_cold_starts
 
     def apply_snapshot(self, records: list[log.KeyedRecord]) -> None:
         """Apply the newest configuration."""
@@ -74,10 +84,12 @@
             document = core.parse_json(value)
             table = _decode_table(document)
             services = _decode_services(document)
+            cold_starts = _decode_cold_starts(document)
         except core.MALFORMED_ERRORS as error:
             _LOGGER.error('configuration is malformed; reason=%r', error)
             return
         if self._active_routes.apply(table):
+            self._apply_cold_starts(cold_starts)
             self._apply_services(services)
 
 
@@ -158,6 +170,24 @@
     return services
 
 
+def _decode_cold_starts(document: dict[str, typing.Any]) -> ColdStarts:
+    starts: ColdStarts = {}
+    for item in document['services']:
+        name = item['name']
+        per_second = _numbers.decode_optional(
+            item.get('coldPerS'), limits.MAX_RATE, 'coldPerS', name
+        )
+        ramp_seconds = _numbers.decode_optional(
+            item.get('coldStartS'),
+            limits.MAX_RAMP_SECONDS,
+            'coldStartS',
+            name,
+        )
+        if per_second:
+            starts[name] = limits.ColdStart(per_second, ramp_seconds or 0.0)
+    return starts
+
+
 def _compute_copy_seconds(engine: dict[str, typing.Any]) -> float:
     bits_per_token = 8.0 * float(engine.get('kvTokenBytes', 0))
     bits_per_second = 1e6 * float(engine.get('linkMbps', 0))
--- a/packages/laburnumstep/src/laburnumstep/platform/_directory.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_directory.py
@@ -9,17 +9,22 @@
 
 from laburnumstep import core
 from laburnumstep import log
+from laburnumstep.platform import _numbers
 from laburnumstep import targets
+from laburnumstep.targets import limits
 
 if typing.TYPE_CHECKING:
     from laburnumstep.platform import _configuration
 
+COLD_FIELD = 'coldRemainingMs'
+"""Field of an entry: how long its server stays cold, in milliseconds."""
 _STATES = ('ready', 'draining')
 _MAX_PORT = 65535
 
 _LOGGER = core.get_logger('platform')
 
 EntryListener = typing.Callable[[str, targets.Registration], None]
+ColdListener = typing.Callable[[str, limits.ColdEntry], None]
 
 
 @attrs.frozen
@@ -42,6 +47,8 @@
     """Start of the server, in epoch milliseconds."""
     renewals: int
     """Number of times that the server has written its entry since."""
+    cold_seconds: float | None
+    """How long the server stays cold, in seconds, if the entry says so."""
 
 
 class Directory:
@@ -53,15 +60,19 @@
         registry: Receives a target for each valid entry.
         on_entry: Called with the name and the registration of each valid
             entry, before the registry.
+        on_cold: Called with the name of each valid entry and what it says
+            about the cold time, before the registry.
     """
 
     def __init__(
         self,
         registry: targets.TargetRegistry,
         on_entry: EntryListener = lambda name, registration: None,
+        on_cold: ColdListener = lambda name, entry: None,
     ) -> None:
         self._registry = registry
         self._on_entry = on_entry
+        self._on_cold = on_cold
         self._entries: dict[str, ServerEntry] = {}
         self._services: _configuration.Services = {}
 
@@ -118,6 +129,10 @@
         self._entries[name] = entry
         registration = self._make_registration(name, entry)
         self._on_entry(name, registration)
+        cold = limits.ColdEntry(
+            entry.service, entry.born, entry.renewals, entry.cold_seconds
+        )
+        self._on_cold(name, cold)
         return registration
 
     def _make_registration(
@@ -176,6 +191,7 @@
             tuple(str(model['name']) for model in models),
             int(value.get('born', 0)),
             _get_count(value, 'sequence'),
+            _get_cold_seconds(value, record.key),
         )
     except core.MALFORMED_ERRORS as error:
         _LOGGER.warning(
@@ -196,6 +212,17 @@
     return address
 
 
+def _get_cold_seconds(value: dict[str, typing.Any], name: str) -> float | None:
+    """Return how long a server stays cold, in seconds, if it says so."""
+    cold_ms = _numbers.decode_optional(
+        value.get(COLD_FIELD),
+        targets.MAX_COLD_SECONDS * 1000,
+        COLD_FIELD,
+        name,
+    )
+    return None if cold_ms is None else cold_ms / 1000
+
+
 def _get_count(value: dict[str, typing.Any], key: str) -> int:
     """Return a whole number, or 0 if there is none."""
     count = value.get(key)
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import json
+import math
+import operator
 import random
 import typing
 
+import attrs
+
 from laburnumstep import core
 from laburnumstep import fleet
 from laburnumstep import log
+from laburnumstep.platform import _directory
 from laburnumstep.platform import _store
 from laburnumstep import siblings
 from laburnumstep.targets import limits
@@ -96,7 +101,10 @@
         return self._membership.count_sharing_vms(DEFAULT_VMS)
 
     def share_topic(
-        self, name: str, find_fingerprint: log.Fingerprint
+        self,
+        name: str,
+        find_fingerprint: log.Fingerprint,
+        is_changed: log.FingerprintCheck = operator.ne,
     ) -> fleet.SharedTopic:
         """Return a topic of the store that siblings can read from this VM.
 
@@ -104,6 +112,7 @@
             name: Name of the topic.
             find_fingerprint: Returns what has to differ for a value to count
                 as changed.
+            is_changed: Compares the fingerprints of two values of a key.
         """
         client = _store.KeyedTopicClient(
             self._settings.store_address, name, self._clock, self._epochs
@@ -113,7 +122,7 @@
             self._settings.name,
             client,
             self._membership,
-            log.TopicCache(self._clock, find_fingerprint),
+            log.TopicCache(self._clock, find_fingerprint, is_changed),
             self._epochs,
             self._clock,
         )
@@ -184,11 +193,47 @@
     )
 
 
+@attrs.frozen
+class EntryFingerprint:
+    """What has to differ for a server's entry to count as changed."""
+
+    text: str
+    """The entry without the fields that change with each renewal."""
+    cold_ms: float
+    """How long the server stays cold, in milliseconds."""
+
+
 def find_entry_fingerprint(value: bytes) -> typing.Hashable:
-    """Return a server's entry without the counter that each renewal raises."""
+    """Return a server's entry without what each renewal changes."""
     try:
         entry = core.parse_json(value)
         entry.pop('sequence', None)
+        cold_ms = entry.get(_directory.COLD_FIELD)
+        if type(cold_ms) not in (int, float) or not 0 <= cold_ms < math.inf:
+            cold_ms = 0
+        else:
+            del entry[_directory.COLD_FIELD]
+        return EntryFingerprint(json.dumps(entry, sort_keys=True), cold_ms)
     except (AttributeError, TypeError, ValueError):
         return value
-    return json.dumps(entry, sort_keys=True)
+
+
+def is_entry_changed(
+    previous: typing.Hashable, current: typing.Hashable
+) -> bool:
+    """Return whether an entry says more than that time has passed.
+
+    The cold time in renewals counts down; passing each of them on would let
+    all VMs apply the entries of cold servers once a second. A longer cold
+    time than before means that the server has become cold anew.
+
+    Args:
+        previous: Fingerprint of the entry before.
+        current: Fingerprint of the entry.
+    """
+    match previous, current:
+        case EntryFingerprint(text, before), EntryFingerprint(other, now):
+            ended = (before > 0) != (now > 0)
+            return text != other or now > before or ended
+        case _:
+            return previous != current
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -83,7 +83,10 @@
         self._clock = clock
         self._metrics_page = core.MetricsPage()
         self._metrics = core.Metrics(None, '', self._metrics_page)
-        self._target_limits = limits.TargetLimits(clock, self._metrics)
+        self._cold_targets = limits.ColdTargets(clock, self._metrics)
+        self._target_limits = limits.TargetLimits(
+            clock, self._metrics, self._cold_targets
+        )
         self._fleet_view = targets.FleetView(clock, settings.data_centre)
         length_estimator = targets.LengthEstimator()
         self._admission = callers.Admission(
@@ -134,10 +137,16 @@
             clock, self._registry.find_registration, self._apply_leaving
         )
         self._target_words = targets.TargetWords(
-            clock, self._fleet_view, self._leaving_targets, self._metrics
+            clock,
+            self._fleet_view,
+            self._leaving_targets,
+            self._cold_targets,
+            self._metrics,
         )
         self._directory = _directory.Directory(
-            self._registry, self._leaving_targets.apply_entry
+            self._registry,
+            self._leaving_targets.apply_entry,
+            self._cold_targets.apply_entry,
         )
         self._fleet = _fleet.Fleet(
             settings,
@@ -332,10 +341,12 @@
         clock = self._clock
         configuration = self._fleet.share_topic('op', bytes)
         servers = self._fleet.share_topic(
-            'servers', _fleet.find_entry_fingerprint
+            'servers', _fleet.find_entry_fingerprint, _fleet.is_entry_changed
         )
         reader = _configuration.ConfigurationReader(
-            self._active_routes, self._apply_services
+            self._active_routes,
+            self._apply_services,
+            self._cold_targets.apply_starts,
         )
         return [
             log.KeyedFollower(
--- a/packages/laburnumstep/src/laburnumstep/targets/_target_words.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_target_words.py
@@ -10,6 +10,7 @@
     from laburnumstep.targets import _leaving
     from laburnumstep.targets import _self_reports
     from laburnumstep.targets import _view
+    from laburnumstep.targets import limits
 
 _LOGGER = core.get_logger('targets')
 
@@ -21,6 +22,7 @@
         clock: Clock of the answers.
         view: Places no requests on targets that have asked for none.
         leaving: Remembers the targets that are leaving.
+        cold: Remembers the targets that are cold.
         metrics: Counts back-offs.
     """
 
@@ -29,11 +31,13 @@
         clock: core.Clock,
         view: _view.FleetView,
         leaving: _leaving.LeavingTargets,
+        cold: limits.ColdTargets,
         metrics: core.Metrics,
     ) -> None:
         self._clock = clock
         self._view = view
         self._leaving = leaving
+        self._cold = cold
         self._metrics = metrics
 
     def record(
@@ -50,6 +54,8 @@
             return
         if report.leaving:
             self._leaving.record_answer(target, sent_at)
+        if report.cold_seconds is not None:
+            self._cold.record_answer(target, report.cold_seconds, sent_at)
         if report.back_off_seconds:
             self._back_off(target, report.back_off_seconds)
 
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
@@ -19,7 +19,7 @@
 """Longest ramp after the cold time, in seconds."""
 MAX_REMEMBERED = 10_000
 """Most targets whose newest entry is remembered."""
-CHANGE_SECONDS = 1.0
+CHANGE_SECONDS = 2.0
 """Change of the end of a cold time that is logged, in seconds. Renewals of an
 entry are read with different delays."""
 
--- a/tests/laburnumstep/platform/steps/self_reports_steps.py
+++ b/tests/laburnumstep/platform/steps/self_reports_steps.py
@@ -5,7 +5,6 @@
 import json
 import typing
 
-import anyio.lowlevel
 import behave
 
 from support import clocks
@@ -57,11 +56,7 @@
     document['routes'].append({**route, 'service': 'new'})
     document['services'].append({'name': 'new', 'healthPath': '/health'})
     harness.store.append_record('keyed.op', 'config', document)
-    data = platform_harness.encode_request('/new/1')
-    while (
-        await platform_harness.send_raw(harness.address, data)
-    ).status != 200:
-        await anyio.lowlevel.checkpoint()
+    await platform_harness.wait_for_answer(harness, '/new/1', 200)
 
 
 @behave.when('the server writes the entries "{entries}"')
--- a/tests/support/platform_harness.py
+++ b/tests/support/platform_harness.py
@@ -422,6 +422,15 @@
     return CallerResponse(head.status_code, headers, body, closed)
 
 
+async def wait_for_answer(
+    harness: PlatformHarness, path: str, status: int
+) -> None:
+    """Send requests until one is answered with a status."""
+    data = encode_request(path)
+    while (await send_raw(harness.address, data)).status != status:
+        await anyio.lowlevel.checkpoint()
+
+
 def encode_request(
     path: str,
     method: str = 'POST',
