Learn of cold servers while their entries cannot be read

Cause: a server that became cold while the store was away was known as cold to no VM, although it says so in answers about its health.

Change: while its registry is unreliable a VM asks the servers of services that limit cold ones for their health, once a second, and only those whose permits it issues; a VM that is cut off sees itself alone and asks all of them. What an answer says first is passed on to the siblings as an entry that expires at the end of the cold time.

--- a/packages/laburnumstep/src/laburnumstep/fleet/_permit_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/fleet/_permit_exchange.py
@@ -32,6 +32,10 @@
 EXCLUDED_SECONDS = 1.0
 """How long an owner that did not answer is not asked again, in seconds."""
 
+_COLD_PREFIX = 'cold|'
+"""Before the name of a target in the subject of an entry that says that it is
+cold until the entry expires."""
+
 _LOGGER = core.get_logger('siblings')
 
 
@@ -103,19 +107,24 @@
         self._questions: dict[int, _Question] = {}
         self._excluded_until: dict[str, float] = {}
         target_limits.subscribe_answers(self._publish)
+        target_limits.cold.subscribe_answers(self._publish_cold)
         neighbours.subscribe(siblings.EntryKind.LIMIT, self._handle_entry)
 
     def count_vms(self) -> int:
         """Return the number of VMs that share a limit."""
         return self._neighbours.count_sharing_vms(self._assumed_vms)
 
+    def owns(self, target: str) -> bool:
+        """Return whether this VM issues the permits of a target."""
+        return self._choose_owner(target) == self._vm_name
+
     async def request(
         self, wanted: limits.PermitRequest
     ) -> limits.PermitResult:
         """Request permits from the VM that issues those of a target."""
         if not self._sees_majority():
             return limits.Unanswered()
-        owner = self._neighbours.choose_owner(f'limit|{wanted.target}')
+        owner = self._choose_owner(wanted.target)
         if owner == self._vm_name:
             return self._issuer.issue(wanted, self._vm_name)
         member = self._neighbours.members.get(owner)
@@ -151,6 +160,9 @@
             case _:
                 typing.assert_never(message)
 
+    def _choose_owner(self, target: str) -> str:
+        return self._neighbours.choose_owner(f'limit|{target}')
+
     def _sees_majority(self) -> bool:
         """Return whether this VM sees more than half of the known VMs.
 
@@ -220,10 +232,23 @@
             named.named_at + limits.LIMIT_SECONDS,
         )
 
+    def _publish_cold(self, target: str, until: float) -> None:
+        self._neighbours.publish(
+            siblings.EntryKind.LIMIT,
+            _COLD_PREFIX + target,
+            json.dumps([None]).encode(),
+            until,
+        )
+
     def _handle_entry(self, entry: siblings.GossipEntry) -> None:
         if entry.origin == self._vm_name:
             return
         match entry.value:
+            case siblings.DataValue() if entry.subject.startswith(
+                _COLD_PREFIX
+            ):
+                target = entry.subject.removeprefix(_COLD_PREFIX)
+                self._target_limits.cold.merge(target, entry.expires_at)
             case siblings.DataValue(data):
                 named_at = entry.expires_at - limits.LIMIT_SECONDS
                 limit = _decode_limit(data, named_at)
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -36,8 +36,20 @@
 
 Services = dict[str, EngineService | None]
 """Services by name; None stands for a plain service."""
-ColdStarts = dict[str, limits.ColdStart]
-"""What cold targets take, by name of the service."""
+
+
+@attrs.frozen
+class ColdService:
+    """Configuration of a service whose cold targets take few requests."""
+
+    start: limits.ColdStart
+    """What a cold target takes."""
+    health_path: str
+    """Path of the health of a target; empty if there is none."""
+
+
+ColdServices = dict[str, ColdService]
+"""Services whose cold targets take few requests, by name."""
 
 
 class ConfigurationReader:
@@ -47,21 +59,21 @@
         active_routes: Receives the routes of each version.
         apply_services: Called with the services of each version that
             comes into force.
-        apply_cold_starts: Called before it with what the cold targets of the
-            services take.
+        apply_cold: Called before it with the services whose cold targets
+            take few requests.
     """
 
     def __init__(
         self,
         active_routes: callers.ActiveRoutes,
         apply_services: typing.Callable[[Services], None],
-        apply_cold_starts: typing.Callable[[ColdStarts], None] = (
-            lambda starts: None
+        apply_cold: typing.Callable[[ColdServices], None] = (
+            lambda services: None
         ),
     ) -> None:
         self._active_routes = active_routes
         self._apply_services = apply_services
-        self._apply_cold_starts = apply_cold_starts
+        self._apply_cold = apply_cold
 
     def apply_snapshot(self, records: list[log.KeyedRecord]) -> None:
         """Apply the newest configuration."""
@@ -84,12 +96,12 @@
             document = core.parse_json(value)
             table = _decode_table(document)
             services = _decode_services(document)
-            cold_starts = _decode_cold_starts(document)
+            cold = _decode_cold_services(document)
         except core.MALFORMED_ERRORS as error:
             _LOGGER.error('configuration is malformed; reason=%r', error)
             return
         if self._active_routes.apply(table):
-            self._apply_cold_starts(cold_starts)
+            self._apply_cold(cold)
             self._apply_services(services)
 
 
@@ -170,8 +182,8 @@
     return services
 
 
-def _decode_cold_starts(document: dict[str, typing.Any]) -> ColdStarts:
-    starts: ColdStarts = {}
+def _decode_cold_services(document: dict[str, typing.Any]) -> ColdServices:
+    services: ColdServices = {}
     for item in document['services']:
         name = item['name']
         per_second = _numbers.decode_optional(
@@ -184,8 +196,12 @@
             name,
         )
         if per_second:
-            starts[name] = limits.ColdStart(per_second, ramp_seconds or 0.0)
-    return starts
+            path = item.get('healthPath')
+            services[name] = ColdService(
+                limits.ColdStart(per_second, ramp_seconds or 0.0),
+                path if isinstance(path, str) and path.isascii() else '',
+            )
+    return services
 
 
 def _compute_copy_seconds(engine: dict[str, typing.Any]) -> float:
--- a/packages/laburnumstep/src/laburnumstep/platform/_directory.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_directory.py
@@ -119,6 +119,11 @@
         if changes:
             self._registry.update(changes)
 
+    def find_service(self, name: str) -> str:
+        """Return the service of a server; empty if it is not known."""
+        entry = self._entries.get(name)
+        return entry.service if entry is not None else ''
+
     def record_failure(self) -> None:
         """Let the registry keep entries that lapse during a store outage."""
         self._registry.record_failure()
@@ -216,7 +221,7 @@
     """Return how long a server stays cold, in seconds, if it says so."""
     cold_ms = _numbers.decode_optional(
         value.get(COLD_FIELD),
-        targets.MAX_COLD_SECONDS * 1000,
+        limits.MAX_COLD_SECONDS * 1000,
         COLD_FIELD,
         name,
     )
--- a/packages/laburnumstep/src/laburnumstep/platform/_self_reports.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_self_reports.py
@@ -8,6 +8,7 @@
 from laburnumstep import core
 from laburnumstep.platform import _headers
 from laburnumstep import targets
+from laburnumstep.targets import limits
 
 if typing.TYPE_CHECKING:
     from laburnumstep import transport
@@ -41,7 +42,7 @@
     if leaving is None and cold_ms is None and retry_after is None:
         return None
     cold_seconds = _decode_number(
-        target, _headers.COLD_MS, cold_ms, targets.MAX_COLD_SECONDS * 1000
+        target, _headers.COLD_MS, cold_ms, limits.MAX_COLD_SECONDS * 1000
     )
     return targets.SelfReport(
         leaving=_decode_flag(target, leaving),
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -171,6 +171,25 @@
         except core.MALFORMED_ERRORS as error:
             raise targets.MalformedStream(repr(error)) from error
 
+    async def check_health(
+        self, target: core.Target, path: str, deadline: float
+    ) -> str:
+        """Ask a server for its health; its answer may say that it is cold.
+
+        Args:
+            target: The server.
+            path: Path of its health.
+            deadline: End of the request, in epoch seconds.
+
+        Returns:
+            Why it did not answer; empty if it did.
+        """
+        try:
+            await self._request_json(target, b'GET', path, b'', deadline)
+        except (transport.ConnectFailed, transport.ExchangeFailed) as error:
+            return str(error)
+        return ''
+
     def _find_reclaim_time(
         self, report: dict[str, typing.Any]
     ) -> float | None:
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -17,6 +17,7 @@
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _fleet
 from laburnumstep.platform import _front
+from laburnumstep.platform import _health
 from laburnumstep.platform import _pages
 from laburnumstep.platform import _reports
 from laburnumstep.platform import _servers
@@ -155,6 +156,13 @@
             self._registry,
             self._target_limits,
         )
+        self._health_watch = _health.HealthWatch(
+            self._server_client,
+            self._registry,
+            self._directory,
+            self._fleet.permits.owns,
+            clock,
+        )
         self._permit_gate = limits.PermitGate(
             self._target_limits, self._fleet.permits, clock, self._metrics
         )
@@ -235,6 +243,7 @@
             for follower in self._build_followers():
                 tasks.start_soon(follower.run)
             tasks.start_soon(self._registry.run)
+            tasks.start_soon(self._health_watch.run)
             tasks.start_soon(self._crashes.run)
             tasks.start_soon(self._crash_archive.run)
             tasks.start_soon(self._fleet.run)
@@ -346,7 +355,7 @@
         reader = _configuration.ConfigurationReader(
             self._active_routes,
             self._apply_services,
-            self._cold_targets.apply_starts,
+            self._apply_cold,
         )
         return [
             log.KeyedFollower(
@@ -378,6 +387,14 @@
         self._front.apply_services(services)
         self._directory.apply_services(services)
 
+    def _apply_cold(self, services: _configuration.ColdServices) -> None:
+        self._cold_targets.apply_starts(
+            {name: service.start for name, service in services.items()}
+        )
+        self._health_watch.apply_paths(
+            {name: service.health_path for name, service in services.items()}
+        )
+
     def _apply_targets(self, deployment: core.Deployment) -> None:
         limited = targets.limit_engines(
             deployment,
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -76,7 +76,6 @@
 from laburnumstep.targets._retry_decisions import Retry
 from laburnumstep.targets._retry_decisions import RetryDecision
 from laburnumstep.targets._self_reports import MAX_BACK_OFF_SECONDS
-from laburnumstep.targets._self_reports import MAX_COLD_SECONDS
 from laburnumstep.targets._self_reports import SelfReport
 from laburnumstep.targets._sends import Send
 from laburnumstep.targets._sends import SiblingSend
@@ -144,7 +143,6 @@
     'LoadFollower',
     'LoadReport',
     'MAX_BACK_OFF_SECONDS',
-    'MAX_COLD_SECONDS',
     'MalformedStream',
     'MemoryPolicy',
     'NoRoom',
--- a/packages/laburnumstep/src/laburnumstep/targets/_self_reports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_self_reports.py
@@ -7,8 +7,6 @@
 MAX_BACK_OFF_SECONDS = 300.0
 """Longest back-off that a target can ask for, in seconds. A faulty value must
 not exclude a target for longer than a restart takes."""
-MAX_COLD_SECONDS = 600.0
-"""Longest time that a target can state to stay cold, in seconds."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/__init__.py
@@ -10,6 +10,7 @@
 from laburnumstep.targets.limits._cold import ColdEntry
 from laburnumstep.targets.limits._cold import ColdStart
 from laburnumstep.targets.limits._cold import ColdTargets
+from laburnumstep.targets.limits._cold import MAX_COLD_SECONDS
 from laburnumstep.targets.limits._cold import MAX_RAMP_SECONDS
 from laburnumstep.targets.limits._gate import PermitGate
 from laburnumstep.targets.limits._issuer import PermitIssuer
@@ -36,6 +37,7 @@
     'COLD_FRACTION',
     'LIMIT_HEADER',
     'LIMIT_SECONDS',
+    'MAX_COLD_SECONDS',
     'MAX_RAMP_SECONDS',
     'MAX_RATE',
     'MIN_RATE',
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
@@ -15,6 +15,8 @@
 RAMP_FACTOR = 16.0
 """Rate at the end of the ramp after the cold time, as a multiple of the rate
 before it. The limit ends there."""
+MAX_COLD_SECONDS = 600.0
+"""Longest cold time, in seconds."""
 MAX_RAMP_SECONDS = 600.0
 """Longest ramp after the cold time, in seconds."""
 MAX_REMEMBERED = 10_000
@@ -26,6 +28,7 @@
 _LOGGER = core.get_logger('targets')
 
 Listener = typing.Callable[[str], None]
+AnswerListener = typing.Callable[[str, float], None]
 
 
 @attrs.frozen
@@ -81,11 +84,19 @@
         self._entries: dict[str, ColdEntry] = {}
         self._periods: dict[str, _Period] = {}
         self._listeners: list[Listener] = []
+        self._answer_listeners: list[AnswerListener] = []
 
     def subscribe(self, listener: Listener) -> None:
         """Call a listener with each target whose rate begins or ends."""
         self._listeners.append(listener)
 
+    def subscribe_answers(self, listener: AnswerListener) -> None:
+        """Call a listener with each cold time that an answer tells first.
+
+        It gets the name of the target and the end of its cold time.
+        """
+        self._answer_listeners.append(listener)
+
     def apply_starts(self, starts: dict[str, ColdStart]) -> None:
         """Apply the rates of a configuration.
 
@@ -138,7 +149,24 @@
         if period is not None:
             if until < period.until and sent_at < period.known_at:
                 return
+        known_until = period.until if period is not None else 0.0
         self._apply(target, seconds)
+        if seconds > 0.0 and until >= known_until + CHANGE_SECONDS:
+            for listener in self._answer_listeners:
+                listener(target, until)
+
+    def merge(self, target: str, until: float) -> None:
+        """Record a cold time that another VM has learned of.
+
+        Args:
+            target: Name of the target.
+            until: Its end, in epoch seconds.
+        """
+        seconds = until - self._clock.now()
+        period = self._periods.get(target)
+        if 0.0 < seconds <= MAX_COLD_SECONDS:
+            if period is None or until > period.until:
+                self._apply(target, seconds)
 
     def find_rate(self, target: str) -> float | None:
         """Return the permits a second of a target that is cold, or was.
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_knowledge.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_knowledge.py
@@ -58,7 +58,9 @@
     ) -> None:
         self._clock = clock
         self._metrics = metrics
-        self._cold = cold or _cold.ColdTargets(clock, metrics)
+        if cold is None:
+            cold = _cold.ColdTargets(clock, metrics)
+        self._cold = cold
         self._cold.subscribe(self._handle_cold)
         self._known: dict[str, KnownLimit] = {}
         self._begins: dict[str, float] = {}
@@ -73,6 +75,11 @@
         """Call a listener with each change that an answer to this VM names."""
         self._answer_listeners.append(listener)
 
+    @property
+    def cold(self) -> _cold.ColdTargets:
+        """The targets that are limited because they are cold."""
+        return self._cold
+
     def find(self, target: str) -> KnownLimit | None:
         """Return the limit of a target, or its end; None if nothing is known.
 
--- a/tests/laburnumstep/fleet/permit_exchange.feature
+++ b/tests/laburnumstep/fleet/permit_exchange.feature
@@ -104,6 +104,18 @@
       | 80  | new   | 10   | 200    | 5      | all VMs are cut off from each other          | 0.15  |
       | 80  | new   | 60   | 600    | 5      | one datagram of ten is lost                  | 0.4   |
 
+  # Guards against a target that only one VM spares, because its entry cannot
+  # be read and one VM has heard from the target itself that it is cold.
+  Scenario Outline: What one VM learns of a cold target reaches the others
+    Given 9 VMs and a known target that takes 10 requests a second for 0 seconds
+    When <second> seconds later an answer to one VM says that it is cold for 20 seconds
+    Then <count> VMs limit it
+
+    Examples:
+      | second | count |
+      | 1      | 9     |
+      | 12     | 9     |
+
   # Guards against a VM that goes on with what a target said before.
   Scenario Outline: VMs follow a limit that changes
     Given <vms> VMs and a target that takes <before> requests a second
@@ -153,3 +165,5 @@
       | an entry with the rate "x"         |
       | an entry with the rate 1, 2        |
       | an entry that is not JSON          |
+      | an entry that a target is cold for 601 seconds |
+      | an entry that a target is cold for -1 seconds |
--- a/tests/laburnumstep/fleet/steps/permit_exchange_steps.py
+++ b/tests/laburnumstep/fleet/steps/permit_exchange_steps.py
@@ -218,20 +218,32 @@
             context.answers = vm.exchange.receive(reply)
         case ['an', 'entry', 'with', 'the', 'rate', *values]:
             send_entry(vm, f'[{" ".join(values)}]'.encode())
+        case ['an', 'entry', 'that', 'a', 'target', *_, seconds, 'seconds']:
+            starts = {permit_fleet.SERVICE: limits.ColdStart(1.0, 1.0)}
+            vm.cold.apply_starts(starts)
+            entry = limits.ColdEntry(permit_fleet.SERVICE, 1, 1, 0.0)
+            vm.cold.apply_entry(permit_fleet.TARGET, entry)
+            subject = f'cold|{permit_fleet.TARGET}'
+            send_entry(vm, b'[null]', subject, float(seconds))
         case ['an', 'entry', 'that', 'is', 'not', 'JSON']:
             send_entry(vm, b'[' * 100_000)
         case _:
             raise ValueError(message)
 
 
-def send_entry(vm: permit_fleet.PermitVM, data: bytes) -> None:
+def send_entry(
+    vm: permit_fleet.PermitVM,
+    data: bytes,
+    subject: str = permit_fleet.TARGET,
+    seconds: float = limits.LIMIT_SECONDS,
+) -> None:
     entry = siblings.GossipEntry(
         siblings.EntryKind.LIMIT,
-        permit_fleet.TARGET,
+        subject,
         'vm-1',
         1,
         siblings.DataValue(data),
-        vm.fleet.clock.now() + limits.LIMIT_SECONDS,
+        vm.fleet.clock.now() + seconds,
     )
     for listener in vm.listeners:
         listener(entry)
@@ -277,3 +289,27 @@
         allowed = number * target.cold_rate * permit_fleet.TOLERANCE
         allowed += permit_fleet.EXTRA_ARRIVALS
         assert found <= allowed, (second, found, allowed)
+
+
+@behave.when(
+    '{seconds:g} seconds later an answer to one VM says that it is cold for'
+    ' {cold:g} seconds'
+)
+def step_cold_answer(context: typing.Any, seconds: float, cold: float) -> None:
+    fleet = context.fleet
+    fleet.schedule(
+        seconds,
+        lambda: fleet.vms['vm-0'].cold.record_answer(
+            permit_fleet.TARGET, cold, fleet.clock.now()
+        ),
+    )
+    context.portal.call(fleet.run, seconds + 0.2, 0.0, 'all')
+
+
+@behave.then('{count:d} VMs limit it')
+def step_limited_vms(context: typing.Any, count: int) -> None:
+    rates = [
+        vm.limits.find_rate(permit_fleet.TARGET)
+        for vm in context.fleet.vms.values()
+    ]
+    assert sum(rate is not None for rate in rates) == count, rates
--- a/tests/laburnumstep/platform/steps/cold_steps.py
+++ b/tests/laburnumstep/platform/steps/cold_steps.py
@@ -68,8 +68,10 @@
     context.starts = None
     context.routes = callers.ActiveRoutes()
 
-    def apply(starts: _configuration.ColdStarts) -> None:
-        context.starts = starts
+    def apply(services: _configuration.ColdServices) -> None:
+        context.starts = {
+            name: service.start for name, service in services.items()
+        }
 
     reader = _configuration.ConfigurationReader(
         context.routes, lambda services: None, apply
