--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -9,6 +9,8 @@
 from laburnumstep import callers
 from laburnumstep import core
 from laburnumstep import log
+from laburnumstep.platform import _numbers
+from laburnumstep.targets import limits
 
 CONFIGURATION_KEY = 'config'
 """Key of the record that holds the configuration."""
@@ -36,6 +38,20 @@
 """Services by name; None stands for a plain service."""
 
 
+@attrs.frozen
+class ColdService:
+    """Configuration of a service whose cold targets take few requests."""
+
+    start: limits.ColdStart
+    """What a cold target takes."""
+    health_path: str
+    """Path of the health of a target; empty if there is none."""
+
+
+ColdServices = dict[str, ColdService]
+"""Services whose cold targets take few requests, by name."""
+
+
 class ConfigurationReader:
     """Applies configuration records; implements `log.KeyedReader`.
 
@@ -43,15 +59,21 @@
         active_routes: Receives the routes of each version.
         apply_services: Called with the services of each version that
             comes into force.
+        apply_cold: Called before it with the services whose cold targets
+            take few requests.
     """
 
     def __init__(
         self,
         active_routes: callers.ActiveRoutes,
         apply_services: typing.Callable[[Services], None],
+        apply_cold: typing.Callable[[ColdServices], None] = (
+            lambda services: None
+        ),
     ) -> None:
         self._active_routes = active_routes
         self._apply_services = apply_services
+        self._apply_cold = apply_cold
 
     def apply_snapshot(self, records: list[log.KeyedRecord]) -> None:
         """Apply the newest configuration."""
@@ -74,10 +96,12 @@
             document = core.parse_json(value)
             table = _decode_table(document)
             services = _decode_services(document)
+            cold = _decode_cold_services(document)
         except core.MALFORMED_ERRORS as error:
             _LOGGER.error('configuration is malformed; reason=%r', error)
             return
         if self._active_routes.apply(table):
+            self._apply_cold(cold)
             self._apply_services(services)
 
 
@@ -179,6 +203,28 @@
     return services
 
 
+def _decode_cold_services(document: dict[str, typing.Any]) -> ColdServices:
+    services: ColdServices = {}
+    for item in document['services']:
+        name = item['name']
+        per_second = _numbers.decode_optional(
+            item.get('coldPerS'), limits.MAX_RATE, 'coldPerS', name
+        )
+        ramp_seconds = _numbers.decode_optional(
+            item.get('coldStartS'),
+            limits.MAX_RAMP_SECONDS,
+            'coldStartS',
+            name,
+        )
+        if per_second:
+            path = item.get('healthPath')
+            services[name] = ColdService(
+                limits.ColdStart(per_second, ramp_seconds or 0.0),
+                path if isinstance(path, str) and path.isascii() else '',
+            )
+    return services
+
+
 def _compute_copy_seconds(engine: dict[str, typing.Any]) -> float:
     bits_per_token = 8.0 * float(engine.get('kvTokenBytes', 0))
     bits_per_second = 1e6 * float(engine.get('linkMbps', 0))
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -18,6 +18,7 @@
 from laburnumstep.platform import _evacuations
 from laburnumstep.platform import _fleet
 from laburnumstep.platform import _front
+from laburnumstep.platform import _health
 from laburnumstep.platform import _pages
 from laburnumstep.platform import _reports
 from laburnumstep.platform import _servers
@@ -85,7 +86,10 @@
         self._clock = clock
         self._metrics_page = core.MetricsPage()
         self._metrics = core.Metrics(None, '', self._metrics_page)
-        self._target_limits = limits.TargetLimits(clock, self._metrics)
+        self._cold_targets = limits.ColdTargets(clock, self._metrics)
+        self._target_limits = limits.TargetLimits(
+            clock, self._metrics, self._cold_targets
+        )
         self._fleet_view = targets.FleetView(clock, settings.data_centre)
         self._evacuations = self._fleet_view.places.evacuations
         self._evacuations.subscribe(self._apply_evacuations)
@@ -140,10 +144,16 @@
             clock, self._registry.find_registration, self._apply_leaving
         )
         self._target_words = targets.TargetWords(
-            clock, self._fleet_view, self._leaving_targets, self._metrics
+            clock,
+            self._fleet_view,
+            self._leaving_targets,
+            self._cold_targets,
+            self._metrics,
         )
         self._directory = _directory.Directory(
-            self._registry, self._leaving_targets.apply_entry
+            self._registry,
+            self._leaving_targets.apply_entry,
+            self._cold_targets.apply_entry,
         )
         self._fleet = _fleet.Fleet(
             settings,
@@ -152,6 +162,13 @@
             self._registry,
             self._target_limits,
         )
+        self._health_watch = _health.HealthWatch(
+            self._server_client,
+            self._registry,
+            self._directory,
+            self._fleet.permits.owns,
+            clock,
+        )
         self._permit_gate = limits.PermitGate(
             self._target_limits, self._fleet.permits, clock, self._metrics
         )
@@ -232,6 +249,7 @@
             for follower in self._build_followers():
                 tasks.start_soon(follower.run)
             tasks.start_soon(self._registry.run)
+            tasks.start_soon(self._health_watch.run)
             tasks.start_soon(self._crashes.run)
             tasks.start_soon(self._crash_archive.run)
             tasks.start_soon(self._fleet.run)
@@ -343,12 +361,14 @@
         clock = self._clock
         configuration = self._fleet.share_topic('op', bytes)
         servers = self._fleet.share_topic(
-            'servers', _fleet.find_entry_fingerprint
+            'servers', _fleet.find_entry_fingerprint, _fleet.is_entry_changed
         )
         reader = _evacuations.OperatorsReader(
             self._evacuations,
             _configuration.ConfigurationReader(
-                self._active_routes, self._apply_services
+                self._active_routes,
+                self._apply_services,
+                self._apply_cold,
             ),
         )
         return [
@@ -397,6 +417,14 @@
             if target.data_centre in begun:
                 self._evacuate(name)
 
+    def _apply_cold(self, services: _configuration.ColdServices) -> None:
+        self._cold_targets.apply_starts(
+            {name: service.start for name, service in services.items()}
+        )
+        self._health_watch.apply_paths(
+            {name: service.health_path for name, service in services.items()}
+        )
+
     def _apply_targets(self, deployment: core.Deployment) -> None:
         self._deployment = deployment
         limited = targets.limit_engines(
