Ask an engine for its runs before a silent run goes on elsewhere

Cause: a stream without an event for 1.0 s counted as crashed and was continued at its backup, while an engine that had preempted it for 2 s went on with it. The stream of the first engine was closed before another one had taken the run, so that one refused continuation ended a sound stream. A continuation was also sent to a backup that was leaving, and a resumed stream ignored the attempts of its route.

Change: the decision is a plain function (_silence.decide). After 0.5 s of silence the engine is asked for its runs, again every 0.4 s or a quarter of the silence, with one question for all streams of an engine. An engine that answers keeps the run. Shortly before the caller would disconnect (it waits the longest of 2 s, four times the objective for the first event and eight times that for pauses), or if its engine lists runs but not this one, the run is moved: the engine stops it with the move, so that no two engines work on it, and goes on with it if it refuses. An engine that refuses connections or leaves two questions unanswered counts as gone; its stream is kept until another engine has taken the run. A copy is not used on an engine that is leaving or that has refused the run before. A run that starts anew counts against the attempts of the route, one that continues from a copy does not.

_stream_run.py is split: sending and counting attempts, delivery, reading, moves and the copies at a notice are modules of their own.

Tests: the scenarios of the idle timeout of 1.0 s are replaced by silence.feature and by "Only new events end a silence", which checks the deadlines of the reads as before. The route "resume" of the platform harness now allows two attempts: its scenarios need a second engine, which was sent to although it allowed one.

Each check of the copies, the attempts and the end marker was removed in turn, and a scenario failed each time.

--- a/packages/laburnumstep/src/laburnumstep/core/_routes.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_routes.py
@@ -61,6 +61,10 @@
     """Priority; higher numbers are served first."""
     public: bool = False
     """Whether requests are accepted without a key."""
+    first_answer_seconds: float | None = None
+    """Objective for the time to the first byte or event, in seconds."""
+    gap_seconds: float | None = None
+    """Objective for the longest pause between two events, in seconds."""
 
     def choose_service(self, rng: random.Random) -> str:
         """Return the service for one request, drawn at random by weight."""
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -118,9 +118,17 @@
         attempts=int(item.get('attempts', 1)),
         priority=-int(item.get('priority', 0)),
         public=bool(item.get('skipAuth', False)),
+        first_answer_seconds=_decode_seconds(item, 'targetLatencyMs'),
+        gap_seconds=_decode_seconds(item, 'targetGapMs'),
     )
 
 
+def _decode_seconds(item: dict[str, typing.Any], name: str) -> float | None:
+    """Return a time that the configuration may give in milliseconds."""
+    milliseconds = item.get(name)
+    return None if milliseconds is None else float(milliseconds) / 1000
+
+
 def _decode_kind(item: dict[str, typing.Any]) -> core.RouteKind:
     match item['kind']:
         case 'safe':
--- a/packages/laburnumstep/src/laburnumstep/platform/_events.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_events.py
@@ -43,13 +43,16 @@
         """Return the next events, or None at the end of the stream.
 
         Raises:
-            StreamBroken: No complete event arrived before the deadline,
-                the connection failed, too many bytes arrived without an
-                event, or an event was cut off by the end of the stream.
+            EventsDelayed: No complete event arrived before the deadline.
+            StreamBroken: The connection failed, too many bytes arrived
+                without an event, or an event was cut off by the end of the
+                stream.
         """
         while True:
             try:
                 chunk = await self._connection.read_chunk(deadline)
+            except transport.ExchangeTimedOut as error:
+                raise relay.EventsDelayed from error
             except transport.ExchangeFailed as error:
                 raise relay.StreamBroken(str(error), error.closed) from error
             if chunk is None:
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -33,6 +33,9 @@
 """Age of a load report when it arrives, in seconds."""
 _LOWEST_PRIORITY = 9
 _MULTIPLE_CHOICES = 300
+_NOT_FOUND = 404
+_MOVE_REFUSALS = (400, 409, 421, 429, 503)
+"""Statuses with which an engine refuses a move, so that the run goes on."""
 _MISDIRECTED_REQUEST = 421
 
 _LOGGER = core.get_logger('platform')
@@ -108,26 +111,90 @@
             destination: The engine that receives the copy.
             deadline: End of the request, in epoch seconds.
         """
-        body = {
-            'id': request.key,
-            'target': destination.address,
-            'last': False,
-        }
         try:
-            status, answer = await self._request_json(
-                source,
-                b'POST',
-                '/v1/kv-move',
-                json.dumps(body).encode(),
-                deadline,
+            status, handle = await self._order_move(
+                request, source, destination, False, deadline
             )
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
             return relay.CopyFailed(str(error))
-        handle = answer.get('handle') if isinstance(answer, dict) else None
-        if status == 200 and handle:
-            return relay.Copied(f'{source.address}/{handle}')
+        if status == 200 and handle is not None:
+            return relay.Copied(handle)
         return relay.CopyFailed(f'the engine answered {status}')
 
+    async def move_run(
+        self,
+        request: relay.RelayRequest,
+        source: core.Target,
+        destination: core.Target,
+        deadline: float,
+    ) -> relay.MoveResult:
+        """Stop a run and move its memory to another engine.
+
+        Args:
+            request: The request that the run serves.
+            source: The engine of the run.
+            destination: The engine that receives the memory.
+            deadline: When to give up, in epoch seconds.
+        """
+        try:
+            status, handle = await self._order_move(
+                request, source, destination, True, deadline
+            )
+        except transport.ConnectFailed as error:
+            return relay.NotMoved(str(error))
+        except transport.ExchangeFailed as error:
+            return relay.MoveUnknown(str(error))
+        if handle is not None:
+            # An engine that fails to send the memory keeps it and names its
+            # handle, too.
+            return (
+                relay.Moved(handle) if status == 200 else relay.Stopped(handle)
+            )
+        if status == _NOT_FOUND:
+            return relay.NoSuchRun()
+        if status in _MOVE_REFUSALS:
+            return relay.NotMoved(f'the engine answered {status}')
+        return relay.MoveUnknown(f'the engine answered {status}')
+
+    async def _order_move(
+        self,
+        request: relay.RelayRequest,
+        source: core.Target,
+        destination: core.Target,
+        stop: bool,
+        deadline: float,
+    ) -> tuple[int, str | None]:
+        """Order an engine to send the memory of a run to another engine.
+
+        Args:
+            request: The request that the run serves.
+            source: The engine of the run.
+            destination: The engine that receives the memory.
+            stop: Whether the run ends on its engine.
+            deadline: When to give up, in epoch seconds.
+
+        Returns:
+            The status, and the reference of the memory if one was named.
+
+        Raises:
+            ConnectFailed: No connection could be opened.
+            ExchangeFailed: No complete answer arrived.
+        """
+        body = {
+            'id': request.key,
+            'target': destination.address,
+            'last': stop,
+        }
+        status, answer = await self._request_json(
+            source,
+            b'POST',
+            '/v1/kv-move',
+            json.dumps(body).encode(),
+            deadline,
+        )
+        handle = answer.get('handle') if isinstance(answer, dict) else None
+        return status, f'{source.address}/{handle}' if handle else None
+
     async def read_report(
         self, target: core.EngineTarget, deadline: float
     ) -> targets.LoadReport:
@@ -182,38 +249,38 @@
 
     async def list_runs(
         self, target: core.Target, deadline: float
-    ) -> list[relay.EngineRun]:
+    ) -> relay.RunListResult:
         """Return the runs of an engine.
 
         Args:
             target: The engine.
             deadline: End of the request, in epoch seconds.
-
-        Returns:
-            The runs; none if the engine did not answer or its report is
-            malformed.
         """
         try:
             _status, report = await self._request_json(
                 target, b'GET', '/v1/report', b'', deadline
             )
-            return [
-                relay.EngineRun(str(run[0]), int(run[1]))
-                for run in report['runs']
-            ]
+            return relay.RunList(
+                [
+                    relay.EngineRun(str(run[0]), int(run[1]))
+                    for run in report['runs']
+                ]
+            )
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
             _LOGGER.info(
                 'runs cannot be listed; target=%s reason=%s',
                 target.name,
                 error,
             )
+            refused = isinstance(error, transport.ConnectRefused)
+            return relay.NoRunList(str(error), refused=refused)
         except core.MALFORMED_ERRORS as error:
             _LOGGER.warning(
                 'list of runs is malformed; target=%s reason=%r',
                 target.name,
                 error,
             )
-        return []
+            return relay.NoRunList(repr(error), answered=True)
 
     def get_backup_reference(
         self, request: relay.RelayRequest, backup: core.EngineTarget
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/__init__.py
@@ -14,18 +14,28 @@
 from laburnumstep.targets.relay._ports import CopyFailed
 from laburnumstep.targets.relay._ports import CopyResult
 from laburnumstep.targets.relay._ports import EngineRun
+from laburnumstep.targets.relay._ports import EventsDelayed
 from laburnumstep.targets.relay._ports import EventSource
 from laburnumstep.targets.relay._ports import Headers
 from laburnumstep.targets.relay._ports import Held
 from laburnumstep.targets.relay._ports import Lost
+from laburnumstep.targets.relay._ports import Moved
+from laburnumstep.targets.relay._ports import MoveResult
+from laburnumstep.targets.relay._ports import MoveUnknown
 from laburnumstep.targets.relay._ports import NewRun
+from laburnumstep.targets.relay._ports import NoRunList
+from laburnumstep.targets.relay._ports import NoSuchRun
+from laburnumstep.targets.relay._ports import NotMoved
 from laburnumstep.targets.relay._ports import NotReached
 from laburnumstep.targets.relay._ports import NotRun
 from laburnumstep.targets.relay._ports import PromptShape
 from laburnumstep.targets.relay._ports import RelayRequest
 from laburnumstep.targets.relay._ports import Reply
 from laburnumstep.targets.relay._ports import ResumedRun
+from laburnumstep.targets.relay._ports import RunList
+from laburnumstep.targets.relay._ports import RunListResult
 from laburnumstep.targets.relay._ports import Start
+from laburnumstep.targets.relay._ports import Stopped
 from laburnumstep.targets.relay._ports import StreamBroken
 from laburnumstep.targets.relay._ports import StreamEvent
 from laburnumstep.targets.relay._ports import Streaming
@@ -45,12 +55,19 @@
     'CopyResult',
     'EngineRun',
     'EventSource',
+    'EventsDelayed',
     'FailedSend',
     'Headers',
     'Held',
     'LimitedPort',
     'Lost',
+    'MoveResult',
+    'MoveUnknown',
+    'Moved',
     'NewRun',
+    'NoRunList',
+    'NoSuchRun',
+    'NotMoved',
     'NotReached',
     'NotRun',
     'PromptShape',
@@ -59,8 +76,11 @@
     'RelayRequest',
     'Reply',
     'ResumedRun',
+    'RunList',
+    'RunListResult',
     'RunningStreams',
     'Start',
+    'Stopped',
     'StreamBroken',
     'StreamEvent',
     'StreamRelay',
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_evacuation.py
@@ -11,10 +11,10 @@
 import attrs
 
 from laburnumstep import core
+from laburnumstep.targets.relay import _ports
 
 if typing.TYPE_CHECKING:
     from laburnumstep.targets.relay import _placements
-    from laburnumstep.targets.relay import _ports
 
 LIST_TIMEOUT_SECONDS = 0.3
 """Timeout of the request for an engine's list of runs, in seconds."""
@@ -94,7 +94,8 @@
 
     async def _make_schedule(self, source: core.Target) -> _Schedule:
         now = self._clock.now()
-        runs = await self._port.list_runs(source, now + LIST_TIMEOUT_SECONDS)
+        result = await self._port.list_runs(source, now + LIST_TIMEOUT_SECONDS)
+        runs = result.runs if isinstance(result, _ports.RunList) else []
         self._drop_expired(now)
         starts: dict[str, float] = {}
         start = now
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_limited_port.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_limited_port.py
@@ -51,10 +51,22 @@
             request, source, destination, deadline
         )
 
+    async def move_run(
+        self,
+        request: _ports.RelayRequest,
+        source: core.Target,
+        destination: core.Target,
+        deadline: float,
+    ) -> _ports.MoveResult:
+        """Stop a run and move its memory to another engine."""
+        return await self._port.move_run(
+            request, source, destination, deadline
+        )
+
     async def list_runs(
         self, target: core.Target, deadline: float
-    ) -> list[_ports.EngineRun]:
-        """Return the runs of an engine, or none if it does not answer."""
+    ) -> _ports.RunListResult:
+        """Return the runs of an engine."""
         return await self._port.list_runs(target, deadline)
 
     def get_backup_reference(
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_migration.py
@@ -0,0 +1,87 @@
+"""Copies of one stream's run that are made while its engine leaves."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio.abc
+
+if typing.TYPE_CHECKING:
+    from laburnumstep.targets.relay import _copies
+    from laburnumstep.targets.relay import _placements
+
+
+class Migration:
+    """Has the run of one stream copied and keeps the copy until it is used.
+
+    Args:
+        copier: Copies the run to another engine.
+        on_ready: Called when a copy is ready.
+    """
+
+    def __init__(
+        self,
+        copier: _copies.RunCopier,
+        on_ready: typing.Callable[[], None],
+    ) -> None:
+        self._copier = copier
+        self._on_ready = on_ready
+        self._is_copying = False
+        self._prepared: _copies.PreparedCopy | None = None
+        self._refused: frozenset[str] = frozenset()
+
+    @property
+    def has_copy(self) -> bool:
+        """Whether a copy is ready."""
+        return self._prepared is not None
+
+    def start(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        placement: _placements.RelayPlacement,
+        is_current: typing.Callable[[], bool],
+    ) -> None:
+        """Copy the run in the background, unless a copy is in progress.
+
+        Args:
+            tasks: Runs the copy.
+            placement: Placement of the run.
+            is_current: Returns whether the run is still at that placement.
+        """
+        if not self._is_copying:
+            self._is_copying = True
+            tasks.start_soon(self._copy, placement, is_current)
+
+    def take(self) -> _copies.PreparedCopy | None:
+        """Return the copy, which the receiver releases or uses."""
+        prepared, self._prepared = self._prepared, None
+        return prepared
+
+    def record_refusal(self, destination: str) -> None:
+        """Copy to another engine next time; this one did not go on."""
+        self._refused |= {destination}
+
+    def release(self) -> None:
+        """Release the capacity reserved for a copy that is not used."""
+        prepared = self.take()
+        if prepared is not None:
+            prepared.placement.release(complete=False)
+
+    async def _copy(
+        self,
+        placement: _placements.RelayPlacement,
+        is_current: typing.Callable[[], bool],
+    ) -> None:
+        try:
+            prepared = await self._copier.copy(
+                placement, self._refused, is_current
+            )
+        finally:
+            self._is_copying = False
+        if prepared is None:
+            return
+        if is_current():
+            self._prepared = prepared
+            self._on_ready()
+        else:
+            prepared.placement.release(complete=False)
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -216,6 +216,10 @@
         self.closed = closed
 
 
+class EventsDelayed(Exception):
+    """No complete event arrived before a deadline; the stream is intact."""
+
+
 class EventSource(typing.Protocol):
     """Source of the events of one run."""
 
@@ -223,8 +227,9 @@
         """Return the next events, or None at the end of the stream.
 
         Raises:
-            StreamBroken: No complete event arrived before the deadline, or
-                the connection ended.
+            EventsDelayed: No complete event arrived before the deadline. The
+                source can be read on.
+            StreamBroken: The connection ended.
         """
         ...
 
@@ -252,6 +257,46 @@
 CopyResult = Copied | CopyFailed
 
 
+@attrs.frozen
+class Moved:
+    """A run was stopped and its memory moved to another engine."""
+
+    copy: str
+    """Reference of the memory."""
+
+
+@attrs.frozen
+class Stopped:
+    """A run was stopped, but its memory is still at its engine."""
+
+    copy: str
+    """Reference of the memory."""
+
+
+@attrs.frozen
+class NotMoved:
+    """The engine refused the move; the run goes on there."""
+
+    reason: str
+    """What the engine answered."""
+
+
+@attrs.frozen
+class NoSuchRun:
+    """The engine answered that it does not have the run."""
+
+
+@attrs.frozen
+class MoveUnknown:
+    """No answer arrived; the run may have been stopped."""
+
+    reason: str
+    """What failed."""
+
+
+MoveResult = Moved | Stopped | NotMoved | NoSuchRun | MoveUnknown
+
+
 @attrs.frozen
 class EngineRun:
     """One run in the list that an engine reports."""
@@ -262,6 +307,32 @@
     """Memory used by the run, in tokens."""
 
 
+@attrs.frozen
+class RunList:
+    """The runs that an engine reports.
+
+    The report is some hundred milliseconds old when it arrives.
+    """
+
+    runs: list[EngineRun]
+    """The runs, in the order of the report."""
+
+
+@attrs.frozen
+class NoRunList:
+    """An engine did not report its runs."""
+
+    reason: str
+    """What failed."""
+    refused: bool = False
+    """Whether nothing accepts connections at the engine's address."""
+    answered: bool = False
+    """Whether it answered, but without a list that can be read."""
+
+
+RunListResult = RunList | NoRunList
+
+
 class TargetPort(typing.Protocol):
     """Sends requests and orders to targets."""
 
@@ -288,10 +359,32 @@
         """
         ...
 
+    async def move_run(
+        self,
+        request: RelayRequest,
+        source: core.Target,
+        destination: core.Target,
+        deadline: float,
+    ) -> MoveResult:
+        """Stop a run and move its memory to another engine.
+
+        Args:
+            request: The request that runs.
+            source: Engine that runs it.
+            destination: Engine that receives the memory.
+            deadline: Deadline of the move, in epoch seconds.
+        """
+        ...
+
     async def list_runs(
         self, target: core.Target, deadline: float
-    ) -> list[EngineRun]:
-        """Return the runs of an engine, or none if it does not answer."""
+    ) -> RunListResult:
+        """Return the runs of an engine.
+
+        Args:
+            target: The engine.
+            deadline: Deadline of the answer, in epoch seconds.
+        """
         ...
 
     def get_backup_reference(
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_streams.py
@@ -6,6 +6,7 @@
 
 from laburnumstep.targets.relay import _copies
 from laburnumstep.targets.relay import _evacuation
+from laburnumstep.targets.relay import _run_lists
 from laburnumstep.targets.relay import _stream_run
 
 if typing.TYPE_CHECKING:
@@ -37,6 +38,7 @@
         self._running = running
         self._clock = clock
         self._schedules = _evacuation.EvacuationSchedules(port, placer, clock)
+        self._lists = _run_lists.RunLists(port, clock)
 
     async def run(
         self,
@@ -61,6 +63,7 @@
             self._placer,
             self._port,
             copier,
+            self._lists,
             self._running,
             self._clock,
         )
--- a/packages/laburnumstep/src/laburnumstep/transport/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/__init__.py
@@ -8,6 +8,7 @@
 from laburnumstep.transport._client import ConnectRefused
 from laburnumstep.transport._client import EXCHANGE_ERRORS
 from laburnumstep.transport._client import ExchangeFailed
+from laburnumstep.transport._client import ExchangeTimedOut
 from laburnumstep.transport._client import join_headers
 from laburnumstep.transport._client import JsonClient
 from laburnumstep.transport._client import JsonResponse
@@ -33,6 +34,7 @@
     'ConnectionPool',
     'EXCHANGE_ERRORS',
     'ExchangeFailed',
+    'ExchangeTimedOut',
     'Headers',
     'HttpConnection',
     'HttpServer',
--- a/packages/laburnumstep/src/laburnumstep/transport/_client.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_client.py
@@ -57,6 +57,13 @@
         self.closed = closed
 
 
+class ExchangeTimedOut(ExchangeFailed):
+    """The deadline passed before the peer had sent enough.
+
+    The connection is intact: a body can be read on with a later deadline.
+    """
+
+
 @attrs.frozen
 class JsonResponse:
     """A response of a peer."""
--- a/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_exchange.py
@@ -282,6 +282,10 @@
         self, summary: str, error: Exception
     ) -> _client.ExchangeFailed:
         closed = self._closed_by_peer or isinstance(error, ConnectionError)
+        if isinstance(error, TimeoutError) and error.errno is None:
+            # With an error number it is the end of the connection, whose
+            # peer has not acknowledged what was sent.
+            return _client.ExchangeTimedOut(f'{summary}: no data in time')
         return _client.ExchangeFailed(
             f'{summary}: {type(error).__name__}: {error}', closed
         )
