Spread the copies of a leaving engine and resume before it stops

Cause: the VMs that copy the runs of a leaving engine compare the same reports and chose the engine with the least memory in use, all the same one, which refused most copies. A copy on its way counted with its prompt only, without the tokens made so far. A run of which no engine took a copy broke off with its engine although its route may allow to start it anew. An engine that could not be reached was asked again for each destination at once.

Change: each VM draws an engine by the room that remains there, at the forecast peak if possible, else now, in the data centre of the run first. A placement for a copy counts the tokens made so far. 0.5 s before the stop that the report of an engine states, a run without a copy is started anew where its route and its attempts allow it; the engine goes on until the new run streams. After an order that got no answer the copier pauses for 0.1 s. Continuing and resuming a run are a module of their own.

Features of targets, callers and platform pass.

--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -9,6 +9,7 @@
 
 from laburnumstep.callers import _admission_queue
 from laburnumstep.callers import _candidates
+from laburnumstep.callers import _copy_targets
 from laburnumstep.callers import _crash_refusals
 from laburnumstep.callers import _relay_placement
 from laburnumstep.callers import _returns
@@ -26,8 +27,6 @@
 BACKUP_MEMORY_FRACTION = 0.3
 """Maximum utilization of an engine's memory with a backup copy of another
 engine's run. A copy cannot be preempted, so the rest is left to new runs."""
-MIGRATION_MEMORY_FRACTION = 0.97
-"""Maximum utilization of an engine's memory with a migrated run."""
 CROSS_CENTRE_COPY_FACTOR = 2.0
 """Factor on the copy time if the destination is in another data centre."""
 
@@ -68,6 +67,10 @@
         self._sampler = _candidates.CandidateSampler(
             state.view, state.clock, refresh, self._rng
         )
+        policy = targets.MemoryPolicy.from_weights(weights)
+        self._copy_targets = _copy_targets.CopyTargets(
+            state, policy.quantile, self._rng
+        )
 
     def record_request(self, request: relay.RelayRequest) -> None:
         """Count a request of a caller for the retry budget of its service."""
@@ -91,12 +94,18 @@
         return await self._place_generation(request, request.prompt, excluded)
 
     def place_on(
-        self, request: relay.RelayRequest, target: str
+        self, request: relay.RelayRequest, target: str, tokens: int
     ) -> _relay_placement.RelayPlacement | None:
-        """Place a request on a named target; None if it is not declared."""
+        """Place a request on a named target; None if it is not declared.
+
+        Args:
+            request: The request.
+            target: Name of the target.
+            tokens: Length of its answer so far, in tokens.
+        """
         if self._state.view.find(target) is None:
             return None
-        return self._begin(request, target)
+        return self._begin(request, target, tokens)
 
     def choose_backup(
         self, request: relay.RelayRequest, target: core.Target
@@ -116,22 +125,34 @@
         request: relay.RelayRequest,
         source: core.Target,
         refused: frozenset[str],
+        tokens: int,
     ) -> core.EngineTarget | None:
         """Return an engine to migrate a run to, if any.
 
-        Engines in the data centre of the source come first: a copy within a
-        data centre takes half as long as one between two, and a leaving
-        engine has little time to migrate all of its runs.
-
         Args:
             request: The request that runs.
             source: Engine that runs it.
             refused: Engines that had no capacity for it.
+            tokens: Length of its answer so far, in tokens.
         """
-        return self._choose_nearest(
-            request, source, refused, MIGRATION_MEMORY_FRACTION
+        engines = [
+            engine
+            for engine in self._list_other_engines(source)
+            if engine.declared.name not in refused
+        ]
+        return self._copy_targets.choose_destination(
+            request, source, tokens, engines
         )
 
+    def find_stop_time(self, target: str) -> float | None:
+        """Return when a leaving engine stops, in epoch seconds, if known.
+
+        Args:
+            target: Name of the engine.
+        """
+        state = self._state.view.find(target)
+        return state.stops_at if state is not None else None
+
     def estimate_copy(self, source: core.Target, tokens: int) -> float:
         """Estimate the time to copy a run to another engine, in seconds.
 
@@ -351,18 +372,21 @@
                 typing.assert_never(result)
 
     def _begin(
-        self, request: relay.RelayRequest, target: str
+        self, request: relay.RelayRequest, target: str, tokens: int = 0
     ) -> _relay_placement.RelayPlacement:
         prompt = request.prompt
+        hinted = prompt.hinted_tokens if prompt is not None else None
+        if hinted is not None:
+            hinted = hinted - tokens if hinted > tokens else None
         send = self._state.view.begin(
             target,
             targets.new_generation_id(),
             request.workspace,
             prompt.model if prompt is not None else '',
-            prompt.prompt_tokens if prompt is not None else 0,
+            prompt.prompt_tokens + tokens if prompt is not None else 0,
             0.0,
-            prompt.max_tokens if prompt is not None else None,
-            hinted_tokens=prompt.hinted_tokens if prompt is not None else None,
+            max(0, prompt.max_tokens - tokens) if prompt is not None else None,
+            hinted_tokens=hinted,
         )
         return self._make_placement(request, send)
 
--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -116,7 +116,7 @@
                 request, source, destination, False, deadline
             )
         except (transport.ConnectFailed, transport.ExchangeFailed) as error:
-            return relay.CopyFailed(str(error))
+            return relay.CopyFailed(str(error), refused=False)
         if status == 200 and handle is not None:
             return relay.Copied(handle)
         return relay.CopyFailed(f'the engine answered {status}')
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -15,6 +15,11 @@
 from laburnumstep.targets._crashes import CrashEvidence
 from laburnumstep.targets._crashes import CrashReport
 from laburnumstep.targets._crashes import OperatorRefusal
+from laburnumstep.targets._destinations import CopiedRun
+from laburnumstep.targets._destinations import CopyRoom
+from laburnumstep.targets._destinations import draw_destination
+from laburnumstep.targets._destinations import estimate_remaining
+from laburnumstep.targets._destinations import measure_room
 from laburnumstep.targets._engine_client import EngineClient
 from laburnumstep.targets._engine_client import new_generation_id
 from laburnumstep.targets._engine_client import StreamBroken
@@ -110,6 +115,8 @@
     'CallRunner',
     'ClaimStore',
     'Clearance',
+    'CopiedRun',
+    'CopyRoom',
     'CrashEvidence',
     'CrashLedger',
     'CrashMonitor',
@@ -189,8 +196,10 @@
     'digest_fields',
     'digest_prefixes',
     'digest_traits',
+    'draw_destination',
     'encode_evidence',
     'encode_lengths',
+    'estimate_remaining',
     'fingerprint_call',
     'fingerprint_generation',
     'get_service_pool_key',
@@ -199,6 +208,7 @@
     'list_part_traits',
     'list_unfinished',
     'make_refusal_check',
+    'measure_room',
     'new_generation_id',
     'parse_trait',
     'sample_engines',
--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -14,6 +14,9 @@
 
 MAX_SIBLING_SEND_SECONDS = 3.0
 """How long another VM's send is counted without a newer report, in seconds."""
+MIN_NOTICE_SECONDS = 0.55
+"""Shortest time from the measurement of a report to the stated stop of its
+engine, in seconds. A report that states no time has 0.5 s, its age."""
 REPORT_LAG_SECONDS = 30.0
 """Longest lag of a report that is corrected for ended sends, in seconds."""
 
@@ -87,6 +90,17 @@
         )
         return self.declared.leaving or self.observed_leaving or reclaimed
 
+    @property
+    def stops_at(self) -> float | None:
+        """When it stops, in epoch seconds, or None if no time is known.
+
+        A report without a time counts as reclaimed when it arrived.
+        """
+        if self.report is None or self.report.reclaim_at is None:
+            return None
+        stated = self.report.reclaim_at - self.report.measured_at
+        return self.report.reclaim_at if stated > MIN_NOTICE_SECONDS else None
+
     @property
     def measured_at(self) -> float:
         """When the last report was measured, in epoch seconds."""
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
@@ -39,6 +39,7 @@
 
 
 IsRunning = typing.Callable[[], bool]
+GetTokens = typing.Callable[[], int]
 
 
 class RunCopier:
@@ -71,6 +72,7 @@
         placement: _placements.RelayPlacement,
         refused: frozenset[str],
         is_running: IsRunning,
+        get_tokens: GetTokens,
     ) -> PreparedCopy | None:
         """Copy the run without stopping it.
 
@@ -80,6 +82,7 @@
             placement: Placement of the run.
             refused: Engines that refused to continue the run.
             is_running: Returns whether the run is still at that placement.
+            get_tokens: Returns the length of its answer so far, in tokens.
 
         Returns:
             The copy, or None if the run has ended.
@@ -90,30 +93,42 @@
         await self._clock.sleep_until(start)
         while is_running():
             destination = self._placer.choose_destination(
-                self._request, placement.target, refused
+                self._request, placement.target, refused, get_tokens()
             )
             if destination is None:
                 # By the next attempt an engine may have freed capacity or
                 # sent a newer load report, so all are candidates again.
                 refused = frozenset()
-                await self._clock.sleep_until(
-                    self._clock.now() + RETRY_SECONDS
-                )
+                await self._pause()
                 continue
-            prepared = await self._copy_to(placement, destination)
-            if prepared is not None:
-                return prepared
-            refused |= {destination.name}
+            result = await self._copy_to(placement, destination, get_tokens())
+            match result:
+                case PreparedCopy():
+                    return result
+                case _ports.CopyFailed(refused=True):
+                    refused |= {destination.name}
+                case _ports.CopyFailed():
+                    # Other destinations would not change the answer of an
+                    # engine that cannot be reached.
+                    await self._pause()
+                case _:
+                    typing.assert_never(result)
         return None
 
+    async def _pause(self) -> None:
+        await self._clock.sleep_until(self._clock.now() + RETRY_SECONDS)
+
     async def _copy_to(
         self,
         placement: _placements.RelayPlacement,
         destination: core.EngineTarget,
-    ) -> PreparedCopy | None:
-        reserved = self._placer.place_on(self._request, destination.name)
+        tokens: int,
+    ) -> PreparedCopy | _ports.CopyFailed:
+        reserved = self._placer.place_on(
+            self._request, destination.name, tokens
+        )
         if reserved is None:
-            return None
+            return _ports.CopyFailed('the destination is not declared')
         _LOGGER.info(
             'copy begins; request=%s target=%s destination=%s',
             self._request.key,
@@ -133,7 +148,7 @@
                 reserved.release(complete=False)
                 self._log_failure(placement, destination, result.reason)
         if isinstance(result, _ports.CopyFailed):
-            return None
+            return result
         return PreparedCopy(reserved, result.copy)
 
     def _log_failure(
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_delivery.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_delivery.py
@@ -31,6 +31,7 @@
         self._position = request.position
         self._first_reply: _ports.Streaming | None = None
         self._begun = False
+        self._tokens = 0
         self._delivered_at = request.arrived_at
         self._first_event_seconds = 0.0
         self._longest_pause = 0.0
@@ -40,6 +41,11 @@
         """Position of the last event, or None."""
         return self._position
 
+    @property
+    def tokens(self) -> int:
+        """Number of tokens in the events passed on."""
+        return self._tokens
+
     @property
     def begun(self) -> bool:
         """Whether the response has begun."""
@@ -84,6 +90,7 @@
         has_progress = False
         has_positions = self._position is not None
         for event in events:
+            self._tokens += event.tokens
             self._position = event.position or self._position
             if event.position is not None or not has_positions:
                 has_progress = True
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_migration.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_migration.py
@@ -39,7 +39,8 @@
         self,
         tasks: anyio.abc.TaskGroup,
         placement: _placements.RelayPlacement,
-        is_current: typing.Callable[[], bool],
+        is_current: _copies.IsRunning,
+        get_tokens: _copies.GetTokens,
     ) -> None:
         """Copy the run in the background, unless a copy is in progress.
 
@@ -47,10 +48,11 @@
             tasks: Runs the copy.
             placement: Placement of the run.
             is_current: Returns whether the run is still at that placement.
+            get_tokens: Returns the length of its answer so far, in tokens.
         """
         if not self._is_copying:
             self._is_copying = True
-            tasks.start_soon(self._copy, placement, is_current)
+            tasks.start_soon(self._copy, placement, is_current, get_tokens)
 
     def take(self) -> _copies.PreparedCopy | None:
         """Return the copy, which the receiver releases or uses."""
@@ -70,11 +72,12 @@
     async def _copy(
         self,
         placement: _placements.RelayPlacement,
-        is_current: typing.Callable[[], bool],
+        is_current: _copies.IsRunning,
+        get_tokens: _copies.GetTokens,
     ) -> None:
         try:
             prepared = await self._copier.copy(
-                placement, self._refused, is_current
+                placement, self._refused, is_current, get_tokens
             )
         finally:
             self._is_copying = False
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_moves.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_moves.py
@@ -74,21 +74,28 @@
         self._clock = clock
 
     async def move(
-        self, source: core.Target, refused: frozenset[str], reason: str
+        self,
+        source: core.Target,
+        refused: frozenset[str],
+        tokens: int,
+        reason: str,
     ) -> MoveOutcome:
         """Stop the run and move its memory to another engine.
 
         Args:
             source: Engine that runs it.
             refused: Engines that refused to continue the run.
+            tokens: Length of its answer so far, in tokens.
             reason: Why it is moved.
         """
         destination = self._placer.choose_destination(
-            self._request, source, refused
+            self._request, source, refused, tokens
         )
         if destination is None:
             return Kept()
-        reserved = self._placer.place_on(self._request, destination.name)
+        reserved = self._placer.place_on(
+            self._request, destination.name, tokens
+        )
         if reserved is None:
             return Kept()
         result: _ports.MoveResult = _ports.MoveUnknown('cancelled')
@@ -116,7 +123,9 @@
             case _ports.Moved(copy=copy):
                 return Movable(reserved, copy)
             case _ports.Stopped(copy=copy):
-                again = self._placer.place_on(self._request, source.name)
+                again = self._placer.place_on(
+                    self._request, source.name, tokens
+                )
                 return Movable(again, copy)
             case _ports.NotMoved():
                 return Kept()
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
@@ -94,9 +94,15 @@
         ...
 
     def place_on(
-        self, request: _ports.RelayRequest, target: str
+        self, request: _ports.RelayRequest, target: str, tokens: int
     ) -> RelayPlacement | None:
-        """Return a placement on a target, or None if it is not declared."""
+        """Return a placement on a target, or None if it is not declared.
+
+        Args:
+            request: The request.
+            target: Name of the target.
+            tokens: Length of its answer so far, in tokens.
+        """
         ...
 
     def choose_backup(
@@ -115,6 +121,7 @@
         request: _ports.RelayRequest,
         source: core.Target,
         refused: frozenset[str],
+        tokens: int,
     ) -> core.EngineTarget | None:
         """Return an engine to which a run can be migrated, if any.
 
@@ -122,9 +129,14 @@
             request: The request that runs.
             source: Engine that runs it.
             refused: Engines that refused the copy.
+            tokens: Length of its answer so far, in tokens.
         """
         ...
 
+    def find_stop_time(self, target: str) -> float | None:
+        """Return when a leaving engine stops, in epoch seconds, if known."""
+        ...
+
     def estimate_copy(self, source: core.Target, tokens: int) -> float:
         """Return the estimated time to copy a run, in seconds.
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -252,6 +252,9 @@
 
     reason: str
     """What failed."""
+    refused: bool = True
+    """Whether the engine of the run answered; another destination may then
+    take the copy."""
 
 
 CopyResult = Copied | CopyFailed
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -9,6 +9,7 @@
 from laburnumstep import core
 from laburnumstep.targets.relay import _attempts
 from laburnumstep.targets.relay import _calls
+from laburnumstep.targets.relay import _continuation
 from laburnumstep.targets.relay import _copies
 from laburnumstep.targets.relay import _delivery
 from laburnumstep.targets.relay import _migration
@@ -27,6 +28,10 @@
 """Time until a silent run is moved or continued again, in seconds, if all
 engines refused it."""
 
+RESUME_SECONDS = 0.5
+"""Time before its engine stops at which a run that no engine has taken is
+started anew, in seconds. Its prompt is prefilled again within about 0.3 s."""
+
 _LOGGER = core.get_logger('relay')
 
 
@@ -57,7 +62,6 @@
     ) -> None:
         self._request = request
         self._placer = placer
-        self._port = port
         self._lists = lists
         self._running = running
         self._clock = clock
@@ -65,12 +69,20 @@
         self._attempts = _attempts.StreamAttempts(request, placer, port, clock)
         self._mover = _moves.RunMover(request, placer, port, clock)
         self._migration = _migration.Migration(copier, self._interrupt_read)
+        self._continuation = _continuation.Continuation(
+            request,
+            placer,
+            port,
+            self._attempts,
+            self._delivery,
+            self._migration,
+            self._dispatch,
+        )
         self._placement: _placements.RelayPlacement | None = None
         self._reader: _reading.RunReader | None = None
-        self._backup: core.EngineTarget | None = None
         self._migration_requested = False
-        self._not_continued: frozenset[str] = frozenset()
         self._continue_from_time = 0.0
+        self._resume_from_time = 0.0
 
     def request_migration(self) -> None:
         """Migrate the stream as soon as another engine can continue it."""
@@ -166,6 +178,8 @@
             await self._migrate()
         if self._migration.has_copy:
             await self._hand_over()
+        elif self._is_stopping():
+            await self._resume_before_stop()
         return True
 
     async def _open(self) -> bool:
@@ -177,7 +191,7 @@
         sends = 0
         self._placer.record_request(self._request)
         while True:
-            placement, reply = await self._place_and_dispatch()
+            placement, reply = await self._continuation.place_and_dispatch()
             sends += 1
             match reply:
                 case _ports.Streaming():
@@ -192,23 +206,6 @@
                 placement, reply, sends >= _calls.MAX_SENDS
             )
 
-    async def _place_and_dispatch(
-        self,
-    ) -> tuple[_placements.RelayPlacement, _ports.Reply]:
-        """Send the request to the first target that takes it now."""
-        while True:
-            placement = await self._placer.place(
-                self._request, self._attempts.excluded
-            )
-            reply = await self._dispatch(placement, self._choose_start())
-            if not isinstance(reply, _ports.Held):
-                return placement, reply
-
-    def _choose_start(self) -> _ports.Start:
-        if self._delivery.position is None:
-            return _ports.NewRun()
-        return _ports.ResumedRun(self._delivery.position)
-
     async def _dispatch(
         self, placement: _placements.RelayPlacement, start: _ports.Start
     ) -> _ports.Reply:
@@ -234,7 +231,7 @@
                 self._list_options,
                 self._clock,
             )
-            self._backup = backup
+            self._continuation.set_backup(backup)
             self._delivery.record_reply(reply)
             self._running.add(placement.target.name, self)
             self._migration_requested = not self._placer.is_usable(
@@ -267,44 +264,28 @@
         """Return how the run could go on without its engine."""
         may_continue = self._clock.now() >= self._continue_from_time
         return _reading.Options(
-            may_continue and (self._has_copy() or self._may_resume()),
+            may_continue
+            and (self._continuation.has_copy or self._continuation.may_resume),
             not is_short(self._request)
             and self._delivery.position is not None
             and self._attempts.may_continue,
         )
 
-    def _has_copy(self) -> bool:
-        return self._migration.has_copy or self._find_backup() is not None
-
-    def _find_backup(self) -> core.EngineTarget | None:
-        """Return the engine that holds a copy and can continue from it."""
-        backup = self._backup
-        if (
-            backup is None
-            or self._delivery.position is None
-            or backup.name in self._not_continued
-            or not self._attempts.may_continue
-            or not self._placer.is_usable(backup.name)
-        ):
-            return None
-        return backup
-
-    def _may_resume(self) -> bool:
-        repeatable = _calls.is_repeatable(self._request.route.kind)
-        return repeatable and self._attempts.may_start
-
     async def _migrate(self) -> None:
         """Migrate the run from a leaving engine, which still runs it."""
         leaving = self._placement
         if leaving is None or self._delivery.position is None:
             return
-        if await self._continue_from_backup('leaving'):
+        if await self._continuation.continue_from_backup('leaving'):
             return
         # The leaving engine still runs the request, so its memory can be
         # copied to another engine.
-        self._backup = None
+        self._continuation.set_backup(None)
         self._migration.start(
-            self._tasks, leaving, lambda: self._placement is leaving
+            self._tasks,
+            leaving,
+            lambda: self._placement is leaving,
+            lambda: self._delivery.tokens,
         )
 
     async def _hand_over(self) -> None:
@@ -313,38 +294,29 @@
         The run on the leaving engine is ended once the other engine streams.
         If that one refuses, the run is copied to another engine.
         """
-        if not await self._continue_from_prepared('copied'):
+        if not await self._continuation.continue_from_prepared('copied'):
             self._migration_requested = True
 
-    async def _continue_from_prepared(self, reason: str) -> bool:
-        """Continue the run with the capacity reserved for its copy."""
-        prepared = self._migration.take()
-        if prepared is None:
-            return False
-        destination = prepared.placement.target.name
-        if not self._placer.is_usable(destination):
-            prepared.placement.release(complete=False)
-        elif await self._continue_from(
-            prepared.placement, prepared.reference, reason
+    def _is_stopping(self) -> bool:
+        """Return whether to start the run anew before its engine stops."""
+        now = self._clock.now()
+        if (
+            self._placement is None
+            or now < self._resume_from_time
+            or not self._delivery.begun
+            or not self._continuation.may_resume
         ):
-            return True
-        self._migration.record_refusal(destination)
-        return False
-
-    async def _continue_from_backup(self, reason: str) -> bool:
-        """Continue the run from its backup, if that can be used."""
-        backup = self._find_backup()
-        if backup is None:
             return False
-        reference = self._port.get_backup_reference(self._request, backup)
-        placement = self._placer.place_on(self._request, backup.name)
-        return await self._continue_from(placement, reference, reason)
+        stops_at = self._placer.find_stop_time(self._placement.target.name)
+        return stops_at is not None and now >= stops_at - RESUME_SECONDS
+
+    async def _resume_before_stop(self) -> None:
+        """Start the run anew, as no engine has taken a copy of it.
 
-    async def _continue_from_copies(self, reason: str) -> bool:
-        """Continue the run from its copy or backup, if there is one."""
-        if await self._continue_from_prepared(reason):
-            return True
-        return await self._continue_from_backup(reason)
+        The engine that stops goes on with it until another one streams.
+        """
+        self._resume_from_time = self._clock.now() + RESUME_SECONDS
+        await self._continuation.try_resume('the engine stops')
 
     async def _leave_silent(self, reason: str) -> None:
         """Continue the run elsewhere, as its engine seems to be gone.
@@ -358,18 +330,11 @@
         self._log_end('stream is silent', placement, reason)
         placement.record_failure(crashed=False)
         self._attempts.exclude(placement.target.name)
-        if await self._continue_from_copies(reason):
+        if await self._continuation.continue_from_copies(reason):
             return
-        if self._may_resume():
-            try:
-                await self._resume(reason)
+        if self._continuation.may_resume:
+            if await self._continuation.try_resume(reason):
                 return
-            except core.CodedError as error:
-                _LOGGER.info(
-                    'silent run is not continued; request=%s reason=%s',
-                    self._request.key,
-                    error,
-                )
         self._continue_from_time = self._clock.now() + RETRY_SECONDS
 
     async def _move_silent(
@@ -386,11 +351,16 @@
         assert self._placement is not None
         reader.delay_move(RETRY_SECONDS)
         outcome = await self._mover.move(
-            self._placement.target, self._not_continued, reason
+            self._placement.target,
+            self._continuation.not_continued,
+            self._delivery.tokens,
+            reason,
         )
         match outcome:
             case _moves.Movable(placement=placement, copy=copy):
-                if not await self._continue_from(placement, copy, reason):
+                if not await self._continuation.continue_from(
+                    placement, copy, reason
+                ):
                     raise _ports.StreamBroken('the moved run did not go on')
             case _moves.Missing():
                 raise _ports.StreamBroken('the engine does not have the run')
@@ -425,57 +395,8 @@
                 'the deadline has passed',
                 core.Outcome.RAN,
             )
-        if not await self._continue_from_copies(reason):
-            await self._resume(reason)
-
-    async def _continue_from(
-        self,
-        placement: _placements.RelayPlacement | None,
-        copy: str,
-        reason: str,
-    ) -> bool:
-        """Continue the run from a copy.
-
-        Returns:
-            Whether the run continues. If not, the placement is released.
-        """
-        position = self._delivery.position
-        if placement is None:
-            return False
-        if not self._attempts.may_continue or position is None:
-            placement.release(complete=False)
-            return False
-        self._placer.record_resend(self._request)
-        _LOGGER.info(
-            'continuing run from a copy; request=%s target=%s position=%s'
-            ' reason=%s',
-            self._request.key,
-            placement.target.name,
-            position.decode('latin-1'),
-            reason,
-        )
-        start = _ports.ContinuedRun(position, copy)
-        reply = await self._dispatch(placement, start)
-        if isinstance(reply, _ports.Streaming):
-            return True
-        self._not_continued |= {placement.target.name}
-        if isinstance(reply, _ports.Lost):
-            placement.record_failure(crashed=False)
-        return False
-
-    async def _resume(self, reason: str) -> None:
-        """Start a new run after the last event, if the route allows it.
-
-        Raises:
-            CodedError: The stream cannot be continued.
-        """
-        reply: _ports.Reply = _ports.Lost(reason)
-        placement = None
-        while True:
-            await self._attempts.exclude_failed(placement, reply)
-            placement, reply = await self._place_and_dispatch()
-            if isinstance(reply, _ports.Streaming):
-                return
+        if not await self._continuation.continue_from_copies(reason):
+            await self._continuation.resume(reason)
 
     def _log_end(
         self,
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -237,6 +237,48 @@
     add_stream(context, name, steps)
 
 
+@behave.given('engine "{name}" stops after {notice} s')
+def step_stops(context: typing.Any, name: str, notice: str) -> None:
+    if notice != 'no':
+        stops_at = context.clock.now() + float(notice)
+        context.placer.stops_at[name] = stops_at
+
+
+@behave.given(
+    '"{name}" leaves after events 1 to {last:d} and sends events {one:d} and'
+    ' {other:d} every {seconds:g} s'
+)
+def step_leaves_slowly(
+    context: typing.Any,
+    name: str,
+    last: int,
+    one: int,
+    other: int,
+    seconds: float,
+) -> None:
+    add_leaving_stream(context, name, last, last, None)
+    context.sources[-1].replace_last_step(
+        [
+            relay_fakes.Silence(seconds),
+            relay_fakes.make_events(one, one),
+            relay_fakes.Silence(seconds),
+            relay_fakes.make_events(other, other),
+            relay.StreamBroken('reset'),
+        ]
+    )
+
+
+@behave.given('"{name}" cannot be reached for copies')
+def step_unreachable(context: typing.Any, name: str) -> None:
+    failed = relay.CopyFailed('refused', refused=False)
+    context.port.copy_results = {'b': failed, 'c': failed}
+
+
+@behave.then('at most {count:d} copies were ordered')
+def step_copies_ordered(context: typing.Any, count: int) -> None:
+    assert 0 < len(context.port.copies) <= count, len(context.port.copies)
+
+
 def make_later_event(kind: str, number: int) -> relay.StreamEvent:
     match kind.split():
         case ['event', text]:
@@ -437,6 +479,11 @@
     context.port.on_copy = leave
 
 
+@behave.then('{count:d} earlier runs were open at the last of them')
+def step_open_runs(context: typing.Any, count: int) -> None:
+    assert context.open_sources[-1] == count, context.open_sources
+
+
 @behave.given('"{name}" does not answer for {seconds:d} seconds')
 def step_hangs(context: typing.Any, name: str, seconds: int) -> None:
     context.port.on_hang[name] = lambda: context.clock.advance(seconds)
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -60,6 +60,50 @@
     Then the caller received each event once, in order, and the end
     And the request was sent to targets "a"
 
+  # Guards against a run that breaks off with its engine although its route
+  # lets it start anew.
+  Scenario Outline: A run that no engine takes starts anew before its end
+    Given a <kind> stream of events 1 to 7
+    And its route allows <attempts> attempts
+    And engine "a" stops after <notice> s
+    And "a" leaves after events 1 to 3 and sends events 4 and 5 every 0.45 s
+    And "b" refuses the copy
+    And "c" refuses the copy
+    And "b" streams events 6 to 7 and ends
+    When the request is relayed
+    Then the request was sent to targets "<targets>"
+    And <open> earlier runs were open at the last of them
+
+    # Without a time or with a later one, "a" breaks off before it stops.
+    Examples:
+      | kind      | attempts | notice | targets | open |
+      | resumable | 2        | 1.3    | a,b     | 1    |
+      | resumable | 2        | 1.5    | a,b     | 0    |
+      | resumable | 2        | no     | a,b     | 0    |
+      | resumable | 1        | 1.3    | a       | 0    |
+      | single    | 1        | 1.3    | a       | 0    |
+
+  Scenario: A run is kept on its engine until it has started anew
+    Given a resumable stream of events 1 to 7
+    And engine "a" stops after 1.3 s
+    And "a" leaves after events 1 to 3 and sends events 4 and 5 every 0.45 s
+    And "b" refuses the copy
+    And "c" refuses the copy
+    And "b" streams events 6 to 7 and ends
+    When the request is relayed
+    Then the caller received each event once, in order, and the end
+    And "b" started from event 5
+    And the run on "a" was still open when the request was sent to "b"
+    And every run was closed and every placement released
+
+  # Guards against a loop of orders to an engine that is gone.
+  Scenario: An engine that cannot be reached is not asked for copies at once
+    Given a single stream of events 1 to 7
+    And "a" leaves after events 1 to 3 and sends events 4 and 5 every 0.45 s
+    And "a" cannot be reached for copies
+    When the request is relayed
+    Then at most 10 copies were ordered
+
   Scenario: A run resumes on its backup when its engine announces that it leaves
     Given a single stream of events 1 to 5
     And "b" holds a copy ahead
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -207,6 +207,8 @@
         self.names = names
         self.leaving: set[str] = set()
         self.backup: str | None = None
+        self.stops_at: dict[str, float] = {}
+        """When each leaving engine stops, in epoch seconds."""
         self.placements: list[RecordingPlacement] = []
         self.budget = targets.RetryBudget(ratio=1.0, get_extra=lambda: 10.0)
         self.requests = 0
@@ -229,7 +231,7 @@
         raise core.CodedError(core.ErrorCode.NO_TARGET, 'none', resend=True)
 
     def place_on(
-        self, request: relay.RelayRequest, target: str
+        self, request: relay.RelayRequest, target: str, tokens: int
     ) -> RecordingPlacement:
         return self._add(target)
 
@@ -243,6 +245,7 @@
         request: relay.RelayRequest,
         source: core.Target,
         refused: frozenset[str],
+        tokens: int,
     ) -> core.EngineTarget | None:
         for name in self.names:
             if name not in refused and name not in self.leaving:
@@ -250,6 +253,9 @@
                     return make_target(name)
         return None
 
+    def find_stop_time(self, target: str) -> float | None:
+        return self.stops_at.get(target)
+
     def estimate_copy(self, source: core.Target, tokens: int) -> float:
         return tokens * 0.0001
 
