Copy a run ahead where that saves more work than it displaces

Cause: a run got a growing copy only on an engine whose memory in use stayed under 0.3 with it. In a crowded fleet almost no run had one, and in a calm one copies were made although no engine was lost.

Change: the rule is replaced by a decision in seconds of work (_backups.decide). Its gain is the chance that the engine is lost before the run ends, times the work that is lost then: all of it where the route does not allow a new run, the prefill and a fifth of the work where it does, less for lower priorities. Its cost is the work of a run of the same size times the chance that this engine and the others are full, and a quarter of the time on the link. The rate of losses (_hazards) is learned from engines that leave or disappear; ejections raise the rate of one engine.

Engines for copies ahead and at a notice are now compared by one object (callers/_copy_targets.py), which compares up to 12 engines of the region.

Results: features of targets, callers and platform pass.

--- a/packages/laburnumstep/src/laburnumstep/callers/_copy_targets.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_copy_targets.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import math
 import random
 import typing
 
 from laburnumstep import core
 from laburnumstep import targets
+from laburnumstep.targets import relay
 
 if typing.TYPE_CHECKING:
     from laburnumstep.callers import _engine_placer
-    from laburnumstep.targets import relay
 
+CROSS_CENTRE_COPY_FACTOR = 2.0
+"""Factor on the copy time if the destination is in another data centre."""
 MAX_COMPARED = 12
 """Most engines compared for one copy. Forecasts of all engines of a large
 fleet for each copy would take milliseconds."""
 
+_LOGGER = core.get_logger('callers')
+
 
 class CopyTargets:
     """Finds engines for copies of runs.
@@ -58,6 +63,76 @@
         room = targets.draw_destination(rooms, self._rng)
         return self.find_engine(room.name) if room is not None else None
 
+    def choose_backup(
+        self,
+        request: relay.RelayRequest,
+        source: core.Target,
+        tokens: int,
+        engines: list[targets.TargetState],
+    ) -> core.EngineTarget | None:
+        """Return an engine for the growing copy of a run, if it pays.
+
+        Args:
+            request: The request that runs.
+            source: Engine that runs it.
+            tokens: Length of its answer so far, in tokens.
+            engines: Engines that may take it.
+        """
+        run = self.describe_run(request, tokens)
+        if run is None or not isinstance(source, core.EngineTarget):
+            return None
+        rooms = [
+            targets.BackupRoom(
+                room.name,
+                room.utilization,
+                run.kv_tokens
+                * source.copy_seconds
+                * (1.0 if room.near else CROSS_CENTRE_COPY_FACTOR),
+            )
+            for room in self.measure_rooms(run, source, engines)
+        ]
+        at_risk = self._describe_risk(request, source, tokens, run.remaining)
+        decision = targets.decide_backup(at_risk, rooms, self._rng)
+        _LOGGER.info(
+            'backup decided; request=%s target=%s backup=%s gain_ms=%d'
+            ' cost_ms=%s loss_chance=%.3f',
+            request.key,
+            source.name,
+            getattr(decision, 'name', '-'),
+            decision.gain * 1000,
+            _format_cost(decision.cost),
+            at_risk.loss_chance,
+        )
+        match decision:
+            case targets.BackUp(name=name):
+                return self.find_engine(name)
+            case targets.NoBackup():
+                return None
+            case _:
+                typing.assert_never(decision)
+
+    def _describe_risk(
+        self,
+        request: relay.RelayRequest,
+        source: core.EngineTarget,
+        tokens: int,
+        remaining: float,
+    ) -> targets.RunAtRisk:
+        view = self._state.view
+        token_seconds = view.token_seconds
+        if token_seconds is None:
+            token_seconds = targets.DEFAULT_TOKEN_SECONDS
+        prompt = request.prompt
+        return targets.RunAtRisk(
+            prompt.prompt_tokens if prompt is not None else 0,
+            tokens,
+            remaining,
+            token_seconds,
+            request.priority,
+            relay.is_repeatable(request.route.kind),
+            view.hazards.estimate(source.name, self._state.clock.now()),
+        )
+
     def describe_run(
         self, request: relay.RelayRequest, tokens: int
     ) -> targets.CopiedRun | None:
@@ -134,3 +209,8 @@
         if state is None or not isinstance(state.declared, core.EngineTarget):
             return None
         return state.declared
+
+
+def _format_cost(seconds: float) -> str:
+    """Return a cost for the log; none if no engine has room."""
+    return f'{seconds * 1000:.0f}' if math.isfinite(seconds) else '-'
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -24,11 +24,6 @@
 
 NO_TARGET_RESEND_SECONDS = 0.5
 """Delay before the caller resends if no target is usable, in seconds."""
-BACKUP_MEMORY_FRACTION = 0.3
-"""Maximum utilization of an engine's memory with a backup copy of another
-engine's run. A copy cannot be preempted, so the rest is left to new runs."""
-CROSS_CENTRE_COPY_FACTOR = 2.0
-"""Factor on the copy time if the destination is in another data centre."""
 
 _LOGGER = core.get_logger('callers')
 
@@ -59,7 +54,6 @@
         self._state = state
         self._admission = admission
         self._make_budget = make_budget
-        self._weights = weights
         self._budgets: dict[str, targets.RetryBudget] = {}
         self._rng = random.Random()
         self._gate = gate
@@ -108,16 +102,17 @@
         return self._begin(request, target, tokens)
 
     def choose_backup(
-        self, request: relay.RelayRequest, target: core.Target
+        self, request: relay.RelayRequest, target: core.Target, tokens: int
     ) -> core.EngineTarget | None:
         """Return an engine for the backup copy of a run, if any.
 
         Args:
             request: The request that runs.
             target: Engine that runs it.
+            tokens: Length of its answer so far, in tokens.
         """
-        return self._choose_nearest(
-            request, target, frozenset(), BACKUP_MEMORY_FRACTION
+        return self._copy_targets.choose_backup(
+            request, target, tokens, self._list_other_engines(target)
         )
 
     def choose_destination(
@@ -167,7 +162,7 @@
         centres = {peer.declared.data_centre for peer in peers}
         if source.data_centre in centres:
             return seconds
-        return CROSS_CENTRE_COPY_FACTOR * seconds
+        return _copy_targets.CROSS_CENTRE_COPY_FACTOR * seconds
 
     def is_usable(self, target: str) -> bool:
         """Return whether a target accepts new work."""
@@ -230,62 +225,6 @@
             names[0] for names in by_region.values() if len(names) == 1
         )
 
-    def _choose_nearest(
-        self,
-        request: relay.RelayRequest,
-        source: core.Target,
-        refused: frozenset[str],
-        memory_fraction: float,
-    ) -> core.EngineTarget | None:
-        """Return an engine for a copy of a run, in the region of its source.
-
-        Engines in the data centre of the source are preferred.
-        """
-        state = self._state.view.find(source.name)
-        region = state.region if state is not None else None
-        peers = self._list_other_engines(source)
-        refused |= {source.name}
-        other_centres = frozenset(
-            peer.declared.name
-            for peer in peers
-            if peer.declared.data_centre != source.data_centre
-        )
-        other_regions = frozenset(
-            peer.declared.name for peer in peers if peer.region != region
-        )
-        for outside in (other_centres, other_regions):
-            found = self._choose_engine(
-                request, refused | outside, memory_fraction
-            )
-            if found is not None:
-                return found
-        return None
-
-    def _choose_engine(
-        self,
-        request: relay.RelayRequest,
-        excluded: frozenset[str],
-        memory_fraction: float,
-    ) -> core.EngineTarget | None:
-        if request.prompt is None:
-            return None
-        placement_request = _make_placement_request(
-            request, request.prompt, excluded
-        )
-        placement = targets.choose_engine(
-            self._state.view,
-            attrs.evolve(placement_request, memory_fraction=memory_fraction),
-            self._state.lengths,
-            self._weights,
-            self._rng,
-        )
-        if not isinstance(placement, targets.Placed):
-            return None
-        state = self._state.view.find(placement.target)
-        if state is None or not isinstance(state.declared, core.EngineTarget):
-            return None
-        return state.declared
-
     def _get_budget(self, request: relay.RelayRequest) -> targets.RetryBudget:
         budget = self._budgets.get(request.service)
         if budget is None:
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -1,6 +1,13 @@
 """Placement, dispatch and observation of engines and plain services."""
 
 from laburnumstep.targets._abandoned import AbandonedGenerations
+from laburnumstep.targets._backups import BackUp
+from laburnumstep.targets._backups import BackupDecision
+from laburnumstep.targets._backups import BackupRoom
+from laburnumstep.targets._backups import decide as decide_backup
+from laburnumstep.targets._backups import DEFAULT_TOKEN_SECONDS
+from laburnumstep.targets._backups import NoBackup
+from laburnumstep.targets._backups import RunAtRisk
 from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
@@ -39,6 +46,7 @@
 from laburnumstep.targets._generation_ports import GenerationSink
 from laburnumstep.targets._generation_ports import PlacedGeneration
 from laburnumstep.targets._generation_runner import GenerationRunner
+from laburnumstep.targets._hazards import EngineHazards
 from laburnumstep.targets._hints import CacheEvent
 from laburnumstep.targets._hints import CacheEventKind
 from laburnumstep.targets._hints import PrefixHints
@@ -110,6 +118,9 @@
     'AbandonedGenerations',
     'Accepted',
     'Answered',
+    'BackUp',
+    'BackupDecision',
+    'BackupRoom',
     'CacheEvent',
     'CacheEventKind',
     'CallRunner',
@@ -122,9 +133,11 @@
     'CrashMonitor',
     'CrashReport',
     'Culprit',
+    'DEFAULT_TOKEN_SECONDS',
     'EVIDENCE_SECONDS',
     'EngineClient',
     'EngineClients',
+    'EngineHazards',
     'EventDecoder',
     'EventRate',
     'Failed',
@@ -146,6 +159,7 @@
     'LoadReport',
     'MalformedStream',
     'MemoryPolicy',
+    'NoBackup',
     'NoRoom',
     'NoTarget',
     'NotReached',
@@ -168,6 +182,7 @@
     'Retry',
     'RetryBudget',
     'RetryDecision',
+    'RunAtRisk',
     'Send',
     'ServiceAnswer',
     'ServiceClient',
@@ -189,6 +204,7 @@
     'choose_engine',
     'choose_service',
     'compare_models',
+    'decide_backup',
     'decide_retry',
     'decode_evidence',
     'decode_lengths',
--- a/packages/laburnumstep/src/laburnumstep/targets/_destinations.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_destinations.py
@@ -50,6 +50,13 @@
     if the memory will not be enough."""
     free_now: float
     """Memory that is free now with the run, in tokens."""
+    memory: float = 1.0
+    """Memory of the engine, in tokens."""
+
+    @property
+    def utilization(self) -> float:
+        """Fraction of the memory in use at the peak with the run."""
+        return COPY_MEMORY_FRACTION - self.free_later / max(1.0, self.memory)
 
 
 def estimate_remaining(
@@ -115,6 +122,7 @@
         near,
         limit - peak,
         limit - load.kv_used - run.kv_tokens,
+        float(state.memory),
     )
 
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -6,6 +6,7 @@
 import typing
 
 from laburnumstep import core
+from laburnumstep.targets import _hazards
 from laburnumstep.targets import _hints
 from laburnumstep.targets import _links
 from laburnumstep.targets import _pools
@@ -51,6 +52,8 @@
         """Prefixes that engines probably have in their caches."""
         self.links = _links.LinkMeter(clock)
         """Budgets of the links between regions."""
+        self.hazards = _hazards.EngineHazards(clock.now())
+        """Rates at which engines are lost."""
 
     @property
     def clock(self) -> core.Clock:
@@ -135,6 +138,7 @@
         state = self._states.get(target_name)
         if state is not None:
             state.failed_until = until
+            self.hazards.record_failure(target_name, self._clock.now())
             heapq.heappush(self._recovering, (until, target_name))
             self._update_pools(target_name, state)
             self._notify(self._pool_keys[target_name])
@@ -367,7 +371,12 @@
 
     def _update_pools(self, name: str, state: _states.TargetState) -> None:
         pool_keys: tuple[str, ...] = ()
-        if state.takes_requests(self._clock.now()):
+        now = self._clock.now()
+        if state.leaving:
+            self.hazards.record_loss(name, now)
+        elif isinstance(state.declared, core.EngineTarget):
+            self.hazards.add(name, now)
+        if state.takes_requests(now):
             pool_keys = list_pool_keys(state)
         for pool_key in self._pool_keys.get(name, ()):
             if pool_key not in pool_keys:
@@ -378,6 +387,9 @@
         self._pool_keys[name] = pool_keys
 
     def _remove(self, name: str) -> None:
+        now = self._clock.now()
+        self.hazards.record_loss(name, now)
+        self.hazards.remove(name, now)
         for pool_key in self._pool_keys.pop(name, ()):
             self._pools[pool_key].discard(name)
         del self._states[name]
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
@@ -106,13 +106,14 @@
         ...
 
     def choose_backup(
-        self, request: _ports.RelayRequest, target: core.Target
+        self, request: _ports.RelayRequest, target: core.Target, tokens: int
     ) -> core.EngineTarget | None:
         """Return an engine that can hold a backup of a run, if any.
 
         Args:
             request: The request that runs.
             target: Target that runs it.
+            tokens: Length of its answer so far, in tokens.
         """
         ...
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -246,7 +246,9 @@
             # Copying a run that has just migrated would delay the migration
             # of others to the same engine.
             return None
-        return self._placer.choose_backup(self._request, target)
+        return self._placer.choose_backup(
+            self._request, target, self._delivery.tokens
+        )
 
     async def _deliver(
         self, reader: _reading.RunReader, events: list[_ports.StreamEvent]
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -236,7 +236,7 @@
         return self._add(target)
 
     def choose_backup(
-        self, request: relay.RelayRequest, target: core.Target
+        self, request: relay.RelayRequest, target: core.Target, tokens: int
     ) -> core.EngineTarget | None:
         return make_target(self.backup) if self.backup else None
 
