--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -9,6 +9,7 @@
 
 from laburnumstep.callers import _admission_queue
 from laburnumstep.callers import _candidates
+from laburnumstep.callers import _copy_targets
 from laburnumstep.callers import _crash_refusals
 from laburnumstep.callers import _relay_placement
 from laburnumstep.callers import _returns
@@ -23,13 +24,6 @@
 
 NO_TARGET_RESEND_SECONDS = 0.5
 """Delay before the caller resends if no target is usable, in seconds."""
-BACKUP_MEMORY_FRACTION = 0.3
-"""Maximum utilization of an engine's memory with a backup copy of another
-engine's run. A copy cannot be preempted, so the rest is left to new runs."""
-MIGRATION_MEMORY_FRACTION = 0.97
-"""Maximum utilization of an engine's memory with a migrated run."""
-CROSS_CENTRE_COPY_FACTOR = 2.0
-"""Factor on the copy time if the destination is in another data centre."""
 
 _LOGGER = core.get_logger('callers')
 
@@ -60,7 +54,6 @@
         self._state = state
         self._admission = admission
         self._make_budget = make_budget
-        self._weights = weights
         self._budgets: dict[str, targets.RetryBudget] = {}
         self._rng = random.Random()
         self._gate = gate
@@ -68,6 +61,10 @@
         self._sampler = _candidates.CandidateSampler(
             state.view, state.clock, refresh, self._rng
         )
+        policy = targets.MemoryPolicy.from_weights(weights)
+        self._copy_targets = _copy_targets.CopyTargets(
+            state, policy.quantile, self._rng
+        )
 
     def record_request(self, request: relay.RelayRequest) -> None:
         """Count a request of a caller for the retry budget of its service."""
@@ -92,29 +89,35 @@
         return await self._place_generation(request, request.prompt, excluded)
 
     def place_on(
-        self, request: relay.RelayRequest, target: str
+        self, request: relay.RelayRequest, target: str, tokens: int
     ) -> _relay_placement.RelayPlacement | None:
         """Place a request on a named target.
 
+        Args:
+            request: The request.
+            target: Name of the target.
+            tokens: Length of its answer so far, in tokens.
+
         Returns:
             The placement, or None if the target is not declared or the
             request must not be sent to it.
         """
         if not self._state.view.permits(request.regions, target):
             return None
-        return self._begin(request, target)
+        return self._begin(request, target, tokens)
 
     def choose_backup(
-        self, request: relay.RelayRequest, target: core.Target
+        self, request: relay.RelayRequest, target: core.Target, tokens: int
     ) -> core.EngineTarget | None:
         """Return an engine for the backup copy of a run, if any.
 
         Args:
             request: The request that runs.
             target: Engine that runs it.
+            tokens: Length of its answer so far, in tokens.
         """
-        return self._choose_nearest(
-            request, target, frozenset(), BACKUP_MEMORY_FRACTION
+        return self._copy_targets.choose_backup(
+            request, target, tokens, self._list_permitted(request, target)
         )
 
     def choose_destination(
@@ -122,22 +125,34 @@
         request: relay.RelayRequest,
         source: core.Target,
         refused: frozenset[str],
+        tokens: int,
     ) -> core.EngineTarget | None:
         """Return an engine to migrate a run to, if any.
 
-        Engines in the data centre of the source come first: a copy within a
-        data centre takes half as long as one between two, and a leaving
-        engine has little time to migrate all of its runs.
-
         Args:
             request: The request that runs.
             source: Engine that runs it.
             refused: Engines that had no capacity for it.
+            tokens: Length of its answer so far, in tokens.
         """
-        return self._choose_nearest(
-            request, source, refused, MIGRATION_MEMORY_FRACTION
+        engines = [
+            engine
+            for engine in self._list_permitted(request, source)
+            if engine.declared.name not in refused
+        ]
+        return self._copy_targets.choose_destination(
+            request, source, tokens, engines
         )
 
+    def find_stop_time(self, target: str) -> float | None:
+        """Return when a leaving engine stops, in epoch seconds, if known.
+
+        Args:
+            target: Name of the engine.
+        """
+        state = self._state.view.find(target)
+        return state.stops_at if state is not None else None
+
     def estimate_copy(self, source: core.Target, tokens: int) -> float:
         """Estimate the time to copy a run to another engine, in seconds.
 
@@ -152,7 +167,7 @@
         centres = {peer.declared.data_centre for peer in peers}
         if source.data_centre in centres:
             return seconds
-        return CROSS_CENTRE_COPY_FACTOR * seconds
+        return _copy_targets.CROSS_CENTRE_COPY_FACTOR * seconds
 
     def is_usable(self, target: str) -> bool:
         """Return whether a target accepts new work."""
@@ -201,6 +216,16 @@
             if state.declared.name != source.name
         ]
 
+    def _list_permitted(
+        self, request: relay.RelayRequest, source: core.Target
+    ) -> list[targets.TargetState]:
+        """Return the other engines to which a run may be copied."""
+        return [
+            state
+            for state in self._list_other_engines(source)
+            if self._state.view.permits(request.regions, state.declared.name)
+        ]
+
     def _list_isolated_engines(self) -> frozenset[str]:
         """Return the usable engines that are the only one in their region.
 
@@ -215,62 +240,6 @@
             names[0] for names in by_region.values() if len(names) == 1
         )
 
-    def _choose_nearest(
-        self,
-        request: relay.RelayRequest,
-        source: core.Target,
-        refused: frozenset[str],
-        memory_fraction: float,
-    ) -> core.EngineTarget | None:
-        """Return an engine for a copy of a run, in the region of its source.
-
-        Engines in the data centre of the source are preferred.
-        """
-        state = self._state.view.find(source.name)
-        region = state.region if state is not None else None
-        peers = self._list_other_engines(source)
-        refused |= {source.name}
-        other_centres = frozenset(
-            peer.declared.name
-            for peer in peers
-            if peer.declared.data_centre != source.data_centre
-        )
-        other_regions = frozenset(
-            peer.declared.name for peer in peers if peer.region != region
-        )
-        for outside in (other_centres, other_regions):
-            found = self._choose_engine(
-                request, refused | outside, memory_fraction
-            )
-            if found is not None:
-                return found
-        return None
-
-    def _choose_engine(
-        self,
-        request: relay.RelayRequest,
-        excluded: frozenset[str],
-        memory_fraction: float,
-    ) -> core.EngineTarget | None:
-        if request.prompt is None:
-            return None
-        placement_request = _make_placement_request(
-            request, request.prompt, excluded
-        )
-        placement = targets.choose_engine(
-            self._state.view,
-            attrs.evolve(placement_request, memory_fraction=memory_fraction),
-            self._state.lengths,
-            self._weights,
-            self._rng,
-        )
-        if not isinstance(placement, targets.Placed):
-            return None
-        state = self._state.view.find(placement.target)
-        if state is None or not isinstance(state.declared, core.EngineTarget):
-            return None
-        return state.declared
-
     def _get_budget(self, request: relay.RelayRequest) -> targets.RetryBudget:
         budget = self._budgets.get(request.service)
         if budget is None:
@@ -377,18 +346,21 @@
                 typing.assert_never(result)
 
     def _begin(
-        self, request: relay.RelayRequest, target: str
+        self, request: relay.RelayRequest, target: str, tokens: int = 0
     ) -> _relay_placement.RelayPlacement:
         prompt = request.prompt
+        hinted = prompt.hinted_tokens if prompt is not None else None
+        if hinted is not None:
+            hinted = hinted - tokens if hinted > tokens else None
         send = self._state.view.begin(
             target,
             targets.new_generation_id(),
             request.workspace,
             prompt.model if prompt is not None else '',
-            prompt.prompt_tokens if prompt is not None else 0,
+            prompt.prompt_tokens + tokens if prompt is not None else 0,
             0.0,
-            prompt.max_tokens if prompt is not None else None,
-            hinted_tokens=prompt.hinted_tokens if prompt is not None else None,
+            max(0, prompt.max_tokens - tokens) if prompt is not None else None,
+            hinted_tokens=hinted,
         )
         return self._make_placement(request, send)
 
--- a/packages/laburnumstep/src/laburnumstep/core/_routes.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_routes.py
@@ -65,6 +65,10 @@
     """Whether requests are accepted without a key."""
     regions: _regions.Regions = _regions.AnyRegion()
     """Regions in which the requests may run."""
+    first_answer_seconds: float | None = None
+    """Objective for the time to the first byte or event, in seconds."""
+    gap_seconds: float | None = None
+    """Objective for the longest pause between two events, in seconds."""
 
     def choose_service(self, rng: random.Random) -> str:
         """Return the service for one request, drawn at random by weight."""
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -145,6 +145,8 @@
         priority=-int(item.get('priority', 0)),
         public=bool(item.get('skipAuth', False)),
         regions=_decode_regions(item),
+        first_answer_seconds=_decode_seconds(item, 'targetLatencyMs'),
+        gap_seconds=_decode_seconds(item, 'targetGapMs'),
     )
 
 
@@ -166,6 +168,12 @@
     return core.OnlyRegions(frozenset(names))
 
 
+def _decode_seconds(item: dict[str, typing.Any], name: str) -> float | None:
+    """Return a time that the configuration may give in milliseconds."""
+    milliseconds = item.get(name)
+    return None if milliseconds is None else float(milliseconds) / 1000
+
+
 def _decode_kind(item: dict[str, typing.Any]) -> core.RouteKind:
     match item['kind']:
         case 'safe':
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -1,6 +1,13 @@
 """Placement, dispatch and observation of engines and plain services."""
 
 from laburnumstep.targets._abandoned import AbandonedGenerations
+from laburnumstep.targets._backups import BackUp
+from laburnumstep.targets._backups import BackupDecision
+from laburnumstep.targets._backups import BackupRoom
+from laburnumstep.targets._backups import decide as decide_backup
+from laburnumstep.targets._backups import DEFAULT_TOKEN_SECONDS
+from laburnumstep.targets._backups import NoBackup
+from laburnumstep.targets._backups import RunAtRisk
 from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
@@ -15,6 +22,11 @@
 from laburnumstep.targets._crashes import CrashEvidence
 from laburnumstep.targets._crashes import CrashReport
 from laburnumstep.targets._crashes import OperatorRefusal
+from laburnumstep.targets._destinations import CopiedRun
+from laburnumstep.targets._destinations import CopyRoom
+from laburnumstep.targets._destinations import draw_destination
+from laburnumstep.targets._destinations import estimate_remaining
+from laburnumstep.targets._destinations import measure_room
 from laburnumstep.targets._engine_client import EngineClient
 from laburnumstep.targets._engine_client import new_generation_id
 from laburnumstep.targets._engine_client import StreamBroken
@@ -34,6 +46,7 @@
 from laburnumstep.targets._generation_ports import GenerationSink
 from laburnumstep.targets._generation_ports import PlacedGeneration
 from laburnumstep.targets._generation_runner import GenerationRunner
+from laburnumstep.targets._hazards import EngineHazards
 from laburnumstep.targets._hints import CacheEvent
 from laburnumstep.targets._hints import CacheEventKind
 from laburnumstep.targets._hints import PrefixHints
@@ -109,19 +122,26 @@
     'AbandonedGenerations',
     'Accepted',
     'Answered',
+    'BackUp',
+    'BackupDecision',
+    'BackupRoom',
     'CacheEvent',
     'CacheEventKind',
     'CallRunner',
     'ClaimStore',
     'Clearance',
+    'CopiedRun',
+    'CopyRoom',
     'CrashEvidence',
     'CrashLedger',
     'CrashMonitor',
     'CrashReport',
     'Culprit',
+    'DEFAULT_TOKEN_SECONDS',
     'EVIDENCE_SECONDS',
     'EngineClient',
     'EngineClients',
+    'EngineHazards',
     'EventDecoder',
     'EventRate',
     'Failed',
@@ -145,6 +165,7 @@
     'MAX_BACK_OFF_SECONDS',
     'MalformedStream',
     'MemoryPolicy',
+    'NoBackup',
     'NoRoom',
     'NoTarget',
     'NotReached',
@@ -167,6 +188,7 @@
     'Retry',
     'RetryBudget',
     'RetryDecision',
+    'RunAtRisk',
     'SelfReport',
     'Send',
     'ServiceAnswer',
@@ -190,6 +212,7 @@
     'choose_engine',
     'choose_service',
     'compare_models',
+    'decide_backup',
     'decide_retry',
     'decode_evidence',
     'decode_lengths',
@@ -197,8 +220,10 @@
     'digest_fields',
     'digest_prefixes',
     'digest_traits',
+    'draw_destination',
     'encode_evidence',
     'encode_lengths',
+    'estimate_remaining',
     'fingerprint_call',
     'fingerprint_generation',
     'get_service_pool_key',
@@ -207,6 +232,7 @@
     'list_part_traits',
     'list_unfinished',
     'make_refusal_check',
+    'measure_room',
     'new_generation_id',
     'parse_trait',
     'sample_engines',
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_checked_port.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_checked_port.py
@@ -71,10 +71,29 @@
             case _:
                 typing.assert_never(verdict)
 
+    async def move_run(
+        self,
+        request: _ports.RelayRequest,
+        source: core.Target,
+        destination: core.Target,
+        deadline: float,
+    ) -> _ports.MoveResult:
+        """Stop a run and move it to another engine if it may run there."""
+        verdict = self._rules.check(request.regions, destination)
+        match verdict:
+            case places.Forbidden(reason=reason):
+                return _ports.NotMoved(reason)
+            case places.Permitted():
+                return await self._port.move_run(
+                    request, source, destination, deadline
+                )
+            case _:
+                typing.assert_never(verdict)
+
     async def list_runs(
         self, target: core.Target, deadline: float
-    ) -> list[_ports.EngineRun]:
-        """Return the runs of an engine, or none if it does not answer."""
+    ) -> _ports.RunListResult:
+        """Return the runs of an engine, or why they are not known."""
         return await self._port.list_runs(target, deadline)
 
     def get_backup_reference(
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
@@ -94,19 +94,26 @@
         ...
 
     def place_on(
-        self, request: _ports.RelayRequest, target: str
+        self, request: _ports.RelayRequest, target: str, tokens: int
     ) -> RelayPlacement | None:
-        """Return a placement on a target, or None if it is not declared."""
+        """Return a placement on a target, or None if it is not declared.
+
+        Args:
+            request: The request.
+            target: Name of the target.
+            tokens: Length of its answer so far, in tokens.
+        """
         ...
 
     def choose_backup(
-        self, request: _ports.RelayRequest, target: core.Target
+        self, request: _ports.RelayRequest, target: core.Target, tokens: int
     ) -> core.EngineTarget | None:
         """Return an engine that can hold a backup of a run, if any.
 
         Args:
             request: The request that runs.
             target: Target that runs it.
+            tokens: Length of its answer so far, in tokens.
         """
         ...
 
@@ -115,6 +122,7 @@
         request: _ports.RelayRequest,
         source: core.Target,
         refused: frozenset[str],
+        tokens: int,
     ) -> core.EngineTarget | None:
         """Return an engine to which a run can be migrated, if any.
 
@@ -122,9 +130,14 @@
             request: The request that runs.
             source: Engine that runs it.
             refused: Engines that refused the copy.
+            tokens: Length of its answer so far, in tokens.
         """
         ...
 
+    def find_stop_time(self, target: str) -> float | None:
+        """Return when a leaving engine stops, in epoch seconds, if known."""
+        ...
+
     def estimate_copy(self, source: core.Target, tokens: int) -> float:
         """Return the estimated time to copy a run, in seconds.
 
--- a/tests/laburnumstep/platform/steps/event_floods_steps.py
+++ b/tests/laburnumstep/platform/steps/event_floods_steps.py
@@ -5,6 +5,7 @@
 import typing
 
 import anyio
+import anyio.lowlevel
 import behave
 
 from laburnumstep import core
@@ -94,6 +95,18 @@
     )
     hooks.enter_context(context, context.harness.run())
     context.portal.call(context.harness.write_configuration)
+    # Requests that arrive before the configuration are refused.
+    clocks.run_bounded(context, wait_for_configuration, context.harness)
+
+
+async def wait_for_configuration(
+    harness: platform_harness.PlatformHarness,
+) -> None:
+    data = platform_harness.encode_request('/safe/0', Attempt_Id='call-0')
+    while (
+        await platform_harness.send_raw(harness.address, data)
+    ).status != 200:
+        await anyio.lowlevel.checkpoint()
 
 
 async def send_until_flooded(context: typing.Any, count: int) -> None:
--- a/tests/laburnumstep/targets/places/steps/places_steps.py
+++ b/tests/laburnumstep/targets/places/steps/places_steps.py
@@ -19,6 +19,8 @@
 from support import permits
 from support import relay_fakes
 
+_MADE_TOKENS = 10
+"""Length of the answer of a run that is copied, in tokens."""
 CUZCO = core.Place('cuzco', ['cuzco-1'])
 
 
@@ -165,10 +167,20 @@
     context.source = find_engine(context, source)
 
 
+def choose_backup(context: typing.Any) -> core.EngineTarget | None:
+    """Return the backup of a run whose engine is likely to be lost."""
+    now = context.clock.now()
+    for name in context.deployment.targets:
+        context.view.hazards.record_loss(name, now)
+    return context.placer.choose_backup(
+        context.request, context.source, _MADE_TOKENS
+    )
+
+
 @behave.then('its backup is in "{region}"')
 @behave.then('its backup is in ""')
 def step_backup(context: typing.Any, region: str = '') -> None:
-    found = context.placer.choose_backup(context.request, context.source)
+    found = choose_backup(context)
     assert find_region(context, found) == region, found
 
 
@@ -176,7 +188,7 @@
 @behave.then('its copy goes to ""')
 def step_copy(context: typing.Any, region: str = '') -> None:
     found = context.placer.choose_destination(
-        context.request, context.source, frozenset()
+        context.request, context.source, frozenset(), _MADE_TOKENS
     )
     assert find_region(context, found) == region, found
 
@@ -184,7 +196,7 @@
 @behave.then('it can be placed on an engine in {region}: {answer}')
 def step_place_on(context: typing.Any, region: str, answer: str) -> None:
     name = find_engine(context, region).name
-    placement = context.placer.place_on(context.request, name)
+    placement = context.placer.place_on(context.request, name, 0)
     assert (placement is not None) == (answer == 'yes'), placement
 
 
@@ -348,7 +360,7 @@
 @behave.then('its backup is in data centre "{data_centre}"')
 @behave.then('its backup is in data centre ""')
 def step_backup_centre(context: typing.Any, data_centre: str = '') -> None:
-    found = context.placer.choose_backup(context.request, context.source)
+    found = choose_backup(context)
     assert find_data_centre(found) == data_centre, found
 
 
@@ -356,7 +368,7 @@
 @behave.then('its copy goes to data centre ""')
 def step_copy_centre(context: typing.Any, data_centre: str = '') -> None:
     found = context.placer.choose_destination(
-        context.request, context.source, frozenset()
+        context.request, context.source, frozenset(), _MADE_TOKENS
     )
     assert find_data_centre(found) == data_centre, found
 
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -186,6 +186,101 @@
     add_stream(context, name, [relay_fakes.make_events(first, last), broken])
 
 
+@behave.given(
+    '"{name}" streams events {first:d} to {last:d}, is silent for'
+    ' {seconds:g} s, and ends at {end:d}'
+)
+def step_silent(
+    context: typing.Any,
+    name: str,
+    first: int,
+    last: int,
+    seconds: float,
+    end: int,
+) -> None:
+    add_silent_stream(context, name, (first, last), seconds, end)
+
+
+@behave.given(
+    '"{name}" streams events {first:d} to {last:d}, is silent for'
+    ' {seconds:g} s, and breaks off'
+)
+def step_silent_break(
+    context: typing.Any, name: str, first: int, last: int, seconds: float
+) -> None:
+    broken = relay.StreamBroken('reset')
+    add_silent_stream(context, name, (first, last), seconds, last, broken)
+
+
+def add_silent_stream(
+    context: typing.Any,
+    name: str,
+    first: tuple[int, int],
+    seconds: float,
+    end: int,
+    error: Exception | None = None,
+) -> None:
+    """Add a stream that is silent for a while.
+
+    Args:
+        context: Context of the scenario.
+        name: Engine that streams.
+        first: First and last event before the silence.
+        seconds: Duration of the silence.
+        end: Last event after it.
+        error: Raised at the end instead of a regular end, if given.
+    """
+    steps = [
+        relay_fakes.make_events(*first),
+        relay_fakes.Silence(seconds),
+        relay_fakes.make_events(first[1] + 1, end),
+        error,
+    ]
+    add_stream(context, name, steps)
+
+
+@behave.given('engine "{name}" stops after {notice} s')
+def step_stops(context: typing.Any, name: str, notice: str) -> None:
+    if notice != 'no':
+        stops_at = context.clock.now() + float(notice)
+        context.placer.stops_at[name] = stops_at
+
+
+@behave.given(
+    '"{name}" leaves after events 1 to {last:d} and sends events {one:d} and'
+    ' {other:d} every {seconds:g} s'
+)
+def step_leaves_slowly(
+    context: typing.Any,
+    name: str,
+    last: int,
+    one: int,
+    other: int,
+    seconds: float,
+) -> None:
+    add_leaving_stream(context, name, last, last, None)
+    context.sources[-1].replace_last_step(
+        [
+            relay_fakes.Silence(seconds),
+            relay_fakes.make_events(one, one),
+            relay_fakes.Silence(seconds),
+            relay_fakes.make_events(other, other),
+            relay.StreamBroken('reset'),
+        ]
+    )
+
+
+@behave.given('"{name}" cannot be reached for copies')
+def step_unreachable(context: typing.Any, name: str) -> None:
+    failed = relay.CopyFailed('refused', refused=False)
+    context.port.copy_results = {'b': failed, 'c': failed}
+
+
+@behave.then('at most {count:d} copies were ordered')
+def step_copies_ordered(context: typing.Any, count: int) -> None:
+    assert 0 < len(context.port.copies) <= count, len(context.port.copies)
+
+
 def make_later_event(kind: str, number: int) -> relay.StreamEvent:
     match kind.split():
         case ['event', text]:
@@ -211,6 +306,7 @@
 ) -> None:
     def make_step(number: int) -> typing.Any:
         async def send_later() -> list[relay.StreamEvent]:
+            await relay_fakes.settle()
             context.clock.advance(seconds)
             return [make_later_event(kind, last + 1 + number)]
 
@@ -230,6 +326,12 @@
     assert found == [float(item) for item in deadlines.split(',')], found
 
 
+@behave.then('the run was moved from "{name}" {count:d} times')
+def step_moves(context: typing.Any, name: str, count: int) -> None:
+    sources = [source for source, _ in context.port.moves]
+    assert sources == [name] * count, context.port.moves
+
+
 @behave.given('"{name}" breaks off before its first event')
 def step_breaks_early(context: typing.Any, name: str) -> None:
     add_stream(context, name, [relay.StreamBroken('reset')])
@@ -345,7 +447,7 @@
 
     context.open_sources = []
     context.port.on_send = count_open
-    source = relay_fakes.FakeEventSource(steps)
+    source = relay_fakes.FakeEventSource(steps, context.clock)
     context.sources = [*getattr(context, 'sources', []), source]
     context.port.replies[name].append(relay.Streaming(200, [], source))
 
@@ -360,6 +462,30 @@
     assert context.open_sources == [0, 1], context.open_sources
 
 
+@behave.given('its route allows {attempts:d} attempts')
+def step_attempts(context: typing.Any, attempts: int) -> None:
+    route = attrs.evolve(context.request.route, attempts=attempts)
+    context.request = attrs.evolve(context.request, route=route)
+
+
+@behave.given('"{name}" is leaving')
+def step_is_leaving(context: typing.Any, name: str) -> None:
+    context.placer.leaving.add(name)
+
+
+@behave.given('all other engines leave after the first copy')
+def step_all_leave(context: typing.Any) -> None:
+    def leave() -> None:
+        context.placer.leaving |= {'b', 'c'}
+
+    context.port.on_copy = leave
+
+
+@behave.then('{count:d} earlier runs were open at the last of them')
+def step_open_runs(context: typing.Any, count: int) -> None:
+    assert context.open_sources[-1] == count, context.open_sources
+
+
 @behave.given('"{name}" does not answer for {seconds:d} seconds')
 def step_hangs(context: typing.Any, name: str, seconds: int) -> None:
     context.port.on_hang[name] = lambda: context.clock.advance(seconds)
@@ -375,20 +501,6 @@
     context.placer.backup = name
 
 
-@behave.given('"{name}" holds no copy')
-def step_no_backup(context: typing.Any, name: str) -> None:
-    context.placer.backup = None
-
-
-@behave.then(
-    'the read timeouts were {first:d} s at first and {later:d} s afterwards'
-)
-def step_read_timeouts(context: typing.Any, first: int, later: int) -> None:
-    now = context.clock.now()
-    timeouts = [limit - now for limit in context.sources[0].deadlines]
-    assert timeouts == [first, later], timeouts
-
-
 @behave.then('the caller received each event once, in order, and the end')
 def step_complete_stream(context: typing.Any) -> None:
     expected = b''.join(b'%d;' % n for n in range(1, context.last + 1))
