--- a/tests/run.py
+++ b/tests/run.py
@@ -18,6 +18,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent
 KNOWN_RED = ROOT.parent / 'KNOWN-RED.txt'
 PARALLEL_FOLDERS = 5
+ALONE = ('laburnumstep/platform/crowds',)
+"""Folders that run after the others, one at a time: their scenarios measure
+the memory of processes under load."""
 
 
 @attrs.frozen
@@ -53,6 +56,11 @@
     return [f for f in folders if any(n in str(f) for n in names)]
 
 
+def is_alone(folder: pathlib.Path) -> bool:
+    """Return whether a folder does not run beside others."""
+    return str(folder.relative_to(ROOT)) in ALONE
+
+
 def list_features(folder: pathlib.Path) -> list[str]:
     """Return the feature files of a folder, without its subfolders."""
     return [str(path) for path in sorted(folder.glob('*.feature'))]
@@ -124,7 +132,10 @@
     """
     folders = find_folders(sys.argv[1:])
     with concurrent.futures.ThreadPoolExecutor(PARALLEL_FOLDERS) as pool:
-        results = list(pool.map(run_folder, folders))
+        results = list(
+            pool.map(run_folder, [f for f in folders if not is_alone(f)])
+        )
+    results += [run_folder(folder) for folder in folders if is_alone(folder)]
     for result in results:
         if result.failed or result.crashed:
             print(result.output)
