Show that bounds on crowds leave single callers alone

platform/crowds/callers.feature: the largest body, five answers of 2 MB that were requested ahead and are read slowly, and 300 small ones arrive whole; heads and bodies that stop end within their timeouts.

--- a/tests/laburnumstep/platform/crowds/steps/crowds_steps.py
+++ b/tests/laburnumstep/platform/crowds/steps/crowds_steps.py
@@ -61,9 +61,15 @@
 
 @contextlib.asynccontextmanager
 async def run_process(
-    memory_mb: int, max_fds: int
+    memory_mb: int, max_fds: int, **timeouts: int
 ) -> typing.AsyncIterator[vm_process.VMProcess]:
-    """Run a process with a store and a server of each kind."""
+    """Run a process with a store and a server of each kind.
+
+    Args:
+        memory_mb: Memory limit of the process, in megabytes.
+        max_fds: Descriptor limit of the process.
+        **timeouts: Timeouts of the configuration to replace.
+    """
     store = platform_harness.FakeStore()
     servers = {
         'app': platform_harness.FakeServer('i-app'),
@@ -86,13 +92,15 @@
                     address, service=service, slots=400, **models
                 ),
             )
-        store.append_record('keyed.op', 'config', make_configuration())
+        store.append_record('keyed.op', 'config', make_configuration(timeouts))
         process = vm_process.VMProcess(store_address, memory_mb, max_fds)
         async with process.run():
             yield process
 
 
-def make_configuration() -> platform_harness.Document:
+def make_configuration(
+    timeouts: dict[str, int],
+) -> platform_harness.Document:
     base = platform_harness.make_configuration()
     safe = base['routes'][0]
     more = [
@@ -119,6 +127,7 @@
             'maxBodyBytes': MAX_BODY_BYTES,
             'headerTimeoutMs': 3000,
             'idleTimeoutMs': 15_000,
+            **timeouts,
         },
     }
 
