Close what a bounded connection could leave behind

Found by reading the change: a caller that got its answer early was closed while it sent the rest of its body, since dropped bytes counted as a head; a refusal that its caller did not accept kept its connection; a head that came ahead was timed while it could not be read; answers below the high-water mark were not counted; and each event looped over all connections.

--- a/packages/laburnumstep/src/laburnumstep/transport/_caller_budget.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_caller_budget.py
@@ -186,6 +186,7 @@
     def __init__(self, limits: CallerLimits) -> None:
         self._limits = limits
         self._holders: set[Holder] = set()
+        self._paused: set[Holder] = set()
         self._held_bytes = 0
         self._requests = 0
 
@@ -259,6 +260,9 @@
         self._held_bytes += holder.held_bytes
         if unaccepted != holder.unaccepted_bytes or not output:
             holder.progress_at = now
+        if not output:
+            # The next head could not be read until now.
+            holder.phase_since = now
         holder.unaccepted_bytes = unaccepted
         return self._shed() + self._resume(now)
 
@@ -334,8 +338,8 @@
         """Refuse large bodies if others were paused for too long."""
         expired = now - MAX_PAUSE_SECONDS
         while self._held_bytes > RESUME_FRACTION * self._limits.max_bytes:
-            paused = [h for h in self._holders if h.paused_at is not None]
-            if not any((h.paused_at or now) <= expired for h in paused):
+            waiting = (h.paused_at for h in self._paused)
+            if not any(at is not None and at <= expired for at in waiting):
                 return
             # Bodies that have stalled by themselves go first: the paused
             # ones wait for room.
@@ -347,7 +351,7 @@
                 and h.progress_at <= expired
                 and h.held_bytes >= LARGE_BYTES
             ]
-            victim = max(stalled or paused, key=_rank)
+            victim = max(stalled or self._paused, key=_rank)
             actions.append(self._refuse(victim, 503, 'memory is short'))
 
     def _slow_down(self, now: float) -> list[Action]:
@@ -365,17 +369,18 @@
             return []
         holder = max(large, key=_rank)
         holder.paused_at = now
+        self._paused.add(holder)
         return [PauseReading(holder)]
 
     def _resume(self, now: float) -> list[Action]:
         if self._held_bytes >= RESUME_FRACTION * self._limits.max_bytes:
             return []
         actions: list[Action] = []
-        for holder in self._holders:
-            if holder.paused_at is not None:
-                holder.paused_at = None
-                holder.progress_at = now
-                actions.append(ResumeReading(holder))
+        for holder in self._paused:
+            holder.paused_at = None
+            holder.progress_at = now
+            actions.append(ResumeReading(holder))
+        self._paused.clear()
         return actions
 
     def _shed(self, newcomer: Holder | None = None) -> list[Action]:
@@ -433,6 +438,7 @@
             self._held_bytes -= holder.held_bytes
             self._requests -= holder.is_request
         holder.is_request = False
+        self._paused.discard(holder)
         holder.paused_at = None
         holder.is_shed = True
 
--- a/packages/laburnumstep/src/laburnumstep/transport/_caller_connections.py
+++ b/packages/laburnumstep/src/laburnumstep/transport/_caller_connections.py
@@ -10,6 +10,7 @@
 import typing
 
 import anyio
+import h11
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import h11_impl
 
@@ -27,6 +28,8 @@
 Streams that are not read hold several times that."""
 CHECK_SECONDS = 1.0
 """Interval of the checks for connections that have stalled, in seconds."""
+REFUSAL_SECONDS = 5.0
+"""How long a refused caller may take to accept the refusal, in seconds."""
 RETRY_AFTER_SECONDS = 1.0
 """When a refused caller may send its request again, in seconds."""
 _HOLDER = 'laburnumstep.holder'
@@ -95,9 +98,8 @@
         """Check for stalled connections until cancelled."""
         while True:
             await anyio.sleep(CHECK_SECONDS)
-            for holder, connection in list(self._connections.items()):
-                if holder.output_bytes:
-                    connection.report_output()
+            for connection in list(self._connections.values()):
+                connection.check()
             self.apply(self.budget.check(self.now(), self._find_timeouts()))
 
     def wrap(self, app: types.ASGIApp) -> types.ASGIApp:
@@ -204,6 +206,7 @@
         super().__init__(**arguments)
         self._guard = guard
         self._received_bytes = 0
+        self._refused_at: float | None = None
         self._deferred: h11_impl.RequestResponseCycle | None = None
         self._held_flow: _HeldFlow
         self._holder: _caller_budget.Holder
@@ -231,6 +234,8 @@
             return
         self._received_bytes += len(data)
         super().data_received(data)
+        if self._is_discarding():
+            self._received_bytes = 0
         self._report()
 
     def on_response_complete(self) -> None:
@@ -258,9 +263,7 @@
 
     def report_output(self) -> None:
         """Report what the peer has not accepted."""
-        waiting = 0
-        if self.flow.write_paused:
-            waiting = self.transport.get_write_buffer_size()
+        waiting = self.transport.get_write_buffer_size()
         unaccepted = waiting + self._count_kernel_bytes()
         self._guard.apply(
             self._guard.budget.record_output(
@@ -268,6 +271,14 @@
             )
         )
 
+    def check(self) -> None:
+        """Report an answer that waits, and end a refusal that waits."""
+        if self._holder.output_bytes or self.transport.get_write_buffer_size():
+            self.report_output()
+        if self._refused_at is not None:
+            if self._guard.now() - self._refused_at > REFUSAL_SECONDS:
+                self.abort()
+
     def pause_request(self) -> None:
         """Stop reading the request."""
         self._held_flow.hold()
@@ -279,6 +290,7 @@
     def refuse(self, status: int) -> None:
         """Refuse the request whose body is incomplete."""
         self.refusal = status
+        self._refused_at = self._guard.now()
         self._held_flow.hold()
         if self.cycle is not None:
             self.cycle.body = bytearray()
@@ -300,8 +312,15 @@
             )
         )
 
+    def _is_discarding(self) -> bool:
+        """Return whether the rest of an answered request is dropped."""
+        is_answered = self.cycle is not None and self.cycle.response_complete
+        return is_answered and self.conn.their_state is h11.SEND_BODY
+
     def _find_phase(self) -> _caller_budget.Phase:
         cycle = self.cycle
+        if self._is_discarding():
+            return _caller_budget.Phase.BODY
         if cycle is None or cycle.response_complete:
             if self._received_bytes:
                 return _caller_budget.Phase.HEAD
--- a/tests/laburnumstep/platform/crowds/callers.feature
+++ b/tests/laburnumstep/platform/crowds/callers.feature
@@ -15,6 +15,11 @@
       | 5 requests for 2 MB each         | 4096  | 5     | 2000000 |
       | 300 requests for 4 bytes each    | 100   | 300   | 6       |
 
+  Scenario: A request is answered before its body has arrived
+    Given a process whose configuration allows 200 ms for heads and pauses
+    When a caller sends a body of 4 MB for no route and a request, slowly
+    Then its answers have the statuses 404 and 200
+
   Scenario Outline: A caller that stops in the middle
     Given a process whose configuration allows 200 ms for heads and pauses
     When a caller sends <message> and waits for the end
--- a/tests/laburnumstep/platform/crowds/steps/callers_steps.py
+++ b/tests/laburnumstep/platform/crowds/steps/callers_steps.py
@@ -15,6 +15,8 @@
 
 END_SECONDS = 15.0
 """Longest wait for all answers or for the end, in seconds."""
+PART_SECONDS = 0.1
+"""Pause between two parts of a body, in seconds."""
 _RECEIVE_BUFFER_BYTES = 65536
 """Less than an answer, so that a part of it waits in the process."""
 
@@ -139,6 +141,48 @@
     )
 
 
+async def send_slowly(stream: anyio.abc.SocketStream, data: bytes) -> None:
+    """Send for longer than a head may take, without a long pause."""
+    part = len(data) // 30 + 1
+    for start in range(0, len(data), part):
+        await stream.send(data[start : start + part])
+        await anyio.sleep(PART_SECONDS)
+
+
+async def exchange_early(port: int) -> list[int]:
+    """Return the statuses of an answer that comes early and the next one."""
+    encode = platform_harness.encode_request
+    data = encode('/none/x', 'POST', bytes(4_000_000))
+    data += encode('/safe/x', 'POST', b'body')
+    protocol = h11.Connection(h11.CLIENT)
+    statuses = []
+    with anyio.fail_after(END_SECONDS):
+        async with (
+            await anyio.connect_tcp('127.0.0.1', port) as stream,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(send_slowly, stream, data)
+            for _ in range(2):
+                answer = await read_answer(protocol, stream, 65536)
+                statuses.append(answer[0] if answer is not None else 0)
+            tasks.cancel_scope.cancel()
+    return statuses
+
+
+@behave.when(
+    'a caller sends a body of 4 MB for no route and a request, slowly'
+)
+def step_early(context: typing.Any) -> None:
+    context.statuses = context.portal.call(
+        exchange_early, context.process.port
+    )
+
+
+@behave.then('its answers have the statuses 404 and 200')
+def step_statuses(context: typing.Any) -> None:
+    assert context.statuses == [404, 200], context.statuses
+
+
 @behave.then('it gets no answer')
 def step_none(context: typing.Any) -> None:
     assert context.answers == [], context.answers
