--- a/tests/laburnumstep/targets/backups.feature
+++ b/tests/laburnumstep/targets/backups.feature
@@ -23,7 +23,8 @@
       | kind   | priority | each | use           | result |
       | single | 0        | 100  | 0.3, 0.1, 0.1 | copied |
       | single | 0        | 100  | 0.3, 0.9, 0.9 | single |
-      | single | 0        | 5    | 0.98, 0.99    | single |
+      | single | 0        | 1    | 0.95, 0.96    | copied |
+      | single | 0        | 1    | 0.98, 0.99    | single |
       | single | 0        | 5    | none          | single |
 
     Examples: value of the run
--- a/tests/laburnumstep/targets/destinations.feature
+++ b/tests/laburnumstep/targets/destinations.feature
@@ -24,3 +24,4 @@
   Scenario: Copies on their way count with their whole memory
     Given a VM that has begun to copy a run of 900 and 600 tokens to an engine
     Then the engine has room for 1500 tokens less
+    And before it had 9600 of 10000 tokens free with another run of 100 tokens
--- a/tests/laburnumstep/targets/steps/destinations_steps.py
+++ b/tests/laburnumstep/targets/steps/destinations_steps.py
@@ -117,3 +117,14 @@
     before, after = context.before, context.after
     assert before.free_now - after.free_now == tokens, (before, after)
     assert before.free_later - after.free_later == tokens, (before, after)
+
+
+@behave.then(
+    'before it had {free:d} of {memory:d} tokens free with another run of'
+    ' {size:d} tokens'
+)
+def step_free_before(
+    context: typing.Any, free: int, memory: int, size: int
+) -> None:
+    assert (memory, size) == (fleets.KV_TOKENS, _RUN.kv_tokens)
+    assert context.before.free_now == free, context.before
