Place requests by their expected cost in seconds

The cost of an engine added fractions of memory and took all engines for equally fast, so long streams ran on engines whose pauses beside a prefill exceed targetGapMs.

The cost is now a sum of named terms in seconds: wait, prefill, link, late, pause, harm, preemption, exposure. The pace of each engine is learned from the times between events as they arrive and shared with siblings (PACE entries). Parts of prompts sent to an engine count as cached until its memory has probably turned over; sends announced to siblings carry the shared parts and the objective of the time between events. Long streams with a gap objective sample engines that keep it first; one candidate of other requests is a slow engine. Routes decode targetLatencyMs and targetGapMs.

--- a/packages/laburnumstep/src/laburnumstep/callers/_admission.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_admission.py
@@ -305,6 +305,8 @@
             request.max_tokens,
             placement.suspect,
             placement.hinted_tokens,
+            placement.parts,
+            placement.objectives.gap_seconds,
         )
         self._metrics.count('admission.admitted')
         _LOGGER.info(
--- a/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
@@ -14,6 +14,8 @@
 """Number of engines in the local region compared for a request."""
 REMOTE_CANDIDATES = 1
 """Number of engines in remote regions compared for a request."""
+CACHE_CANDIDATES = 1
+"""Number of engines compared because they probably have the prompt cached."""
 LOCAL_SUBSTITUTES = 6
 """Number of engines in the local region that may replace candidates without
 capacity."""
@@ -60,22 +62,34 @@
         self._rng = rng
 
     async def sample(
-        self, model: str, excluded: frozenset[str]
+        self,
+        request: targets.PlacementRequest,
+        preference: targets.Preference | None = None,
     ) -> tuple[str, ...]:
         """Sample a few engines and return those with recent load reports.
 
         A VM of a large deployment places a request only every few seconds.
         Reading the reports of a few engines on demand costs less than
         polling all engines, and the reports are newer.
+
+        Args:
+            request: The request. An engine that probably has its prompt
+                cached is sampled besides the others.
+            preference: Engines that are sampled first, if any.
         """
         names = targets.sample_engines(
             self._view,
-            model,
-            excluded,
+            request.model,
+            request.excluded,
             LOCAL_CANDIDATES,
             REMOTE_CANDIDATES,
             self._rng,
+            preference,
         )
+        holders = targets.list_cache_holders(
+            self._view, request, CACHE_CANDIDATES
+        )
+        names += tuple(name for name in holders if name not in names)
         now = self._clock.now()
         await self._refresh(
             list(names),
@@ -87,9 +101,18 @@
         return self._select_recent(names, now) or names
 
     def sample_substitutes(
-        self, model: str, excluded: frozenset[str]
+        self,
+        model: str,
+        excluded: frozenset[str],
+        preference: targets.Preference | None = None,
     ) -> tuple[str, ...]:
-        """Sample engines whose reports are recent without being read now."""
+        """Sample engines whose reports are recent without being read now.
+
+        Args:
+            model: Model that the engines serve.
+            excluded: Engines that must not be sampled.
+            preference: Engines that are sampled first, if any.
+        """
         names = targets.sample_engines(
             self._view,
             model,
@@ -97,6 +120,7 @@
             LOCAL_SUBSTITUTES,
             REMOTE_SUBSTITUTES,
             self._rng,
+            preference,
         )
         return self._select_recent(names, self._clock.now())
 
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placement.py
@@ -4,10 +4,11 @@
 
 import typing
 
+from laburnumstep import targets
+
 if typing.TYPE_CHECKING:
     from laburnumstep.callers import _engine_placer
     from laburnumstep import core
-    from laburnumstep import targets
 
 EJECTION_SECONDS = 2.0
 """Time for which a failed target is ejected, in seconds."""
@@ -33,6 +34,7 @@
         self._state = state
         self._send = send
         self._target = target
+        self._gaps = targets.GapRecorder()
         state.crashes.running.add(target.name, send.generation_id, traits)
 
     @property
@@ -53,6 +55,23 @@
             self._target.name, self._send.generation_id
         )
 
+    def record_arrival(
+        self, read_at: float, now: float, tokens: list[int]
+    ) -> None:
+        """Record when events arrived, to learn the pace of the engine.
+
+        Siblings learn it during the stream as well, not only at its end.
+
+        Args:
+            read_at: When the read of the events began, in epoch seconds.
+            now: When it returned, in epoch seconds.
+            tokens: Number of tokens of each event.
+        """
+        known = self._gaps.count
+        self._gaps.record(read_at, now, tokens)
+        if known < targets.EARLY_GAPS <= self._gaps.count:
+            self._observe_pace()
+
     def record_failure(self, crashed: bool) -> None:
         """Eject a failed target for `EJECTION_SECONDS`.
 
@@ -86,6 +105,7 @@
         """
         if self._send.ended_at is not None:
             return
+        self._observe_pace()
         self._state.view.end(self._send)
         self._state.crashes.running.remove(
             self._target.name, self._send.generation_id, complete
@@ -94,3 +114,13 @@
             self._state.lengths.observe(
                 self._send.workspace, self._send.model, self._send.tokens
             )
+
+    def _observe_pace(self) -> None:
+        sample = self._gaps.evaluate()
+        if sample is not None:
+            self._state.view.paces.observe(
+                self._target.name,
+                sample,
+                self._state.clock.now(),
+                self._send.gap_seconds,
+            )
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -319,12 +319,15 @@
         excluded: frozenset[str],
     ) -> _relay_placement.RelayPlacement:
         placement = _make_placement_request(request, prompt, excluded)
-        candidates = await self._sampler.sample(prompt.model, excluded)
+        preference = targets.find_preference(
+            self._state.view, placement, self._state.lengths
+        )
+        candidates = await self._sampler.sample(placement, preference)
         placement = attrs.evolve(
             placement,
             candidates=candidates,
             substitutes=self._sampler.sample_substitutes(
-                prompt.model, excluded.union(candidates)
+                prompt.model, excluded.union(candidates), preference
             ),
         )
         if not relay.is_short(request):
@@ -363,6 +366,8 @@
             0.0,
             prompt.max_tokens if prompt is not None else None,
             hinted_tokens=prompt.hinted_tokens if prompt is not None else None,
+            parts=prompt.parts if prompt is not None else (),
+            gap_seconds=request.route.gap_seconds,
         )
         return self._make_placement(request, send)
 
@@ -394,6 +399,10 @@
         excluded=excluded,
         max_tokens=prompt.max_tokens,
         hinted_tokens=prompt.hinted_tokens,
+        parts=prompt.parts,
+        objectives=targets.Objectives(
+            request.route.first_answer_seconds, request.route.gap_seconds
+        ),
     )
 
 
--- a/packages/laburnumstep/src/laburnumstep/core/_routes.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_routes.py
@@ -61,6 +61,12 @@
     """Priority; higher numbers are served first."""
     public: bool = False
     """Whether requests are accepted without a key."""
+    first_answer_seconds: float | None = None
+    """Longest time to the first event of a stream that is in time, in
+    seconds; None if not given."""
+    gap_seconds: float | None = None
+    """Longest time between two events of a stream that is in time, in
+    seconds; None if not given."""
 
     def choose_service(self, rng: random.Random) -> str:
         """Return the service for one request, drawn at random by weight."""
--- a/packages/laburnumstep/src/laburnumstep/fleet/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/fleet/__init__.py
@@ -13,6 +13,7 @@
 from laburnumstep.fleet._load_sharing import LoadSharing
 from laburnumstep.fleet._load_sharing import LoadSiblings
 from laburnumstep.fleet._load_sharing import READ_INTERVAL_SECONDS
+from laburnumstep.fleet._pace_exchange import PaceExchange
 from laburnumstep.fleet._permit_exchange import PermitExchange
 from laburnumstep.fleet._permit_exchange import PermitSiblings
 from laburnumstep.fleet._routing_gossip import RoutingGossip
@@ -25,6 +26,7 @@
     'CrashExchange',
     'LoadSharing',
     'LoadSiblings',
+    'PaceExchange',
     'PermitExchange',
     'PermitSiblings',
     'RoutingGossip',
--- a/packages/laburnumstep/src/laburnumstep/fleet/_load_sharing.py
+++ b/packages/laburnumstep/src/laburnumstep/fleet/_load_sharing.py
@@ -28,6 +28,11 @@
 BATCH_SECONDS = 0.1
 """Time for which reports are collected before they are distributed in a data
 centre, in seconds."""
+MAX_ANNOUNCED_PARTS = 4
+"""Most parts of a prompt that are announced with a send, so that a datagram
+stays small."""
+MAX_ANNOUNCED_TOKENS = 1e6
+"""Largest expected length of an answer that is announced, in tokens."""
 _DISTRIBUTOR_SUBJECT = 'loads'
 
 
@@ -130,10 +135,7 @@
         ranked = self._neighbours.rank_neighbours(_DISTRIBUTOR_SUBJECT)
         if len(ranked) < MIN_SHARING_VMS:
             return
-        announced = siblings.EngineSend(
-            send.target, self._vm_name, send.sent_at, send.prompt_tokens
-        )
-        self._announce([], [announced])
+        self._announce([], [_make_engine_send(self._vm_name, send)])
 
     def _announce(
         self,
@@ -165,10 +167,7 @@
                 self._apply_report(load.target, _make_report(load, engine))
         for send in message.sends:
             if self._apply_send is not None and send.vm != self._vm_name:
-                self._apply_send(
-                    send.target,
-                    targets.SiblingSend(send.sent_at, send.prompt_tokens),
-                )
+                self._apply_send(send.target, _make_sibling_send(send))
 
     async def run(self) -> None:
         """Distribute collected reports in the data centre until cancelled."""
@@ -200,6 +199,48 @@
         self._arrived.set()
 
 
+def _make_engine_send(vm_name: str, send: targets.Send) -> siblings.EngineSend:
+    """Return the announcement of a send.
+
+    The last part of a prompt belongs to its request or session, so it is not
+    announced.
+    """
+    return siblings.EngineSend(
+        send.target,
+        vm_name,
+        send.sent_at,
+        send.prompt_tokens,
+        tuple(
+            (part.digest, part.tokens)
+            for part in send.parts[:-1][:MAX_ANNOUNCED_PARTS]
+        ),
+        send.gap_seconds,
+        0 if send.gap_seconds is None else round(_expect_tokens(send)),
+    )
+
+
+def _expect_tokens(send: targets.Send) -> float:
+    """Return the expected length of the answer of a send, in tokens."""
+    tokens = send.hinted_tokens or send.expected_tokens
+    if send.max_tokens is not None:
+        tokens = min(tokens, float(send.max_tokens))
+    return min(tokens, MAX_ANNOUNCED_TOKENS)
+
+
+def _make_sibling_send(send: siblings.EngineSend) -> targets.SiblingSend:
+    return targets.SiblingSend(
+        send.sent_at,
+        send.prompt_tokens,
+        tuple(
+            targets.PromptPart(digest, tokens)
+            for digest, tokens in send.parts[:MAX_ANNOUNCED_PARTS]
+            if tokens <= send.prompt_tokens
+        ),
+        send.gap_seconds,
+        min(float(send.expected_tokens), MAX_ANNOUNCED_TOKENS),
+    )
+
+
 def _make_load(target: str, report: targets.LoadReport) -> siblings.EngineLoad:
     return siblings.EngineLoad(
         target,
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -13,6 +13,7 @@
 CONFIGURATION_KEY = 'config'
 """Key of the record that holds the configuration."""
 _DEFAULT_BODY_BYTES = 1024 * 1024
+_MAX_OBJECTIVE_SECONDS = 3600.0
 
 _LOGGER = core.get_logger('platform')
 
@@ -118,9 +119,19 @@
         attempts=int(item.get('attempts', 1)),
         priority=-int(item.get('priority', 0)),
         public=bool(item.get('skipAuth', False)),
+        first_answer_seconds=_decode_objective(item, 'targetLatencyMs'),
+        gap_seconds=_decode_objective(item, 'targetGapMs'),
     )
 
 
+def _decode_objective(item: dict[str, typing.Any], key: str) -> float | None:
+    """Return an objective in seconds; one that is not positive is none."""
+    value = item.get(key)
+    if value is None or not value > 0:
+        return None
+    return min(value / 1000, _MAX_OBJECTIVE_SECONDS)
+
+
 def _decode_kind(item: dict[str, typing.Any]) -> core.RouteKind:
     match item['kind']:
         case 'safe':
--- a/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_fleet.py
@@ -139,6 +139,12 @@
         self._epochs.subscribe(archive.record_restore)
         return archive
 
+    def share_paces(self, paces: targets.EnginePaces) -> None:
+        """Exchange the pace of engines with the siblings."""
+        fleet.PaceExchange(
+            self._settings.name, paces, self._membership, self._clock
+        )
+
     def owns(self, subject: str) -> bool:
         """Return whether this VM is the one that decides about a subject."""
         return self._membership.owns(subject)
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -13,6 +13,7 @@
 from laburnumstep.platform import _headers
 from laburnumstep.platform import _responses
 from laburnumstep.platform import _watchers
+from laburnumstep import targets
 from laburnumstep.targets import relay
 
 if typing.TYPE_CHECKING:
@@ -25,6 +26,7 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 """Lower bound of the `Retry-After` header, in seconds."""
 _TOKEN_SCHEME = b'token '
+_MAX_PART_DIGITS = 8
 
 _LOGGER = core.get_logger('front')
 
@@ -200,6 +202,7 @@
             max_tokens,
             [item.partition(':')[0] for item in prefixes.split(',') if item],
             _decode_length_hint(headers),
+            _decode_parts(prefixes),
         )
 
     async def _serve(
@@ -341,6 +344,21 @@
         return DEFAULT_DEADLINE_SECONDS
 
 
+def _decode_parts(prefixes: str) -> tuple[targets.PromptPart, ...]:
+    """Return the parts of a prompt up to the first one without a length."""
+    parts = []
+    for item in prefixes.split(','):
+        identifier, _, tokens = item.strip().rpartition(':')
+        # The length is bounded before it is converted: a number of many
+        # digits takes long or fails.
+        if not identifier or not tokens.isascii() or not tokens.isdigit():
+            break
+        if len(tokens) > _MAX_PART_DIGITS:
+            break
+        parts.append((identifier, int(tokens)))
+    return targets.digest_parts(parts)
+
+
 def _decode_length_hint(headers: _headers.Headers) -> float | None:
     try:
         hint = float(_headers.find(headers, _headers.LENGTH_HINT))
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -125,7 +125,7 @@
             ),
             self._apply_targets,
             self._evacuate,
-            self._target_limits.forget,
+            self._handle_restart,
         )
         self._directory = _directory.Directory(self._registry)
         self._fleet = _fleet.Fleet(
@@ -159,6 +159,7 @@
             self._fleet_view.record_sibling_send,
         )
         self._fleet_view.subscribe_sends(self._fleet.loads.publish_send)
+        self._fleet.share_paces(self._fleet_view.paces)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._front = self._build_front()
         self._caller_server = transport.HttpServer(
@@ -365,6 +366,10 @@
         self._server_client.close_removed(deployment.targets)
         self._target_limits.drop_expired()
 
+    def _handle_restart(self, target: str) -> None:
+        self._target_limits.forget(target)
+        self._fleet_view.forget_restarted(target)
+
     def _may_leave_unannounced(self, target: str) -> bool:
         """Return whether only its reports can tell that an engine leaves.
 
--- a/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_codec.py
@@ -24,6 +24,7 @@
     _entries.EntryKind.DEMAND: pb.Entry.DEMAND,
     _entries.EntryKind.LENGTHS: pb.Entry.LENGTHS,
     _entries.EntryKind.LIMIT: pb.Entry.LIMIT,
+    _entries.EntryKind.PACE: pb.Entry.PACE,
 }
 _KINDS_BY_NUMBER = {number: kind for kind, number in _KIND_NUMBERS.items()}
 _VM_STATE_NUMBERS = {
@@ -252,6 +253,10 @@
                 vm=send.vm,
                 age=now - send.sent_at,
                 prompt_tokens=send.prompt_tokens,
+                part_digests=[digest for digest, _ in send.parts],
+                part_tokens=[tokens for _, tokens in send.parts],
+                gap_ms=round(1000 * (send.gap_seconds or 0.0)),
+                expected_tokens=send.expected_tokens,
             )
             for send in message.sends
         ],
@@ -276,7 +281,13 @@
     ]
     sends = [
         _messages.EngineSend(
-            send.target, send.vm, now - max(0.0, send.age), send.prompt_tokens
+            send.target,
+            send.vm,
+            now - max(0.0, send.age),
+            send.prompt_tokens,
+            tuple(zip(send.part_digests, send.part_tokens, strict=False)),
+            send.gap_ms / 1000 if send.gap_ms else None,
+            send.expected_tokens,
         )
         for send in encoded.sends
     ]
--- a/packages/laburnumstep/src/laburnumstep/siblings/_entries.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_entries.py
@@ -22,6 +22,8 @@
     """Demand for a workspace's limits at one VM."""
     LIMIT = 'limit'
     """Limit that a target has named, or its end."""
+    PACE = 'pace'
+    """Times between the events of an engine's streams."""
     LENGTHS = 'lengths'
     """Observed distribution of output lengths."""
 
--- a/packages/laburnumstep/src/laburnumstep/siblings/_gossip.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_gossip.py
@@ -25,6 +25,7 @@
         _entries.EntryKind.CONFIGURATION,
         _entries.EntryKind.CRASH,
         _entries.EntryKind.LIMIT,
+        _entries.EntryKind.PACE,
     }
 )
 """Kinds that are pushed at once. Length sketches are large and not urgent;
--- a/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_membership.py
@@ -243,8 +243,8 @@
         """Publish an opaque value to all VMs.
 
         Args:
-            kind: `CRASH` or `LIMIT`, which are pushed at once, or `LENGTHS`,
-                which spreads by anti-entropy exchanges only.
+            kind: `CRASH`, `LIMIT` or `PACE`, which are pushed at once, or
+                `LENGTHS`, which spreads by anti-entropy exchanges only.
             subject: Name of the subject.
             data: Encoded value.
             expires_at: Expiry time, in epoch seconds.
--- a/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_messages.py
@@ -105,6 +105,13 @@
     """When it was sent, in epoch seconds of the local clock."""
     prompt_tokens: int
     """Length of the prompt, in tokens."""
+    parts: tuple[tuple[int, int], ...] = ()
+    """Digest and length in tokens of each part of the prompt that other
+    prompts share, in order."""
+    gap_seconds: float | None = None
+    """Objective of the time between events, in seconds, if any."""
+    expected_tokens: int = 0
+    """Expected length of the answer, in tokens; 0 without an objective."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/siblings/_store.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_store.py
@@ -32,6 +32,7 @@
     _entries.EntryKind.DEMAND: 16384,
     _entries.EntryKind.LENGTHS: 4096,
     _entries.EntryKind.LIMIT: 4096,
+    _entries.EntryKind.PACE: 8192,
 }
 """Most entries of each kind. The limits are separate, so that a flood of one
 kind cannot displace the reports of leaving targets."""
@@ -237,7 +238,8 @@
             _entries.EntryKind.CRASH
             | _entries.EntryKind.DEMAND
             | _entries.EntryKind.LENGTHS
-            | _entries.EntryKind.LIMIT,
+            | _entries.EntryKind.LIMIT
+            | _entries.EntryKind.PACE,
             _entries.DataValue(data=data),
         ):
             return len(data) <= MAX_DATA_BYTES
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -4,6 +4,7 @@
 from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
+from laburnumstep.targets._cost import Objectives
 from laburnumstep.targets._crash_codec import decode_evidence
 from laburnumstep.targets._crash_codec import encode_evidence
 from laburnumstep.targets._crash_ledger import CrashLedger
@@ -54,15 +55,29 @@
 from laburnumstep.targets._orders_client import OrderClient
 from laburnumstep.targets._orders_client import OrderFailed
 from laburnumstep.targets._orders_client import StaleFence
+from laburnumstep.targets._pace import decode_sample as decode_pace
+from laburnumstep.targets._pace import EARLY_GAPS
+from laburnumstep.targets._pace import encode_sample as encode_pace
+from laburnumstep.targets._pace import EnginePaces
+from laburnumstep.targets._pace import EXPIRY_SECONDS as PACE_EXPIRY_SECONDS
+from laburnumstep.targets._pace import GapRecorder
+from laburnumstep.targets._pace import Pace
+from laburnumstep.targets._pace import PaceSample
 from laburnumstep.targets._placement import choose_engine
 from laburnumstep.targets._placement import choose_service
 from laburnumstep.targets._placement import sample_engines
 from laburnumstep.targets._policy import MemoryPolicy
+from laburnumstep.targets._preferences import find_preference
+from laburnumstep.targets._preferences import list_cache_holders
+from laburnumstep.targets._preferences import Preference
 from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
 from laburnumstep.targets._registry import Registration
 from laburnumstep.targets._registry import TargetRegistry
 from laburnumstep.targets._reports import LoadReport
+from laburnumstep.targets._residency import CacheResidency
+from laburnumstep.targets._residency import digest_parts
+from laburnumstep.targets._residency import PromptPart
 from laburnumstep.targets._results import NoRoom
 from laburnumstep.targets._results import NoTarget
 from laburnumstep.targets._results import Placed
@@ -107,6 +122,7 @@
     'Answered',
     'CacheEvent',
     'CacheEventKind',
+    'CacheResidency',
     'CallRunner',
     'ClaimStore',
     'Clearance',
@@ -115,9 +131,11 @@
     'CrashMonitor',
     'CrashReport',
     'Culprit',
+    'EARLY_GAPS',
     'EVIDENCE_SECONDS',
     'EngineClient',
     'EngineClients',
+    'EnginePaces',
     'EventDecoder',
     'EventRate',
     'Failed',
@@ -125,6 +143,7 @@
     'FailedRun',
     'Finished',
     'FleetView',
+    'GapRecorder',
     'GenerationPlacement',
     'GenerationRunner',
     'GenerationSink',
@@ -143,18 +162,24 @@
     'NoTarget',
     'NotReached',
     'NotStarted',
+    'Objectives',
     'OperatorRefusal',
     'Order',
     'OrderAnswer',
     'OrderClient',
     'OrderFailed',
     'OrderReconciler',
+    'PACE_EXPIRY_SECONDS',
+    'Pace',
+    'PaceSample',
     'Placed',
     'PlacedGeneration',
     'PlacementRequest',
     'PlacementResult',
     'Preempted',
+    'Preference',
     'PrefixHints',
+    'PromptPart',
     'ReadPacer',
     'Registration',
     'ReplyLost',
@@ -185,16 +210,21 @@
     'decide_retry',
     'decode_evidence',
     'decode_lengths',
+    'decode_pace',
     'describe_traits',
     'digest_fields',
+    'digest_parts',
     'digest_prefixes',
     'digest_traits',
     'encode_evidence',
     'encode_lengths',
+    'encode_pace',
+    'find_preference',
     'fingerprint_call',
     'fingerprint_generation',
     'get_service_pool_key',
     'limit_engines',
+    'list_cache_holders',
     'list_generation_traits',
     'list_part_traits',
     'list_unfinished',
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -7,8 +7,11 @@
 
 import attrs
 
+from laburnumstep.targets import _backlog
+from laburnumstep.targets import _cost
 from laburnumstep.targets import _forecast
 from laburnumstep.targets import _policy
+from laburnumstep.targets import _preferences
 from laburnumstep.targets import _results
 from laburnumstep.targets import _view
 
@@ -17,6 +20,8 @@
 
     from laburnumstep import core
     from laburnumstep.targets import _lengths
+    from laburnumstep.targets import _pace
+    from laburnumstep.targets import _pools
     from laburnumstep.targets import _states
 
 SAMPLES = 1
@@ -35,33 +40,23 @@
 """Safety margin on the demand of all VMs, in standard deviations. If the
 capacity covers the demand plus this margin, a VM may use more than its
 fraction of the capacity."""
+COST_STEP_SECONDS = 0.01
+"""Difference in cost below which engines count as equal, in seconds. Among
+equal engines the choice is random, so that VMs choose different ones."""
 DRAW_FRACTION = 0.8
 """Fraction of the capacity that is assigned by random draws. The rest is a
 reserve in case more VMs than expected win the draw."""
-REMOTE_COST = 0.3
-"""Cost of a remote target over an unused link, as a fraction of memory."""
-LINK_COST = 0.7
-"""Additional cost of a link without unused budget, as a fraction of memory."""
-PREFIX_GAIN = 0.3
-"""Benefit of a prompt that is fully cached, as a fraction of memory."""
-AVOIDED_COST = 0.4
-"""Cost of a target that the request avoids, as a fraction of memory."""
-WAITING_COST = 0.12
-"""Cost of each request that waits on the engine or was sent to it since its
-report, as a fraction of memory. Prompts are prefilled one after another
-between the tokens of running requests, so each of them delays the first token
-by some tenths of a second."""
 
 
 @attrs.frozen
 class _Candidate:
-    """A target with enough capacity, and the terms of its cost."""
+    """A target with enough capacity, and its cost."""
 
     name: str
-    cost: float
+    cost: _cost.PlacementCost
     utilization: float
-    cached: float
-    waiting: int
+    cached_tokens: int
+    pace: _pace.Pace
     age: float
     local: bool
 
@@ -69,8 +64,9 @@
         """Return the reason that is logged for the decision."""
         where = 'region' if self.local else 'another region'
         return (
-            f'{self.utilization:.0%} memory, {self.cached:.0%} prefix,'
-            f' {self.waiting} waiting, report {self.age:.1f} s old, {where}'
+            f'{self.cost.explain()}; {self.utilization:.0%} memory,'
+            f' {self.cached_tokens} tokens cached, speed'
+            f' {self.pace.speed:.2f}, report {self.age:.1f} s old, {where}'
         )
 
 
@@ -84,13 +80,14 @@
     policy: _policy.MemoryPolicy
     rng: random.Random
     expected: float
+    prompt_rate: float
     now: float
 
     def rank(self, names: list[str]) -> list[_Candidate]:
         """Return the candidates with capacity, best first."""
         scored = [self._score(name) for name in names]
         candidates = [item for item in scored if item is not None]
-        candidates.sort(key=lambda item: item.cost)
+        candidates.sort(key=_round_cost)
         return candidates
 
     def rank_with_substitutes(
@@ -110,7 +107,7 @@
             if len(ranked) >= len(names):
                 break
             ranked += self.rank([name])
-        ranked.sort(key=lambda item: item.cost)
+        ranked.sort(key=_round_cost)
         return ranked
 
     def _score(self, name: str) -> _Candidate | None:
@@ -120,8 +117,7 @@
             return None
         if self.request.suspect and state.has_suspect():
             return None
-        remote_cost = 0.0 if state.local else self._get_link_cost(state)
-        if remote_cost is None:
+        if self._get_link_seconds(state) is None:
             return None
         load = state.estimate_load(self.now)
         fraction = self.request.memory_fraction
@@ -147,24 +143,77 @@
             return None
         if not self._may_use_capacity(state, load, free):
             return None
-        cached = self.view.hints.match(name, self.request.prefixes)
+        pace = self.view.estimate_pace(name)
+        cached = self._count_cached(state, load)
         utilization = peak / max(1, state.memory)
-        waiting = max(0, load.net_sends) + load.sibling_sends
-        if state.report is not None:
-            waiting += state.report.waiting
-        cost = (
-            utilization
-            - PREFIX_GAIN * cached
-            + WAITING_COST * waiting
-            + remote_cost
-        )
-        if name in self.request.avoided:
-            cost += AVOIDED_COST
+        outlook = self._forecast(state, load, pace, utilization, cached)
+        cost = _cost.estimate_cost(outlook, self.request.objectives)
         age = self.now - state.measured_at if state.report else math.inf
         return _Candidate(
-            name, cost, utilization, cached, waiting, age, state.local
+            name, cost, utilization, cached, pace, age, state.local
+        )
+
+    def _forecast(
+        self,
+        state: _states.TargetState,
+        load: _states.TargetLoad,
+        pace: _pace.Pace,
+        utilization: float,
+        cached_tokens: int,
+    ) -> _cost.EngineOutlook:
+        """Return what is expected of an engine if it gets the request."""
+        rate = pace.speed * _cost.PREFILL_TOKENS_PER_SECOND
+        prompt = self.request.prompt_tokens
+        name = state.declared.name
+        return _cost.EngineOutlook(
+            prefill_rate=rate,
+            backlog_tokens=_backlog.estimate_backlog(
+                state, rate, float(prompt), self.now
+            ),
+            slot_seconds=self._estimate_slot_wait(state, load, pace),
+            new_tokens=prompt - cached_tokens,
+            run_tokens=prompt + self.expected,
+            runs=load.requests,
+            memory_use=utilization,
+            link_seconds=self._get_link_seconds(state) or 0.0,
+            pause_seconds=pace.pause_seconds,
+            run_seconds=self.expected * (pace.token_seconds or 0.0),
+            prompts_per_second=self.prompt_rate,
+            streams=_list_streams(state, pace, self.now),
+            exposed=name in self.request.avoided,
         )
 
+    def _count_cached(
+        self, state: _states.TargetState, load: _states.TargetLoad
+    ) -> int:
+        """Return the prompt tokens that an engine probably has cached."""
+        request = self.request
+        name = state.declared.name
+        free = state.memory - load.kv_used
+        known = self.view.residency.count_cached(name, request.parts, free)
+        hinted = self.view.hints.match(name, request.prefixes)
+        tokens = max(known, int(hinted * request.prompt_tokens))
+        return min(tokens, request.prompt_tokens)
+
+    def _estimate_slot_wait(
+        self,
+        state: _states.TargetState,
+        load: _states.TargetLoad,
+        pace: _pace.Pace,
+    ) -> float:
+        """Return the wait for memory that running requests free, in seconds.
+
+        Requests end one after another, evenly over their remaining time.
+        """
+        needed = load.kv_used + self.request.prompt_tokens - state.memory
+        seconds = pace.token_seconds or self.view.token_seconds
+        if needed <= 0 or not load.requests or seconds is None:
+            return 0.0
+        residual = self.lengths.estimate_residual(self.request.model)
+        size = max(1.0, load.kv_used / load.requests)
+        ends = min(load.requests, math.ceil(needed / size))
+        return 2.0 * residual * seconds * ends / load.requests
+
     def _may_use_capacity(
         self,
         state: _states.TargetState,
@@ -201,26 +250,51 @@
             state.draw_measured_at = state.measured_at
         return load.net_sends <= 0 and state.draw < own_slots * DRAW_FRACTION
 
-    def _get_link_cost(self, state: _states.TargetState) -> float | None:
-        """Return the cost of a remote target.
+    def _get_link_seconds(self, state: _states.TargetState) -> float | None:
+        """Return the latency of the link to a target and back, in seconds.
 
         Returns:
-            The cost as a fraction of memory, or None if the budget of the
-            link is used up.
+            The latency, or None if the budget of the link is used up.
         """
+        if state.local:
+            return 0.0
         local_region = self.view.region
         if local_region is None or state.region is None:
-            return REMOTE_COST
+            return _cost.estimate_link_seconds(0.0)
         links = self.view.links
         utilization = max(
             links.get_utilization(local_region, state.region),
             links.get_utilization(state.region, local_region),
         )
-        return (
-            None
-            if utilization >= 1.0
-            else REMOTE_COST + LINK_COST * utilization
-        )
+        if utilization >= 1.0:
+            return None
+        return _cost.estimate_link_seconds(utilization)
+
+
+def _round_cost(candidate: _Candidate) -> float:
+    """Return the cost in steps that reports are precise enough to tell."""
+    return round(candidate.cost.total / COST_STEP_SECONDS)
+
+
+def _list_streams(
+    state: _states.TargetState, pace: _pace.Pace, now: float
+) -> list[tuple[float, float]]:
+    """Return the streams on an engine that have an objective for pauses.
+
+    Returns:
+        Objective and expected duration of each stream, in seconds.
+    """
+    streams = [
+        (gap_seconds, seconds)
+        for ends_at, gap_seconds, seconds in state.sibling_streams
+        if ends_at > now
+    ]
+    token_seconds = pace.token_seconds or 0.0
+    for send in state.sends.values():
+        if send.gap_seconds is not None:
+            expected = send.hinted_tokens or send.expected_tokens
+            streams.append((send.gap_seconds, expected * token_seconds))
+    return streams
 
 
 def choose_engine(
@@ -242,15 +316,16 @@
     if len(view.get_pool(request.model)) == 0:
         return _explain_missing(view, request.model, request.excluded)
     policy = _policy.MemoryPolicy.from_weights(weights)
-    expected = request.hinted_tokens
-    if expected is None:
-        expected = lengths.estimate_total(
-            request.workspace, request.model, 0, policy.quantile
-        )
-    if request.max_tokens is not None:
-        expected = min(expected, float(request.max_tokens))
-    now = view.clock.now()
-    ranker = _Ranker(view, request, lengths, policy, rng, expected, now)
+    ranker = _Ranker(
+        view,
+        request,
+        lengths,
+        policy,
+        rng,
+        _preferences.estimate_tokens(request, lengths, policy.quantile),
+        view.measure_prompt_rate(request.model),
+        view.clock.now(),
+    )
     names = list(request.candidates) or _sample(view, request, rng)
     ranked = ranker.rank_with_substitutes(names, request.substitutes)
     if not ranked:
@@ -273,6 +348,7 @@
     local: int,
     remote: int,
     rng: random.Random,
+    preference: _preferences.Preference | None = None,
 ) -> tuple[str, ...]:
     """Return a random sample of engines, in random order.
 
@@ -284,21 +360,36 @@
         remote: Number of engines from other regions. If the VM's region
             has too few engines, this number grows accordingly.
         rng: Source of random numbers.
+        preference: Engines that are sampled first, if any.
     """
     pool = view.get_pool(model)
-    extra = len(excluded)
-    engines = [
-        n for n in pool.sample(True, local + extra, rng) if n not in excluded
-    ]
-    missing = local - len(engines[:local]) + remote
-    others = pool.sample(False, missing + extra, rng)
-    engines = (
-        engines[:local] + [n for n in others if n not in excluded][:missing]
-    )
+    engines = _draw(pool, True, local, excluded, rng, preference)
+    missing = local - len(engines) + remote
+    engines += _draw(pool, False, missing, excluded, rng, preference)
     rng.shuffle(engines)
     return tuple(engines)
 
 
+def _draw(
+    pool: _pools.TargetPool,
+    local: bool,
+    count: int,
+    excluded: frozenset[str],
+    rng: random.Random,
+    preference: _preferences.Preference | None,
+) -> list[str]:
+    """Return a random sample of local or remote engines of a pool."""
+    drawn = count
+    if preference is not None:
+        drawn *= _preferences.OVERSAMPLING
+    names = pool.sample(local, drawn + len(excluded), rng)
+    names = [name for name in names if name not in excluded]
+    if preference is not None:
+        rng.shuffle(names)
+        return preference.select(names, count)
+    return names[:count]
+
+
 def choose_service(
     view: _view.FleetView,
     service: str,
@@ -344,6 +435,7 @@
         False, REMOTE_SAMPLES if local else SAMPLES + extra, rng
     )
     hinted = view.hints.list_caching_targets(request.prefixes, HINTED_SAMPLES)
+    hinted += view.residency.list_holders(request.parts, 1)
     names = local + remote + [name for name in hinted if name in pool]
     # A pool not larger than the sample is returned in a fixed order. Without
     # shuffling, VMs without load reports would all choose the same target.
--- a/packages/laburnumstep/src/laburnumstep/targets/_pools.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_pools.py
@@ -21,6 +21,9 @@
     def __contains__(self, name: str) -> bool:
         return name in self._positions
 
+    def __iter__(self) -> typing.Iterator[str]:
+        return iter(self._positions)
+
     def add(self, name: str, local: bool) -> None:
         """Add a target, or move it between the local and the remote names.
 
--- /dev/null
+++ b/packages/laburnumstep/src/laburnumstep/targets/_preferences.py
@@ -0,0 +1,124 @@
+"""Engines that are sampled first for a request, by their pace."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import attrs
+
+from laburnumstep.targets import _cost
+from laburnumstep.targets import _lengths
+from laburnumstep.targets import _results
+from laburnumstep.targets import _view
+
+LONG_CHANCE = 0.3
+"""Chance that a prompt is prefilled beside a stream from which the stream
+counts as long."""
+MISS_CHANCE = 0.5
+"""Chance to miss the objective of the time between events from which an
+engine counts as slow."""
+OVERSAMPLING = 3
+"""Number of engines drawn for each one that is compared, if some are
+preferred. Only the pace, which all VMs know alike and which does not follow
+the load, decides among them, so VMs with the same reports still choose
+different engines."""
+
+
+@attrs.frozen
+class Preference:
+    """Engines that are sampled before others."""
+
+    accepts: typing.Callable[[str], bool]
+    """Returns whether an engine is sampled first."""
+    count: int | None = None
+    """How many engines are sampled first; None for as many as there are."""
+
+    def select(self, names: list[str], count: int) -> list[str]:
+        """Return some of the names, preferred ones first.
+
+        Args:
+            names: Names in random order.
+            count: Number of names to return.
+        """
+        preferred = [name for name in names if self.accepts(name)]
+        first = preferred if self.count is None else preferred[: self.count]
+        return (first + [n for n in names if n not in first])[:count]
+
+
+def find_preference(
+    view: _view.FleetView,
+    request: _results.PlacementRequest,
+    lengths: _lengths.LengthEstimator,
+) -> Preference | None:
+    """Return which engines are sampled first for a request, if any.
+
+    Long streams with an objective of the time between events are compared
+    on the engines that keep it. Of the engines for other requests, one is a
+    slow one, which few long streams use.
+
+    Args:
+        view: Targets and their load.
+        request: The request.
+        lengths: Observed lengths of answers.
+    """
+    gap_seconds = request.objectives.gap_seconds
+    if gap_seconds is not None:
+        view.gap_objectives[request.model] = gap_seconds
+    objective = view.gap_objectives.get(request.model)
+    if objective is None:
+        return None
+    usual = view.estimate_usual_pace(request.model)
+    if usual.token_seconds is None:
+        return None
+    tokens = estimate_tokens(request, lengths, 0.5)
+    rate = view.measure_prompt_rate(request.model)
+    chance = 1.0 - math.exp(-rate * tokens * usual.token_seconds)
+
+    def is_slow(name: str) -> bool:
+        pause = view.estimate_pace(name).pause_seconds
+        return _cost.grade_pause(pause, objective) >= MISS_CHANCE
+
+    if gap_seconds is not None and chance >= LONG_CHANCE:
+        return Preference(lambda name: not is_slow(name))
+    return Preference(is_slow, 1)
+
+
+def estimate_tokens(
+    request: _results.PlacementRequest,
+    lengths: _lengths.LengthEstimator,
+    quantile: float,
+) -> float:
+    """Return the expected length of an answer, in tokens.
+
+    Args:
+        request: The request.
+        lengths: Observed lengths of answers.
+        quantile: Quantile of the observed lengths, from 0 to 1.
+    """
+    expected = request.hinted_tokens
+    if expected is None:
+        expected = lengths.estimate_total(
+            request.workspace, request.model, 0, quantile
+        )
+    if request.max_tokens is not None:
+        expected = min(expected, float(request.max_tokens))
+    return expected
+
+
+def list_cache_holders(
+    view: _view.FleetView, request: _results.PlacementRequest, limit: int
+) -> list[str]:
+    """Return usable engines that probably have much of a prompt cached.
+
+    Args:
+        view: Targets and their load.
+        request: The request.
+        limit: Maximum number of engines.
+    """
+    pool = view.get_pool(request.model)
+    return [
+        name
+        for name in view.residency.list_holders(request.parts, limit)
+        if name in pool and name not in request.excluded
+    ]
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from laburnumstep.targets import _cost
+from laburnumstep.targets import _residency
+
 
 @attrs.frozen
 class PlacementRequest:
@@ -19,6 +22,10 @@
     """Length of the prompt, in tokens."""
     prefixes: list[str] = attrs.field(factory=list)
     """Digests of the prompt's prefixes, shortest first."""
+    parts: tuple[_residency.PromptPart, ...] = ()
+    """Parts of the prompt with their lengths, in order, as far as known."""
+    objectives: _cost.Objectives = _cost.Objectives()
+    """Objectives of the request."""
     priority: int = 0
     """Priority of the request; higher goes first."""
     excluded: frozenset[str] = frozenset()
--- a/packages/laburnumstep/src/laburnumstep/targets/_sends.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_sends.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import typing
+
 import attrs
 
+if typing.TYPE_CHECKING:
+    from laburnumstep.targets import _residency
+
 
 @attrs.frozen
 class SiblingSend:
@@ -13,6 +18,19 @@
     """When it was sent, in epoch seconds."""
     prompt_tokens: int
     """Length of the prompt, in tokens."""
+    parts: tuple[_residency.PromptPart, ...] = ()
+    """Parts of the prompt that are shared with other requests."""
+    gap_seconds: float | None = None
+    """Objective of the time between events, in seconds, if any."""
+    expected_tokens: float = 0.0
+    """Expected length of the answer, in tokens."""
+    cached_tokens: int = 0
+    """Prompt tokens that the target probably had cached."""
+
+    @property
+    def new_tokens(self) -> int:
+        """Prompt tokens that the target has to compute."""
+        return max(0, self.prompt_tokens - self.cached_tokens)
 
 
 @attrs.define(eq=False)
@@ -39,6 +57,12 @@
     """Whether the request has crashed a target before."""
     hinted_tokens: float | None = None
     """Length of the answer that the caller expects, in tokens, if any."""
+    parts: tuple[_residency.PromptPart, ...] = ()
+    """Parts of the prompt, in order, as far as known."""
+    gap_seconds: float | None = None
+    """Objective of the time between events, in seconds, if any."""
+    cached_tokens: int = 0
+    """Prompt tokens that the target probably had cached."""
     tokens: int = 0
     """Number of tokens received so far."""
     ended_at: float | None = None
@@ -55,6 +79,11 @@
         """Memory that it uses on the engine, in tokens."""
         return self.prompt_tokens + self.tokens
 
+    @property
+    def new_tokens(self) -> int:
+        """Prompt tokens that the target has to compute."""
+        return max(0, self.prompt_tokens - self.cached_tokens)
+
     def estimate_kv_at(self, moment: float, now: float) -> float:
         """Return the memory that it used at an earlier time, in tokens.
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_states.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_states.py
@@ -14,6 +14,9 @@
 
 MAX_SIBLING_SEND_SECONDS = 3.0
 """How long another VM's send is counted without a newer report, in seconds."""
+MAX_SIBLING_STREAMS = 31
+"""Most streams of other VMs that are remembered besides a new one. Engines
+run some 8 requests at a time."""
 REPORT_LAG_SECONDS = 30.0
 """Longest lag of a report that is corrected for ended sends, in seconds."""
 
@@ -71,6 +74,12 @@
     """This VM's sends in progress, by identifier of the generation."""
     sibling_sends: list[_sends.SiblingSend] = attrs.field(factory=list)
     """Sends of other VMs that the last report does not count."""
+    sibling_streams: list[tuple[float, float, float]] = attrs.field(
+        factory=list
+    )
+    """Expected end, objective of the time between events and expected
+    duration of the streams of other VMs that have such an objective; the end
+    in epoch seconds, the others in seconds."""
     ended: list[_sends.Send] = attrs.field(factory=list)
     """Ended sends that the next report may still count."""
     draw: float = 0.0
@@ -227,6 +236,21 @@
         ]
         self.sibling_sends.append(send)
 
+    def add_sibling_stream(
+        self, sent_at: float, gap_seconds: float, seconds: float
+    ) -> None:
+        """Remember a stream of another VM until its expected end.
+
+        Args:
+            sent_at: When it was sent, in epoch seconds.
+            gap_seconds: Objective of the time between its events, in seconds.
+            seconds: Its expected duration, in seconds.
+        """
+        self.sibling_streams = [
+            item for item in self.sibling_streams if item[0] > sent_at
+        ][-MAX_SIBLING_STREAMS:]
+        self.sibling_streams.append((sent_at + seconds, gap_seconds, seconds))
+
     def _count_sibling_sends(self, now: float) -> tuple[int, float]:
         """Return the number of recent sibling sends and their memory."""
         recent = [
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -5,16 +5,23 @@
 import heapq
 import typing
 
+import attrs
+
 from laburnumstep import core
+from laburnumstep.targets import _event_rate
 from laburnumstep.targets import _hints
 from laburnumstep.targets import _links
+from laburnumstep.targets import _pace
 from laburnumstep.targets import _pools
+from laburnumstep.targets import _residency
 from laburnumstep.targets import _sends
 from laburnumstep.targets import _states
 
 if typing.TYPE_CHECKING:
     from laburnumstep.targets import _reports
 
+PROMPT_RATE_SECONDS = 30.0
+"""Time over which the rate of prompts is averaged, in seconds."""
 TOKEN_SECONDS_WEIGHT = 0.05
 """Weight of one ended send in the average time between tokens."""
 CapacityListener = typing.Callable[[typing.Iterable[str]], None]
@@ -51,6 +58,13 @@
         """Prefixes that engines probably have in their caches."""
         self.links = _links.LinkMeter(clock)
         """Budgets of the links between regions."""
+        self.paces = _pace.EnginePaces()
+        """Pace of the engines."""
+        self.residency = _residency.CacheResidency()
+        """Parts of prompts that engines probably have in their caches."""
+        self.gap_objectives: dict[str, float] = {}
+        """Last objective of the time between events, in seconds, by model."""
+        self._prompt_rates: dict[str, _event_rate.EventRate] = {}
 
     @property
     def clock(self) -> core.Clock:
@@ -196,6 +210,8 @@
         max_tokens: int | None = None,
         suspect: bool = False,
         hinted_tokens: float | None = None,
+        parts: tuple[_residency.PromptPart, ...] = (),
+        gap_seconds: float | None = None,
     ) -> _sends.Send:
         """Count a send immediately, before the engine reports it."""
         now = self._clock.now()
@@ -210,9 +226,15 @@
             max_tokens,
             suspect,
             hinted_tokens,
+            parts,
+            gap_seconds,
         )
         state = self._states.get(target_name)
         if state is not None:
+            if prompt_tokens:
+                send.cached_tokens = prompt_tokens - self._record_prompt(
+                    state, parts, prompt_tokens, now
+                )
             state.sends[generation_id] = send
             if isinstance(state.declared, core.EngineTarget):
                 for listener in self._send_listeners:
@@ -224,8 +246,17 @@
     ) -> None:
         """Count a send of another VM until a report counts it."""
         state = self._states.get(target_name)
-        if state is not None:
-            state.add_sibling_send(send)
+        if state is None:
+            return
+        new_tokens = self._record_prompt(
+            state, send.parts, send.prompt_tokens, self._clock.now()
+        )
+        cached_tokens = send.prompt_tokens - new_tokens
+        state.add_sibling_send(attrs.evolve(send, cached_tokens=cached_tokens))
+        if send.gap_seconds is not None:
+            pace = self.estimate_pace(target_name)
+            seconds = send.expected_tokens * (pace.token_seconds or 0.0)
+            state.add_sibling_stream(send.sent_at, send.gap_seconds, seconds)
 
     def adopt(self, target_name: str, generation_id: str) -> _sends.Send:
         """Count a generation that another VM has sent as a send of this VM.
@@ -330,6 +361,57 @@
         ]
         return min(times, default=None)
 
+    def estimate_pace(self, target_name: str) -> _pace.Pace:
+        """Return the expected pace of an engine."""
+        pool_keys = self._pool_keys.get(target_name)
+        if not pool_keys:
+            return _pace.Pace()
+        pool = self._pools[pool_keys[0]]
+        return self.paces.estimate(
+            target_name, pool_keys[0], pool, self._clock.now()
+        )
+
+    def estimate_usual_pace(self, model: str) -> _pace.Pace:
+        """Return the expected pace of an unknown engine of a model."""
+        return self.paces.estimate(
+            '', model, self.get_pool(model), self._clock.now()
+        )
+
+    def measure_prompt_rate(self, model: str) -> float:
+        """Return the prompts a second that an engine of a model receives.
+
+        Sends of this VM and of siblings are counted, averaged over all
+        engines of the model.
+        """
+        rate = self._prompt_rates.get(model)
+        if rate is None:
+            return 0.0
+        per_second = rate.measure(self._clock.now())
+        return per_second / max(1, len(self.get_pool(model)))
+
+    def forget_restarted(self, target_name: str) -> None:
+        """Discard what was learned about a target that has started anew."""
+        self.paces.forget(target_name, self._clock.now())
+        self.residency.forget(target_name)
+
+    def _record_prompt(
+        self,
+        state: _states.TargetState,
+        parts: tuple[_residency.PromptPart, ...],
+        prompt_tokens: int,
+        now: float,
+    ) -> int:
+        """Record a prompt sent to an engine; return its new tokens."""
+        name = state.declared.name
+        for pool_key in self._pool_keys.get(name, ())[:1]:
+            rate = self._prompt_rates.get(pool_key)
+            if rate is None:
+                rate = _event_rate.EventRate(PROMPT_RATE_SECONDS)
+                self._prompt_rates[pool_key] = rate
+            rate.record(now)
+        free_tokens = state.memory - state.estimate_load(now).kv_used
+        return self.residency.record(name, parts, prompt_tokens, free_tokens)
+
     def _apply_target(
         self, name: str, target: core.Target, region: str | None
     ) -> None:
@@ -382,6 +464,8 @@
             self._pools[pool_key].discard(name)
         del self._states[name]
         self.hints.forget(name)
+        self.paces.drop(name)
+        self.residency.forget(name)
 
     def _notify(self, pool_keys: typing.Iterable[str]) -> None:
         for listener in self._listeners:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_placements.py
@@ -42,6 +42,18 @@
         """
         ...
 
+    def record_arrival(
+        self, read_at: float, now: float, tokens: list[int]
+    ) -> None:
+        """Record when events arrived, to learn the pace of the target.
+
+        Args:
+            read_at: When the read of the events began, in epoch seconds.
+            now: When it returned, in epoch seconds.
+            tokens: Number of tokens of each event.
+        """
+        ...
+
     def record_failure(self, crashed: bool) -> None:
         """Eject the target, which failed.
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from laburnumstep.targets import _residency
 from laburnumstep.targets import _traits
 from laburnumstep import transport
 
@@ -31,6 +32,9 @@
     shared with other prompts."""
     hinted_tokens: float | None = None
     """Answer length that the caller expects, in tokens, if given."""
+    parts: tuple[_residency.PromptPart, ...] = ()
+    """Parts of the prompt with their lengths, in order, as far as known. All
+    but the last are shared with other prompts."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -283,9 +283,16 @@
             self._idle_deadline = self._clock.now() + self._get_idle_timeout()
         deadline = min(self._request.deadline, self._idle_deadline)
         events: list[_ports.StreamEvent] | None = []
+        read_at = self._clock.now()
         with anyio.CancelScope() as self._read_scope:
             events = await self._source.read(deadline)
         self._read_scope = None
+        if events and self._placement is not None:
+            # Measured before the events are passed on, because the caller
+            # may accept them slowly.
+            self._placement.record_arrival(
+                read_at, self._clock.now(), [item.tokens for item in events]
+            )
         return events
 
     def _get_idle_timeout(self) -> float:
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -145,6 +145,11 @@
     def record_tokens(self, count: int, size: int) -> None:
         pass
 
+    def record_arrival(
+        self, read_at: float, now: float, tokens: list[int]
+    ) -> None:
+        pass
+
     def record_failure(self, crashed: bool) -> None:
         self.losses += 1
 
