Learn pauses from long streams and longer pauses only

Short streams, which are mostly sent to slow engines, saw no prefill of others and made these engines look fast. They no longer shorten a known pause.

--- a/packages/laburnumstep/src/laburnumstep/targets/_pace.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_pace.py
@@ -28,11 +28,18 @@
 HALF_LIFE_SECONDS = 300.0
 """Time after which an observation counts half, in seconds. An engine may
 slow down and recover; it is tried again when its values have faded."""
-LONGER_PAUSE_WEIGHT = 0.5
-"""Weight of a stream with a longer pause than known."""
-PAUSE_GAPS = 100.0
-"""Times between events at which a shorter pause than known has half of the
-weight of a longer one. A short stream may see no prefill of others."""
+LONGER_PAUSE_WEIGHT = 0.9
+"""Weight of a stream with a longer pause than known. With 0.5, several streams
+were late on a slow engine before it was known as slow."""
+MAX_UNUSUAL_PAUSE = 1.5
+"""Bound of the expected pause, relative to that of an engine of the same speed
+in the pool. Longer pauses may be delays of a VM."""
+SHORTER_PAUSE_WEIGHT = 0.2
+"""Weight of a long stream with a shorter pause than known."""
+PAUSE_GAPS = 60
+"""Times between events from which a stream may show a shorter pause than
+known. A shorter stream often sees no prefill of others: such streams, which
+are mostly sent to slow engines, made these look fast."""
 PRIOR_SECONDS = 1.0
 """How long the pace of a pool is kept before it is computed again, in
 seconds."""
@@ -136,11 +143,14 @@
     pause_seconds: float
     gaps: float
     updated_at: float
+    pause_trust: float
+    """How much the pause counts against that expected of the pool."""
+    paused_at: float
+    """When the pause was observed last, in epoch seconds."""
 
     def weigh(self, now: float) -> float:
         """Return the weight, which halves every `HALF_LIFE_SECONDS`."""
-        age = max(0.0, now - self.updated_at)
-        return self.gaps * 0.5 ** (age / HALF_LIFE_SECONDS)
+        return self.gaps * _fade(now - self.updated_at)
 
     def merge(self, sample: PaceSample, now: float) -> None:
         """Add the observations of one stream."""
@@ -149,14 +159,28 @@
         self.token_seconds += fraction * (
             sample.token_seconds - self.token_seconds
         )
-        share = LONGER_PAUSE_WEIGHT
-        if sample.pause_seconds < self.pause_seconds:
-            share *= sample.gaps / (sample.gaps + PAUSE_GAPS)
-        self.pause_seconds += share * (
-            sample.pause_seconds - self.pause_seconds
-        )
         self.gaps = min(MAX_GAPS, weight + sample.gaps)
         self.updated_at = now
+        longer = sample.pause_seconds > self.pause_seconds
+        if longer or sample.gaps >= PAUSE_GAPS:
+            share = LONGER_PAUSE_WEIGHT if longer else SHORTER_PAUSE_WEIGHT
+            share = max(share, 1.0 - self.pause_trust)
+            self.pause_seconds += share * (
+                sample.pause_seconds - self.pause_seconds
+            )
+            self.pause_trust = 1.0
+            self.paused_at = now
+
+    def expect_pause(self, usual: float, now: float) -> float:
+        """Return the expected pause, in seconds.
+
+        Args:
+            usual: Pause of an engine of this speed, in seconds.
+            now: Current time, in epoch seconds.
+        """
+        trust = self.pause_trust * _fade(now - self.paused_at)
+        known = min(self.pause_seconds, MAX_UNUSUAL_PAUSE * usual)
+        return usual + trust * (known - usual)
 
 
 @attrs.frozen
@@ -262,12 +286,8 @@
         # Steps with a prefill scale with the speed of the engine as the
         # others do, so a slow engine is expected to pause for longer before
         # a stream has shown it.
-        trust = weight / (weight + PAUSE_GAPS)
-        usual = max(own.pause_seconds, prior.pause_seconds / speed)
-        if own.pause_seconds < usual:
-            usual += trust * (own.pause_seconds - usual)
-        speed = min(MAX_SPEED, max(MIN_SPEED, speed))
-        return Pace(speed, seconds, usual)
+        pause = own.expect_pause(prior.pause_seconds / speed, now)
+        return Pace(min(MAX_SPEED, max(MIN_SPEED, speed)), seconds, pause)
 
     def _find_prior(
         self, pool_key: str, pool: typing.Iterable[str], now: float
@@ -302,6 +322,8 @@
             sample.pause_seconds,
             min(MAX_GAPS, float(sample.gaps)),
             now,
+            min(1.0, sample.gaps / PAUSE_GAPS),
+            now,
         )
 
     def _is_news(
@@ -356,5 +378,10 @@
     return PaceSample(gaps, token_seconds, pause_seconds)
 
 
+def _fade(age: float) -> float:
+    """Return the weight of an observation of some age, in seconds."""
+    return float(0.5 ** (max(0.0, age) / HALF_LIFE_SECONDS))
+
+
 def _differs(value: float, known: float) -> bool:
     return not math.isclose(value, known, rel_tol=PUBLISHED_CHANGE)
