Choose a random holder of a cached part, and keep datagrams in a packet

It is now drawn at random. A datagram holds at most 16 sends: 20 with four parts took 1743 bytes. The prompt rate counts each pool of an engine.

--- a/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
@@ -14,8 +14,6 @@
 """Number of engines in the local region compared for a request."""
 REMOTE_CANDIDATES = 1
 """Number of engines in remote regions compared for a request."""
-CACHE_CANDIDATES = 1
-"""Number of engines compared because they probably have the prompt cached."""
 LOCAL_SUBSTITUTES = 6
 """Number of engines in the local region that may replace candidates without
 capacity."""
@@ -86,10 +84,9 @@
             self._rng,
             preference,
         )
-        holders = targets.list_cache_holders(
-            self._view, request, CACHE_CANDIDATES
-        )
-        names += tuple(name for name in holders if name not in names)
+        holder = targets.choose_cache_holder(self._view, request, self._rng)
+        if holder is not None and holder not in names:
+            names += (holder,)
         now = self._clock.now()
         await self._refresh(
             list(names),
--- a/packages/laburnumstep/src/laburnumstep/platform/_front.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_front.py
@@ -202,7 +202,7 @@
             max_tokens,
             [item.partition(':')[0] for item in prefixes.split(',') if item],
             _decode_length_hint(headers),
-            _decode_parts(prefixes),
+            decode_parts(prefixes),
         )
 
     async def _serve(
@@ -344,7 +344,7 @@
         return DEFAULT_DEADLINE_SECONDS
 
 
-def _decode_parts(prefixes: str) -> tuple[targets.PromptPart, ...]:
+def decode_parts(prefixes: str) -> tuple[targets.PromptPart, ...]:
     """Return the parts of a prompt up to the first one without a length."""
     parts = []
     for item in prefixes.split(','):
--- a/packages/laburnumstep/src/laburnumstep/siblings/_datagrams.py
+++ b/packages/laburnumstep/src/laburnumstep/siblings/_datagrams.py
@@ -23,9 +23,9 @@
 
 MAX_QUEUED_DATAGRAMS = 512
 """Most datagrams that wait to be sent; further ones are dropped."""
-MAX_DATAGRAM_LOADS = 20
-"""Most load reports in one datagram; about 50 B each, so that it fits into
-one packet of 1,500 B."""
+MAX_DATAGRAM_LOADS = 16
+"""Most load reports and most sends in one datagram; up to 90 B each, so that
+16 of a kind fit into one packet of 1,500 B."""
 _LOG = core.get_logger('siblings')
 
 
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -67,8 +67,8 @@
 from laburnumstep.targets._placement import choose_service
 from laburnumstep.targets._placement import sample_engines
 from laburnumstep.targets._policy import MemoryPolicy
+from laburnumstep.targets._preferences import choose_cache_holder
 from laburnumstep.targets._preferences import find_preference
-from laburnumstep.targets._preferences import list_cache_holders
 from laburnumstep.targets._preferences import Preference
 from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
@@ -204,6 +204,7 @@
     'WeightSource',
     'WholeRequest',
     'WrongGeneration',
+    'choose_cache_holder',
     'choose_engine',
     'choose_service',
     'compare_models',
@@ -224,7 +225,6 @@
     'fingerprint_generation',
     'get_service_pool_key',
     'limit_engines',
-    'list_cache_holders',
     'list_generation_traits',
     'list_part_traits',
     'list_unfinished',
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -435,8 +435,10 @@
         False, REMOTE_SAMPLES if local else SAMPLES + extra, rng
     )
     hinted = view.hints.list_caching_targets(request.prefixes, HINTED_SAMPLES)
-    hinted += view.residency.list_holders(request.parts, 1)
     names = local + remote + [name for name in hinted if name in pool]
+    holder = _preferences.choose_cache_holder(view, request, rng)
+    if holder is not None:
+        names.append(holder)
     # A pool not larger than the sample is returned in a fixed order. Without
     # shuffling, VMs without load reports would all choose the same target.
     rng.shuffle(names)
--- a/packages/laburnumstep/src/laburnumstep/targets/_preferences.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_preferences.py
@@ -12,6 +12,9 @@
 from laburnumstep.targets import _results
 from laburnumstep.targets import _view
 
+if typing.TYPE_CHECKING:
+    import random
+
 LONG_CHANCE = 0.3
 """Chance that a prompt is prefilled beside a stream from which the stream
 counts as long."""
@@ -106,19 +109,19 @@
     return expected
 
 
-def list_cache_holders(
-    view: _view.FleetView, request: _results.PlacementRequest, limit: int
-) -> list[str]:
-    """Return usable engines that probably have much of a prompt cached.
+def choose_cache_holder(
+    view: _view.FleetView,
+    request: _results.PlacementRequest,
+    rng: random.Random,
+) -> str | None:
+    """Return a usable engine that probably has much of a prompt cached.
 
     Args:
         view: Targets and their load.
         request: The request.
-        limit: Maximum number of engines.
+        rng: Source of random numbers.
     """
-    pool = view.get_pool(request.model)
-    return [
-        name
-        for name in view.residency.list_holders(request.parts, limit)
-        if name in pool and name not in request.excluded
-    ]
+    name = view.residency.choose_holder(request.parts, rng)
+    if name is None or name in request.excluded:
+        return None
+    return name if name in view.get_pool(request.model) else None
--- a/packages/laburnumstep/src/laburnumstep/targets/_residency.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_residency.py
@@ -7,7 +7,10 @@
 
 import attrs
 
-MAX_PARTS_PER_ENGINE = 256
+if typing.TYPE_CHECKING:
+    import random
+
+MAX_PARTS_PER_ENGINE = 96
 """Most parts that are remembered for an engine; the least recently used ones
 are dropped first. Its memory holds some 30 parts of 900 tokens."""
 MAX_PROMPT_PARTS = 16
@@ -124,20 +127,22 @@
             tokens += part.tokens
         return tokens
 
-    def list_holders(
-        self, parts: typing.Sequence[PromptPart], limit: int
-    ) -> list[str]:
-        """Return engines that the longest known part was sent to.
+    def choose_holder(
+        self, parts: typing.Sequence[PromptPart], rng: random.Random
+    ) -> str | None:
+        """Return an engine that the longest known part was sent to, if any.
+
+        It is chosen at random: all VMs know the holders of a shared part.
 
         Args:
             parts: Known parts of the prompt, in order.
-            limit: Maximum number of engines, those that received it last.
+            rng: Source of random numbers.
         """
         for part in reversed(parts):
             holders = self._holders.get(part.digest)
             if holders:
-                return list(holders)[-limit:]
-        return []
+                return rng.choice(list(holders))
+        return None
 
     def forget(self, engine: str) -> None:
         """Discard the parts of an engine, whose memory is empty."""
--- a/packages/laburnumstep/src/laburnumstep/targets/_view.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_view.py
@@ -380,8 +380,8 @@
     def measure_prompt_rate(self, model: str) -> float:
         """Return the prompts a second that an engine of a model receives.
 
-        Sends of this VM and of siblings are counted, averaged over all
-        engines of the model.
+        Sends of this VM and of siblings for any model are counted, averaged
+        over the engines of the model.
         """
         rate = self._prompt_rates.get(model)
         if rate is None:
@@ -403,7 +403,7 @@
     ) -> int:
         """Record a prompt sent to an engine; return its new tokens."""
         name = state.declared.name
-        for pool_key in self._pool_keys.get(name, ())[:1]:
+        for pool_key in self._pool_keys.get(name, ()):
             rate = self._prompt_rates.get(pool_key)
             if rate is None:
                 rate = _event_rate.EventRate(PROMPT_RATE_SECONDS)
--- a/tests/laburnumstep/platform/decoding.feature
+++ b/tests/laburnumstep/platform/decoding.feature
@@ -93,6 +93,35 @@
       | streaming | run at most once          |
 
   # Guards against an answer of a server in trouble that ends the process.
+  Scenario Outline: Objectives of a route are decoded
+    When a configuration has a route with "<member>" of <value>
+    Then its objectives in seconds are <first> and <gap>
+
+    Examples:
+      | member          | value | first | gap    |
+      | targetLatencyMs | 1800  | 1.8   | None   |
+      | targetGapMs     | 180   | None  | 0.18   |
+      | targetGapMs     | 0     | None  | None   |
+      | targetGapMs     | -5    | None  | None   |
+      | targetGapMs     | null  | None  | None   |
+      | targetGapMs     | 1e300 | None  | 3600.0 |
+
+  Scenario Outline: Parts of a prompt are decoded up to the first odd one
+    Guards against numbers that make the decoder fail or take long.
+    When a caller sends the prompt prefix "<prefix>"
+    Then parts of <tokens> tokens are known
+
+    Examples:
+      | prefix                     | tokens    |
+      | a:900,b:1800               | 900, 1800 |
+      | a:900, b:c:1800            | 900, 1800 |
+      | a:900,b,c:1800             | 900       |
+      | a:900,b:-1,c:1800          | 900       |
+      | a:900,b:99999999999999,c:1 | 900       |
+      | :900                       | none      |
+      | a:0                        | none      |
+      | a:²                        | none      |
+
   Scenario Outline: A report with odd values is malformed
     Given an engine whose load report also has <fields>
     When the report is read
--- a/tests/laburnumstep/platform/steps/decoding_steps.py
+++ b/tests/laburnumstep/platform/steps/decoding_steps.py
@@ -17,6 +17,7 @@
 from laburnumstep.platform import _configuration
 from laburnumstep.platform import _directory
 from laburnumstep.platform import _events
+from laburnumstep.platform import _front
 from laburnumstep.platform import _servers
 from laburnumstep import targets
 from laburnumstep.targets import relay
@@ -124,6 +125,32 @@
     read_configuration(context, json.dumps(document).encode())
 
 
+@behave.when('a configuration has a route with "{member}" of {value}')
+def step_objective(context: typing.Any, member: str, value: str) -> None:
+    document = platform_harness.make_configuration()
+    document['routes'][0].pop('targetLatencyMs', None)
+    document['routes'][0][member] = json.loads(value)
+    read_configuration(context, json.dumps(document).encode())
+
+
+@behave.then('its objectives in seconds are {first} and {gap}')
+def step_objectives(context: typing.Any, first: str, gap: str) -> None:
+    route = context.active_routes.table.routes[0]
+    found = (str(route.first_answer_seconds), str(route.gap_seconds))
+    assert found == (first, gap), found
+
+
+@behave.when('a caller sends the prompt prefix "{prefix}"')
+def step_prefix(context: typing.Any, prefix: str) -> None:
+    context.parts = _front.decode_parts(prefix)
+
+
+@behave.then('parts of {tokens} tokens are known')
+def step_parts(context: typing.Any, tokens: str) -> None:
+    found = ', '.join(str(part.tokens) for part in context.parts)
+    assert (found or 'none') == tokens, context.parts
+
+
 @behave.then('its requests may run more than once')
 def step_repeatable(context: typing.Any) -> None:
     assert relay.is_repeatable(context.active_routes.table.routes[0].kind)
--- a/tests/laburnumstep/siblings/server.feature
+++ b/tests/laburnumstep/siblings/server.feature
@@ -70,6 +70,10 @@
       | 2     | 2     | a heartbeat            |
       | 2     | 2     | an empty datagram      |
 
+  Scenario: Sends with parts of prompts fit into packets
+    When 100 sends with 4 parts of prompts are encoded
+    Then each datagram fits into a packet of 1500 bytes
+
   Scenario: A refusal of the claim handler reaches the caller
     Given the claim handler refuses with "key_in_use"
     When a claim is sent
--- a/tests/laburnumstep/siblings/steps/server_steps.py
+++ b/tests/laburnumstep/siblings/steps/server_steps.py
@@ -15,6 +15,7 @@
 from laburnumstep.siblings import _auth
 from laburnumstep.siblings import _codec
 from laburnumstep.siblings import _connection
+from laburnumstep.siblings import _datagrams
 from laburnumstep.siblings import _messages
 from laburnumstep.siblings import siblings_pb2 as pb
 from laburnumstep.siblings import siblings_pb2_grpc as pb_grpc
@@ -324,7 +325,9 @@
 def step_send_loads(context: typing.Any) -> None:
     now = 1000.0
     load = siblings.EngineLoad('engine-1', now - 0.5, 3, 1, 40, 90, now + 2.0)
-    send = siblings.EngineSend('engine-1', 'vm-1', now - 0.25, 700)
+    send = siblings.EngineSend(
+        'engine-1', 'vm-1', now - 0.25, 700, ((4_000_000_000, 9),), 0.18, 760
+    )
     message = siblings.EngineLoads([load], [send], distribute=True)
     encoded = _codec.encode_message(message, now)
     context.received, _ = _codec.decode_message(
@@ -345,6 +348,8 @@
     assert context.now - send.sent_at == 0.25, send
     assert (send.target, send.vm) == ('engine-1', 'vm-1'), send
     assert send.prompt_tokens == 700, send
+    assert send.parts == ((4_000_000_000, 9),), send
+    assert (send.gap_seconds, send.expected_tokens) == (0.18, 760), send
 
 
 @behave.then('the engine is reclaimed after the same time')
@@ -432,6 +437,25 @@
     assert sum(len(message.sends) for message in messages) == sends, messages
 
 
+@behave.when('{count:d} sends with {parts:d} parts of prompts are encoded')
+def step_encode_sends(context: typing.Any, count: int, parts: int) -> None:
+    pairs = tuple((2**32 - 1, 900) for _ in range(parts))
+    send = siblings.EngineSend(
+        'planner-engine-17', 'front-lima-1-17', 0.0, 3000, pairs, 0.18, 760
+    )
+    message = siblings.EngineLoads([], [send] * count, distribute=True)
+    context.sizes = [
+        len(_codec.encode_message(part, 0.25).SerializeToString())
+        for part in _datagrams.split_loads(message)
+    ]
+
+
+@behave.then('each datagram fits into a packet of {size:d} bytes')
+def step_packet_size(context: typing.Any, size: int) -> None:
+    headers = 28
+    assert max(context.sizes) + headers <= size, context.sizes
+
+
 @behave.then('no message had more than {limit:d} load reports or sends')
 def step_datagram_size(context: typing.Any, limit: int) -> None:
     sizes = [
