--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 import anyio
@@ -166,6 +167,39 @@
     add_stream(context, name, [relay_fakes.make_events(first, last), None])
 
 
+@behave.given(
+    '"{name}" streams events 1 to {last:d}, one every {gap:d} ms, to a caller'
+    ' that takes {delay:d} ms for each'
+)
+def step_paced(
+    context: typing.Any, name: str, last: int, gap: int, delay: int
+) -> None:
+    async def read(number: int) -> list[relay.StreamEvent]:
+        context.clock.advance((gap - delay) / 1000)
+        return relay_fakes.make_events(number, number)
+
+    steps: list[typing.Any] = [
+        functools.partial(read, number) for number in range(1, last + 1)
+    ]
+    add_stream(context, name, [*steps, None])
+    send = context.sink.send
+
+    async def send_slowly(data: bytes) -> None:
+        context.clock.advance(delay / 1000)
+        await send(data)
+
+    context.sink.send = send_slowly
+
+
+@behave.then('{count:d} gaps of {gap:d} ms were recorded')
+def step_gaps(context: typing.Any, count: int, gap: int) -> None:
+    gaps = context.placer.placements[0].gaps
+    assert gaps.count == count, gaps
+    sample = gaps.evaluate()
+    if count:
+        assert abs(sample.pause_seconds - gap / 1000) < 0.001, sample
+
+
 @behave.given(
     '"{name}" streams events {first:d} to {last:d}, each twice, in one read'
     ' and ends'
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -261,3 +261,16 @@
       | large | 4000   |
     When one VM schedules copies of runs "small" and "large" at the same time
     Then the list of runs was requested once
+
+  Scenario Outline: The pace of an engine is measured where its events arrive
+    Guards against a slow caller that makes its engine look slow.
+    Given a single stream of events 1 to 12
+    And "a" streams events 1 to 12, one every 50 ms, to a caller that takes <delay> ms for each
+    When the request is relayed
+    Then the caller received each event once, in order, and the end
+    And <gaps> gaps of 50 ms were recorded
+
+    Examples:
+      | delay | gaps |
+      | 0     | 11   |
+      | 30    | 0    |
--- a/tests/laburnumstep/targets/steps/placement_cost_steps.py
+++ b/tests/laburnumstep/targets/steps/placement_cost_steps.py
@@ -108,7 +108,7 @@
 def step_compare(context: typing.Any, kind: str) -> None:
     context.placed = targets.choose_engine(
         context.view,
-        attrs.evolve(_make_request(kind), candidates=('engine-0', 'engine-1')),
+        attrs.evolve(_make_request(kind), candidates=('engine-1', 'engine-0')),
         targets.LengthEstimator(),
         core.PolicyWeights(stall=0.0, preemption=0.0, tail=1.0),
         random.Random(1),
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -141,6 +141,7 @@
     losses: int = 0
     breaks: int = 0
     releases: int = 0
+    gaps: targets.GapRecorder = attrs.field(factory=targets.GapRecorder)
 
     def record_tokens(self, count: int, size: int) -> None:
         pass
@@ -148,7 +149,7 @@
     def record_arrival(
         self, read_at: float, now: float, tokens: list[int]
     ) -> None:
-        pass
+        self.gaps.record(read_at, now, tokens)
 
     def record_failure(self, crashed: bool) -> None:
         self.losses += 1
