--- a/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_candidates.py
@@ -60,23 +60,34 @@
         self._rng = rng
 
     async def sample(
-        self, model: str, excluded: frozenset[str], regions: core.Regions
+        self,
+        request: targets.PlacementRequest,
+        preference: targets.Preference | None = None,
     ) -> tuple[str, ...]:
         """Sample a few engines and return those with recent load reports.
 
         A VM of a large deployment places a request only every few seconds.
         Reading the reports of a few engines on demand costs less than
         polling all engines, and the reports are newer.
+
+        Args:
+            request: The request. An engine that probably has its prompt
+                cached is sampled besides the others.
+            preference: Engines that are sampled first, if any.
         """
         names = targets.sample_engines(
             self._view,
-            model,
-            excluded,
+            request.model,
+            request.excluded,
             LOCAL_CANDIDATES,
             REMOTE_CANDIDATES,
             self._rng,
-            regions,
+            request.regions,
+            preference,
         )
+        holder = targets.choose_cache_holder(self._view, request, self._rng)
+        if holder is not None and holder not in names:
+            names += (holder,)
         now = self._clock.now()
         await self._refresh(
             list(names),
--- a/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_relay_placer.py
@@ -312,9 +312,10 @@
         excluded: frozenset[str],
     ) -> _relay_placement.RelayPlacement:
         placement = _make_placement_request(request, prompt, excluded)
-        candidates = await self._sampler.sample(
-            prompt.model, excluded, request.regions
+        preference = targets.find_preference(
+            self._state.view, placement, self._state.lengths
         )
+        candidates = await self._sampler.sample(placement, preference)
         placement = attrs.evolve(
             placement,
             candidates=candidates,
@@ -361,6 +362,8 @@
             0.0,
             max(0, prompt.max_tokens - tokens) if prompt is not None else None,
             hinted_tokens=hinted,
+            parts=prompt.parts if prompt is not None else (),
+            gap_seconds=request.route.gap_seconds,
         )
         return self._make_placement(request, send)
 
@@ -393,6 +396,10 @@
         max_tokens=prompt.max_tokens,
         hinted_tokens=prompt.hinted_tokens,
         regions=request.regions,
+        parts=prompt.parts,
+        objectives=targets.Objectives(
+            request.route.first_answer_seconds, request.route.gap_seconds
+        ),
     )
 
 
--- a/packages/laburnumstep/src/laburnumstep/core/_routes.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_routes.py
@@ -66,9 +66,11 @@
     regions: _regions.Regions = _regions.AnyRegion()
     """Regions in which the requests may run."""
     first_answer_seconds: float | None = None
-    """Objective for the time to the first byte or event, in seconds."""
+    """Longest time to the first event of a stream that is in time, in
+    seconds; None if not given."""
     gap_seconds: float | None = None
-    """Objective for the longest pause between two events, in seconds."""
+    """Longest time between two events of a stream that is in time, in
+    seconds; None if not given."""
 
     def choose_service(self, rng: random.Random) -> str:
         """Return the service for one request, drawn at random by weight."""
--- a/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_configuration.py
@@ -17,6 +17,7 @@
 _DEFAULT_BODY_BYTES = 1024 * 1024
 _DEFAULT_HEAD_MS = 10_000.0
 _DEFAULT_IDLE_MS = 30_000.0
+_MAX_OBJECTIVE_SECONDS = 3600.0
 
 _LOGGER = core.get_logger('platform')
 
@@ -149,8 +150,8 @@
         priority=-int(item.get('priority', 0)),
         public=bool(item.get('skipAuth', False)),
         regions=_decode_regions(item),
-        first_answer_seconds=_decode_seconds(item, 'targetLatencyMs'),
-        gap_seconds=_decode_seconds(item, 'targetGapMs'),
+        first_answer_seconds=_decode_objective(item, 'targetLatencyMs'),
+        gap_seconds=_decode_objective(item, 'targetGapMs'),
     )
 
 
@@ -172,10 +173,12 @@
     return core.OnlyRegions(frozenset(names))
 
 
-def _decode_seconds(item: dict[str, typing.Any], name: str) -> float | None:
-    """Return a time that the configuration may give in milliseconds."""
-    milliseconds = item.get(name)
-    return None if milliseconds is None else float(milliseconds) / 1000
+def _decode_objective(item: dict[str, typing.Any], key: str) -> float | None:
+    """Return an objective in seconds; one that is not positive is none."""
+    value = item.get(key)
+    if value is None or not value > 0:
+        return None
+    return min(value / 1000, _MAX_OBJECTIVE_SECONDS)
 
 
 def _decode_kind(item: dict[str, typing.Any]) -> core.RouteKind:
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -150,7 +150,7 @@
             self._deployment,
             self._apply_targets,
             self._evacuate,
-            self._forget_words,
+            self._handle_restart,
         )
         self._leaving_targets = targets.LeavingTargets(
             clock, self._registry.find_registration, self._apply_leaving
@@ -205,6 +205,7 @@
             self._fleet_view.record_sibling_send,
         )
         self._fleet_view.subscribe_sends(self._fleet.loads.publish_send)
+        self._fleet.share_paces(self._fleet_view.paces)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._front = self._build_front()
         self._caller_server = transport.HttpServer(
@@ -498,9 +499,10 @@
         if leaving:
             self._evacuate(target)
 
-    def _forget_words(self, target: str) -> None:
-        """Forget what a target has said before it started again."""
+    def _handle_restart(self, target: str) -> None:
+        """Forget what is known of a target from before it started again."""
         self._target_limits.forget(target)
+        self._fleet_view.forget_restarted(target)
         self._target_words.record_restart(target)
 
     def _get_tokens_per_event(self, service: str) -> int:
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -11,6 +11,7 @@
 from laburnumstep.targets._coalescing import ReadPacer
 from laburnumstep.targets._codec import decode as decode_lengths
 from laburnumstep.targets._codec import encode as encode_lengths
+from laburnumstep.targets._cost import Objectives
 from laburnumstep.targets._crash_codec import decode_evidence
 from laburnumstep.targets._crash_codec import encode_evidence
 from laburnumstep.targets._crash_ledger import CrashLedger
@@ -68,15 +69,29 @@
 from laburnumstep.targets._orders_client import OrderClient
 from laburnumstep.targets._orders_client import OrderFailed
 from laburnumstep.targets._orders_client import StaleFence
+from laburnumstep.targets._pace import decode_sample as decode_pace
+from laburnumstep.targets._pace import EARLY_GAPS
+from laburnumstep.targets._pace import encode_sample as encode_pace
+from laburnumstep.targets._pace import EnginePaces
+from laburnumstep.targets._pace import EXPIRY_SECONDS as PACE_EXPIRY_SECONDS
+from laburnumstep.targets._pace import GapRecorder
+from laburnumstep.targets._pace import Pace
+from laburnumstep.targets._pace import PaceSample
 from laburnumstep.targets._placement import choose_engine
 from laburnumstep.targets._placement import choose_service
 from laburnumstep.targets._placement import sample_engines
 from laburnumstep.targets._policy import MemoryPolicy
+from laburnumstep.targets._preferences import choose_cache_holder
+from laburnumstep.targets._preferences import find_preference
+from laburnumstep.targets._preferences import Preference
 from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
 from laburnumstep.targets._registry import Registration
 from laburnumstep.targets._registry import TargetRegistry
 from laburnumstep.targets._reports import LoadReport
+from laburnumstep.targets._residency import CacheResidency
+from laburnumstep.targets._residency import digest_parts
+from laburnumstep.targets._residency import PromptPart
 from laburnumstep.targets._results import NoRoom
 from laburnumstep.targets._results import NoTarget
 from laburnumstep.targets._results import Placed
@@ -127,6 +142,7 @@
     'BackupRoom',
     'CacheEvent',
     'CacheEventKind',
+    'CacheResidency',
     'CallRunner',
     'ClaimStore',
     'Clearance',
@@ -138,10 +154,12 @@
     'CrashReport',
     'Culprit',
     'DEFAULT_TOKEN_SECONDS',
+    'EARLY_GAPS',
     'EVIDENCE_SECONDS',
     'EngineClient',
     'EngineClients',
     'EngineHazards',
+    'EnginePaces',
     'EventDecoder',
     'EventRate',
     'Failed',
@@ -149,6 +167,7 @@
     'FailedRun',
     'Finished',
     'FleetView',
+    'GapRecorder',
     'GenerationPlacement',
     'GenerationRunner',
     'GenerationSink',
@@ -170,18 +189,24 @@
     'NoTarget',
     'NotReached',
     'NotStarted',
+    'Objectives',
     'OperatorRefusal',
     'Order',
     'OrderAnswer',
     'OrderClient',
     'OrderFailed',
     'OrderReconciler',
+    'PACE_EXPIRY_SECONDS',
+    'Pace',
+    'PaceSample',
     'Placed',
     'PlacedGeneration',
     'PlacementRequest',
     'PlacementResult',
     'Preempted',
+    'Preference',
     'PrefixHints',
+    'PromptPart',
     'ReadPacer',
     'Registration',
     'ReplyLost',
@@ -209,6 +234,7 @@
     'WeightSource',
     'WholeRequest',
     'WrongGeneration',
+    'choose_cache_holder',
     'choose_engine',
     'choose_service',
     'compare_models',
@@ -216,14 +242,18 @@
     'decide_retry',
     'decode_evidence',
     'decode_lengths',
+    'decode_pace',
     'describe_traits',
     'digest_fields',
+    'digest_parts',
     'digest_prefixes',
     'digest_traits',
     'draw_destination',
     'encode_evidence',
     'encode_lengths',
+    'encode_pace',
     'estimate_remaining',
+    'find_preference',
     'fingerprint_call',
     'fingerprint_generation',
     'get_service_pool_key',
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -157,9 +157,11 @@
             StreamBroken: The engine no longer runs the request.
         """
         assert self._reader is not None
+        read_at = self._clock.now()
         result = await self._reader.read()
         match result:
             case _reading.Events(events=events):
+                self._record_arrival(read_at, events)
                 await self._deliver(self._reader, events)
             case _reading.Ended():
                 await self._delivery.finish()
@@ -250,6 +252,19 @@
             self._request, target, self._delivery.tokens
         )
 
+    def _record_arrival(
+        self, read_at: float, events: list[_ports.StreamEvent]
+    ) -> None:
+        """Record when events arrived, to learn the pace of the engine.
+
+        This is measured before the events are passed on, because the caller
+        may accept them slowly.
+        """
+        if self._placement is not None:
+            self._placement.record_arrival(
+                read_at, self._clock.now(), [item.tokens for item in events]
+            )
+
     async def _deliver(
         self, reader: _reading.RunReader, events: list[_ports.StreamEvent]
     ) -> None:
