Announce the limit of a cold target only when it begins, changes or ends

Cause: a cold time of a service without coldPerS ended a hold of its target, and a restart during a cold time left its limit with placement.

--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
@@ -83,6 +83,7 @@
         self._starts: dict[str, ColdStart] = {}
         self._entries: dict[str, ColdEntry] = {}
         self._periods: dict[str, _Period] = {}
+        self._limited: set[str] = set()
         self._listeners: list[Listener] = []
         self._answer_listeners: list[AnswerListener] = []
 
@@ -123,7 +124,7 @@
             if order < (known.started_at, known.renewals):
                 return
             if entry.started_at > known.started_at:
-                self._periods.pop(target, None)
+                self._end(target)
         self._entries.pop(target, None)
         self._entries[target] = entry
         if len(self._entries) > MAX_REMEMBERED:
@@ -218,22 +219,28 @@
             self._notify(target)
 
     def _end(self, target: str) -> None:
-        del self._periods[target]
-        self._notify(target)
+        if self._periods.pop(target, None) is not None:
+            self._notify(target)
 
     def _notify(self, target: str) -> None:
+        """Announce a target whose limit begins, changes or ends."""
         period = self._periods.get(target)
         start = self._find_start(target)
-        if start is not None:
-            _LOGGER.info(
-                'cold target; target=%s permits=%g seconds=%.1f',
-                target,
-                COLD_FRACTION * start.per_second if period else 0.0,
-                period.until - self._clock.now() if period else 0.0,
-            )
-        cold = sum(
-            self._find_start(name) is not None for name in self._periods
+        if period is not None and start is not None:
+            self._limited.add(target)
+            permits = COLD_FRACTION * start.per_second
+            seconds = period.until - self._clock.now()
+        elif target in self._limited:
+            self._limited.discard(target)
+            permits, seconds = 0.0, 0.0
+        else:
+            return
+        _LOGGER.info(
+            'cold target; target=%s permits=%g seconds=%.1f',
+            target,
+            permits,
+            seconds,
         )
-        self._metrics.set_gauge('targets.cold', cold)
+        self._metrics.set_gauge('targets.cold', len(self._limited))
         for listener in self._listeners:
             listener(target)
--- a/tests/laburnumstep/targets/limits/cold.feature
+++ b/tests/laburnumstep/targets/limits/cold.feature
@@ -61,6 +61,23 @@
       | 1 configured 0; 2 entry 1/1 cold 5; 3 configured 20 | 16 |
       | 1 configured 0.001; 2 entry 1/1 cold 5            | 0.1  |
 
+  # Guards against a hold that ends because of a target that is not limited,
+  # and against a limit that placement keeps after its end.
+  Scenario Outline: Only limits that begin, change or end are announced
+    When a VM learns at these seconds of cold times: <events>
+    Then the announced rates are <rates>
+
+    Examples:
+      | events                                          | rates  |
+      | 1 configured 0; 2 entry 1/1 cold 5; 20 waits    | none   |
+      | 1 names 3; 2 configured 0; 3 entry 1/1 cold 5   | 3      |
+      | 1 entry 1/1 cold 5; 2 entry 1/2 cold 4          | 8      |
+      | 1 entry 1/1 cold 5; 2 entry 2/1 cold 0          | 8,none |
+      | 1 entry 1/1 cold 5; 2 entry 2/1 cold 9          | 8,none,8 |
+      | 1 entry 1/1 cold 5; 30 waits                    | 8,none |
+      | 1 entry 1/1 cold 5; 2 configured 0              | 8,none |
+      | 1 entry 1/1 cold 5; 2 names 3                   | 8,3    |
+
   # Guards against a limit that other VMs keep for a minute, although the
   # target has not named it.
   Scenario: A VM that issues permits does not keep the rate of a cold target
--- a/tests/laburnumstep/targets/limits/steps/cold_steps.py
+++ b/tests/laburnumstep/targets/limits/steps/cold_steps.py
@@ -28,6 +28,10 @@
     metrics = core.Metrics(None, '')
     context.cold = limits.ColdTargets(context.clock, metrics)
     context.limits = limits.TargetLimits(context.clock, metrics, context.cold)
+    context.announced = []
+    context.limits.subscribe(
+        lambda target, named: context.announced.append(named.describe())
+    )
     context.ramp_seconds = seconds
     configure(context, rate)
 
@@ -67,6 +71,13 @@
         apply_event(context, event)
 
 
+@behave.then('the announced rates are {rates}')
+def step_announced(context: typing.Any, rates: str) -> None:
+    context.limits.drop_expired()
+    found = ','.join(context.announced) or 'none'
+    assert found == rates, found
+
+
 @behave.given('a VM that does not know that the target is cold')
 def step_unknowing(context: typing.Any) -> None:
     context.issuer = limits.PermitIssuer(context.limits, context.clock)
