--- a/tests/laburnumstep/platform/self_reports.feature
+++ b/tests/laburnumstep/platform/self_reports.feature
@@ -3,11 +3,9 @@
   it wants none, and against a server that is left out because of an ordinary
   refusal or a value that cannot be read.
 
-  Background:
-    Given a VM on the platform with one server
-
   Scenario Outline: A server that says so gets no further request
-    Given the server answers <status> with the headers "<headers>"
+    Given a VM on the platform with one server
+    And the server answers <status> with the headers "<headers>"
     When 5 requests for "<path>" are sent one after the other
     Then <count> requests reached the server
 
@@ -35,7 +33,8 @@
   # Guards against a caller that comes back before the server wants it, and a
   # server that is left out for good.
   Scenario Outline: Refused callers come back at the end of the back-off
-    Given the server answers 503 with the headers "Retry-After: <value>; Not-Executed: 1"
+    Given a VM on the platform with one server
+    And the server answers 503 with the headers "Retry-After: <value>; Not-Executed: 1"
     When 3 requests for "/safe/1" are sent one after the other
     Then they are refused as not run, for <least> to <most> seconds
 
@@ -48,7 +47,8 @@
   # Guards against a server that is used again because of an entry which it
   # wrote before it said that it leaves, and against one that stays left out.
   Scenario Outline: A server that said that it leaves is used after its return
-    Given the server answers 200 with the headers "Server-Leaving: 1"
+    Given a VM on the platform with one server
+    And the server answers 200 with the headers "Server-Leaving: 1"
     When 2 requests for "/safe/1" are sent one after the other
     And the server answers 200 with the headers "Server-Leaving: 0"
     And the server writes the entries "<entries>"
@@ -61,3 +61,10 @@
       | draining 2; ready 3  | 200    |
       | draining 3; ready 2  | 503    |
       | ready 1 born 9       | 200    |
+
+  # Guards against runs that are lost with an engine which says in a refusal,
+  # before its entry does, that it leaves.
+  Scenario: Runs on an engine that says so migrate
+    Given a VM on the platform with an engine that refuses its second stream as it leaves
+    When two streams are sent to it and another engine registers
+    Then it is asked to copy a run
--- a/tests/support/platform_engine.py
+++ b/tests/support/platform_engine.py
@@ -125,6 +125,44 @@
         self.answered.append(prompt)
 
 
+class LeavingEngine(CrashingEngine):
+    """Begins one stream, and refuses others as it is leaving.
+
+    Args:
+        name: Name of the engine.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, '')
+        self._begun = False
+        self.moved = anyio.Event()
+        """Set when it was asked to copy a run to another engine."""
+
+    async def _answer(
+        self,
+        protocol: h11.Connection,
+        stream: anyio.abc.SocketStream,
+        request: h11.Request,
+    ) -> None:
+        if request.target == b'/v1/kv-move':
+            self.moved.set()
+        if request.target.startswith(b'/v1/'):
+            await _send(protocol, stream, _make_report())
+            return
+        headers = {k.decode(): v.decode() for k, v in request.headers}
+        head = [*_STREAM_HEADERS, ('Attempt-Id', headers['attempt-id'])]
+        if self._begun:
+            head += [('Server-Leaving', '1'), ('Not-Executed', '1')]
+            refusal = h11.Response(status_code=503, headers=head)
+            await _send(protocol, stream, [refusal, h11.EndOfMessage()])
+            return
+        self._begun = True
+        event = h11.Data(data=b'id: 1\ndata: x\n\n')
+        response = h11.Response(status_code=200, headers=head)
+        await _send(protocol, stream, [response, event])
+        await anyio.sleep_forever()
+
+
 class FloodingEngine(CrashingEngine):
     """Streams bytes without an event until its caller closes.
 
