Read a silent run on if no other engine can continue it

Cause: a 404 to the move of a silent run closed its stream before another engine had taken it. An engine that says so of a preempted run would have gone on with it, and a run without a backup ended.

Change: the stream is kept, as for an engine that does not answer.

The new scenario of silence.feature failed before; features of targets/relay: 123 passed.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -168,6 +168,7 @@
             case _reading.Interrupted():
                 pass
             case _silence.ContinueElsewhere(reason=reason):
+                self._record_silent_engine()
                 await self._leave_silent(reason)
             case _silence.StopFirst(reason=reason):
                 await self._move_silent(self._reader, reason)
@@ -320,18 +321,20 @@
         self._resume_from_time = self._clock.now() + RESUME_SECONDS
         await self._continuation.try_resume('the engine stops')
 
+    def _record_silent_engine(self) -> None:
+        """Eject the engine, which does not answer."""
+        if self._placement is not None:
+            self._placement.record_failure(crashed=False)
+
     async def _leave_silent(self, reason: str) -> None:
-        """Continue the run elsewhere, as its engine seems to be gone.
+        """Continue the run elsewhere, as its engine seems to have lost it.
 
         The stream of the engine is kept until another engine has taken the
         run, in case it is there after all.
         """
-        placement = self._placement
-        if placement is None:
-            return
-        self._log_end('stream is silent', placement, reason)
-        placement.record_failure(crashed=False)
-        self._attempts.exclude(placement.target.name)
+        assert self._placement is not None
+        self._log_end('stream is silent', self._placement, reason)
+        self._attempts.exclude(self._placement.target.name)
         if await self._continuation.continue_from_copies(reason):
             return
         if self._continuation.may_resume:
@@ -348,7 +351,7 @@
         on it. If it refuses, its stream is read on.
 
         Raises:
-            StreamBroken: The engine no longer has the run.
+            StreamBroken: The run was stopped and did not go on elsewhere.
         """
         assert self._placement is not None
         reader.delay_move(RETRY_SECONDS)
@@ -365,7 +368,9 @@
                 ):
                     raise _ports.StreamBroken('the moved run did not go on')
             case _moves.Missing():
-                raise _ports.StreamBroken('the engine does not have the run')
+                # The stream is kept: an engine might say this of a run that
+                # it has preempted.
+                await self._leave_silent('the engine does not have the run')
             case _moves.PerhapsStopped():
                 reader.record_unknown_stop()
             case _moves.Kept():
--- a/tests/laburnumstep/targets/relay/silence.feature
+++ b/tests/laburnumstep/targets/relay/silence.feature
@@ -121,6 +121,17 @@
     Then the caller received each event once, in order, and the end
     And "b" started from copy b/key-1 at event 3
 
+  # Guards against a stream that ends because an engine says of a preempted run
+  # that it does not have it.
+  Scenario: A run that its engine does not have is read on without a backup
+    Given a single stream of events 1 to 5
+    And engine "a" lists other runs
+    And a move from "a" finds no run
+    And "a" streams events 1 to 3, is silent for 3 s, and ends at 5
+    When the request is relayed
+    Then the caller received each event once, in order, and the end
+    And the request was sent to targets "a"
+
   Scenario: A run that was stopped but not sent goes on at its engine
     Given a single stream of events 1 to 5
     And engine "a" lists other runs
