Exceed a workspace's limit in its test on a slow machine too

Cause: 'Keys are sent through two VMs beyond the workspace's limit' needed a machine that sends more than 100 requests a second, the limit of its configuration. Change: the scenario publishes a limit of 20 a second first; every check stays.

--- a/tests/laburnumstep/vm/postings.feature
+++ b/tests/laburnumstep/vm/postings.feature
@@ -38,8 +38,11 @@
     Then at least one caller receives outcome "ran"
     And the operation had 1 effects
 
+  # The limit is far below what a slow machine sends, so that it is exceeded
+  # on any.
   Scenario: Keys are sent through two VMs beyond the workspace's limit
     Given VMs "vm-1" and "vm-2"
+    And the workspace may send 20 requests a second
     When 500 keys of "post" are each sent through both VMs, 20 at a time
     Then some callers are refused with "limit_exceeded"
     And no caller receives "not_run" for a key that had an effect
--- a/tests/laburnumstep/vm/steps/operation_steps.py
+++ b/tests/laburnumstep/vm/steps/operation_steps.py
@@ -83,9 +83,19 @@
 
 @behave.given('the concurrency limit is {limit:d}')
 def step_limit(context: typing.Any, limit: int) -> None:
+    _limit_workspace(context, concurrency=limit)
+
+
+@behave.given('the workspace may send {rate:d} requests a second')
+def step_request_rate(context: typing.Any, rate: int) -> None:
+    _limit_workspace(context, requests_per_second=rate)
+
+
+def _limit_workspace(context: typing.Any, **limits: int) -> None:
+    """Publish lower limits and wait until they are in force on all VMs."""
     deployment = context.cluster.deployment
     workspace = deployment.workspaces[cluster.WORKSPACE]
-    lowered = attrs.evolve(workspace, concurrency=limit)
+    lowered = attrs.evolve(workspace, **limits)
     changed = attrs.evolve(deployment, workspaces={cluster.WORKSPACE: lowered})
     context.portal.call(context.cluster.publish, changed)
     message = f'configuration in force; version={context.cluster.version}'
