--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -97,7 +97,7 @@
             await connection.send(head, attempt.request.body, attempt.deadline)
             response = await connection.read_head(attempt.deadline)
             if _answers.is_own_answer(attempt, connection, response):
-                self._record_words(attempt.target, response, sent_at)
+                self._record_notices(attempt.target, response, sent_at)
             reply = await self._read_reply(attempt, connection, response)
             intact = not isinstance(reply, relay.Lost)
             return reply
@@ -365,7 +365,7 @@
             sent_at = self._clock.now()
             await connection.send(head, body, deadline)
             response = await connection.read_head(deadline)
-            self._record_words(target, response, sent_at)
+            self._record_notices(target, response, sent_at)
             content = await connection.read_body(
                 MAX_RESPONSE_BYTES, deadline, self._body_budget
             )
@@ -443,7 +443,7 @@
         self._release_connection(attempt.target, connection, response)
         return relay.Answered(response.status, headers, body)
 
-    def _record_words(
+    def _record_notices(
         self,
         target: core.Target,
         response: transport.ResponseHead,
--- a/packages/laburnumstep/src/laburnumstep/platform/_vm.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_vm.py
@@ -137,7 +137,7 @@
             clock,
             self._get_tokens_per_event,
             self._target_limits,
-            lambda *report: self._target_words.record(*report),
+            lambda *report: self._target_notices.record(*report),
             self._choose_bodies_limit(),
         )
         self._services: _configuration.Services = {}
@@ -155,7 +155,7 @@
         self._leaving_targets = targets.LeavingTargets(
             clock, self._registry.find_registration, self._apply_leaving
         )
-        self._target_words = targets.TargetWords(
+        self._target_notices = targets.TargetNotices(
             clock,
             self._fleet_view,
             self._leaving_targets,
@@ -358,7 +358,7 @@
         port = relay.LimitedPort(
             relay.CheckedPort(self._server_client, self._fleet_view.places),
             self._permit_gate,
-            self._target_words.find_back_off,
+            self._target_notices.find_back_off,
         )
         return _front.FrontEnd(
             self._active_routes,
@@ -503,7 +503,7 @@
         """Forget what is known of a target from before it started again."""
         self._target_limits.forget(target)
         self._fleet_view.forget_restarted(target)
-        self._target_words.record_restart(target)
+        self._target_notices.record_restart(target)
 
     def _get_tokens_per_event(self, service: str) -> int:
         engine = self._services.get(service)
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -118,7 +118,7 @@
 from laburnumstep.targets._service_client import ServiceClients
 from laburnumstep.targets._states import TargetState
 from laburnumstep.targets._subset import limit_engines
-from laburnumstep.targets._target_words import TargetWords
+from laburnumstep.targets._target_notices import TargetNotices
 from laburnumstep.targets._traits import describe_traits
 from laburnumstep.targets._traits import digest_fields
 from laburnumstep.targets._traits import digest_traits
@@ -225,9 +225,9 @@
     'StreamBroken',
     'StreamGap',
     'StreamPosition',
+    'TargetNotices',
     'TargetRegistry',
     'TargetState',
-    'TargetWords',
     'TokenBatch',
     'Trait',
     'Traits',
--- a/packages/laburnumstep/src/laburnumstep/targets/_target_words.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_target_notices.py
@@ -15,7 +15,7 @@
 _LOGGER = core.get_logger('targets')
 
 
-class TargetWords:
+class TargetNotices:
     """Applies the self-reports in the answers to this VM.
 
     Args:
--- a/tests/laburnumstep/platform/steps/answers_steps.py
+++ b/tests/laburnumstep/platform/steps/answers_steps.py
@@ -148,6 +148,6 @@
 
 
 @behave.then("the server's words are {words}")
-def step_words(context: typing.Any, words: str) -> None:
+def step_notices(context: typing.Any, words: str) -> None:
     found = ','.join(describe_words(item) for item in context.words)
     assert (found or 'none') == words, found
