Move runs to engines that keep their objective, if one has room

Cause: destinations of copies were drawn by room alone. Change: engines whose pauses keep the stream's objective come first, the others if none of them has room.

--- a/packages/laburnumstep/src/laburnumstep/callers/_copy_targets.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_copy_targets.py
@@ -59,9 +59,12 @@
         run = self.describe_run(request, tokens)
         if run is None:
             return None
-        rooms = self.measure_rooms(run, source, engines)
-        room = targets.draw_destination(rooms, self._rng)
-        return self.find_engine(room.name) if room is not None else None
+        for group in self._group_by_pace(request, engines):
+            rooms = self.measure_rooms(run, source, group)
+            room = targets.draw_destination(rooms, self._rng)
+            if room is not None:
+                return self.find_engine(room.name)
+        return None
 
     def choose_backup(
         self,
@@ -161,6 +164,27 @@
             remaining,
         )
 
+    def _group_by_pace(
+        self,
+        request: relay.RelayRequest,
+        engines: list[targets.TargetState],
+    ) -> list[list[targets.TargetState]]:
+        """Return the engines that keep the objective of a stream, then all.
+
+        A slow engine makes the stream late, and answers so late that the
+        engine before may work on it beside the new one for some time.
+        """
+        gap_seconds = request.route.gap_seconds
+        if gap_seconds is None:
+            return [engines]
+        view = self._state.view
+        keeping = [
+            engine
+            for engine in engines
+            if targets.keeps_gap(view, engine.declared.name, gap_seconds)
+        ]
+        return [keeping, engines] if len(keeping) < len(engines) else [engines]
+
     def measure_rooms(
         self,
         run: targets.CopiedRun,
--- a/packages/laburnumstep/src/laburnumstep/targets/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/__init__.py
@@ -83,6 +83,7 @@
 from laburnumstep.targets._policy import MemoryPolicy
 from laburnumstep.targets._preferences import choose_cache_holder
 from laburnumstep.targets._preferences import find_preference
+from laburnumstep.targets._preferences import keeps_gap
 from laburnumstep.targets._preferences import Preference
 from laburnumstep.targets._prefixes import digest_prefixes
 from laburnumstep.targets._reclaims import list_unfinished
@@ -257,6 +258,7 @@
     'fingerprint_call',
     'fingerprint_generation',
     'get_service_pool_key',
+    'keeps_gap',
     'limit_engines',
     'list_generation_traits',
     'list_part_traits',
--- a/packages/laburnumstep/src/laburnumstep/targets/_preferences.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_preferences.py
@@ -79,14 +79,25 @@
     chance = 1.0 - math.exp(-rate * tokens * usual.token_seconds)
 
     def is_slow(name: str) -> bool:
-        pause = view.estimate_pace(name).pause_seconds
-        return _cost.grade_pause(pause, objective) >= MISS_CHANCE
+        return not keeps_gap(view, name, objective)
 
     if gap_seconds is not None and chance >= LONG_CHANCE:
         return Preference(lambda name: not is_slow(name))
     return Preference(is_slow, 1)
 
 
+def keeps_gap(view: _view.FleetView, engine: str, gap_seconds: float) -> bool:
+    """Return whether a long stream on an engine probably keeps its objective.
+
+    Args:
+        view: Targets and their pace.
+        engine: Name of the engine.
+        gap_seconds: Objective of the time between events, in seconds.
+    """
+    pause = view.estimate_pace(engine).pause_seconds
+    return _cost.grade_pause(pause, gap_seconds) < MISS_CHANCE
+
+
 def estimate_tokens(
     request: _results.PlacementRequest,
     lengths: _lengths.LengthEstimator,
