Store entries of limited dictionaries through one function

Five places stored an entry as the newest one and dropped the oldest beyond a limit, each with its own lines: the last registry entries, the cold entries, the targets that are leaving, the engines whose pace was discarded and the survivals of the crash ledger.

core.put_bounded does it for all of them. Behaviour is unchanged: each dictionary keeps its limit and its order. The crash ledger now trims after each trait and not after all of them, which drops the same entries. Places that only evict before an insertion, or without moving an entry to the end, keep their own lines.

--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -4,6 +4,7 @@
 connection to a peer.
 """
 
+from laburnumstep.core._bounded import put_bounded
 from laburnumstep.core._clock import cancel_at
 from laburnumstep.core._clock import Clock
 from laburnumstep.core._clock import ManualClock
@@ -133,6 +134,7 @@
     'load_settings',
     'parse_json',
     'parse_settings',
+    'put_bounded',
     'rank_by_rendezvous',
     'stable_hash',
     'update_digest',
--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
@@ -180,10 +180,7 @@
         """Record that a target has survived a request with these traits."""
         now = self._clock.now()
         for trait in traits:
-            self._survived.pop(trait, None)
-            self._survived[trait] = now
-        while len(self._survived) > MAX_SURVIVALS:
-            del self._survived[next(iter(self._survived))]
+            core.put_bounded(self._survived, trait, now, MAX_SURVIVALS)
         self._update()
         for trait in traits & self._open:
             self.record(_crashes.Clearance(trait, now))
--- a/packages/laburnumstep/src/laburnumstep/targets/_leaving.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_leaving.py
@@ -70,7 +70,7 @@
         if entry is not None:
             renewals = entry.renewals if entry.target.leaving else None
             leaving = _Leaving(entry.started_at, renewals)
-        _put_bounded(self._leaving, target, leaving)
+        core.put_bounded(self._leaving, target, leaving, MAX_REMEMBERED)
         _LOGGER.info('target says that it is leaving; target=%s', target)
         self._on_change(target, True)
 
@@ -104,7 +104,9 @@
 
     def record_restart(self, name: str) -> None:
         """Record that a target has started again under its name."""
-        _put_bounded(self._restarted_at, name, self._clock.now())
+        core.put_bounded(
+            self._restarted_at, name, self._clock.now(), MAX_REMEMBERED
+        )
         if name in self._leaving:
             self._end(name, 'it has started again')
 
@@ -114,14 +116,3 @@
             'target is no longer leaving; target=%s reason="%s"', name, reason
         )
         self._on_change(name, False)
-
-
-_Value = typing.TypeVar('_Value')
-
-
-def _put_bounded(items: dict[str, _Value], name: str, value: _Value) -> None:
-    """Store a value and drop the oldest one beyond `MAX_REMEMBERED`."""
-    items.pop(name, None)
-    items[name] = value
-    if len(items) > MAX_REMEMBERED:
-        del items[next(iter(items))]
--- a/packages/laburnumstep/src/laburnumstep/targets/_pace.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_pace.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from laburnumstep import core
+
 MAX_GAP_SECONDS = 1.0
 """Longest time between events that counts, in seconds. A preempted run is
 silent for about 2 s, which says nothing about the pace of its engine."""
@@ -247,10 +249,7 @@
     def forget(self, engine: str, now: float) -> None:
         """Discard the pace of an engine that has started anew."""
         self._estimates.pop(engine, None)
-        self._forgotten_at.pop(engine, None)
-        self._forgotten_at[engine] = now
-        if len(self._forgotten_at) > MAX_FORGOTTEN:
-            del self._forgotten_at[next(iter(self._forgotten_at))]
+        core.put_bounded(self._forgotten_at, engine, now, MAX_FORGOTTEN)
 
     def drop(self, engine: str) -> None:
         """Discard the pace of an engine that is no longer declared."""
--- a/packages/laburnumstep/src/laburnumstep/targets/_registry.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_registry.py
@@ -77,6 +77,7 @@
         self._on_leaving = on_leaving
         self._on_restart = on_restart
         self._entries: dict[str, _RegistryEntry] = {}
+        # The last entry of each target, kept also after its removal.
         self._last: dict[str, Registration] = {}
         self._deferred: dict[str, tuple[Registration, float]] = {}
         self._reliable_at = 0.0
@@ -202,20 +203,13 @@
             'no' if entry is None else 'yes',
         )
 
-    def _remember(self, name: str, registration: Registration) -> None:
-        """Remember the last entry of a target, also after its removal."""
-        self._last.pop(name, None)
-        self._last[name] = registration
-        if len(self._last) > MAX_REMEMBERED:
-            del self._last[next(iter(self._last))]
-
     def _put_entry(self, name: str, registration: Registration) -> bool:
         """Add or replace an entry; return whether the targets changed."""
         target, started_at = registration.target, registration.started_at
         entry = self._entries.get(name)
         if entry is not None and entry.started_at > started_at:
             return False
-        self._remember(name, registration)
+        core.put_bounded(self._last, name, registration, MAX_REMEMBERED)
         if entry is not None and entry.started_at == started_at:
             if entry.target == target and entry.expires_at is None:
                 return False
--- a/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/limits/_cold.py
@@ -125,10 +125,7 @@
                 return
             if entry.started_at > known.started_at:
                 self._end(target)
-        self._entries.pop(target, None)
-        self._entries[target] = entry
-        if len(self._entries) > MAX_REMEMBERED:
-            del self._entries[next(iter(self._entries))]
+        core.put_bounded(self._entries, target, entry, MAX_REMEMBERED)
         if entry.seconds is not None:
             self._apply(target, entry.seconds)
 
