Remove duplicate constants, formulas and an unused limit from placement

- The prefill rate of an engine of speed 1 and the memory limit of copies were each defined twice, so one could have been tuned without the other.
Backups now use the constants of the placement cost and of destinations.
- The chance that a prompt arrives during a stream was computed in two places; the preference of engines now calls estimate_prompt_chance.
- PlacementRequest.memory_fraction had no user left since copies measure room themselves.
- The latency of the link was computed twice for each compared engine.
- CopyTargets had three public methods that only it calls.
- The two simulated fleets of the tests share the prefill rate and the construction of their views.

Behaviour is unchanged. Not changed: the repeated signatures of CheckedPort, LimitedPort and CopyTargets, which implement one protocol.

--- a/packages/laburnumstep/src/laburnumstep/callers/_copy_targets.py
+++ b/packages/laburnumstep/src/laburnumstep/callers/_copy_targets.py
@@ -56,14 +56,14 @@
             tokens: Length of its answer so far, in tokens.
             engines: Engines that may take it.
         """
-        run = self.describe_run(request, tokens)
+        run = self._describe_run(request, tokens)
         if run is None:
             return None
         for group in self._group_by_pace(request, engines):
-            rooms = self.measure_rooms(run, source, group)
+            rooms = self._measure_rooms(run, source, group)
             room = targets.draw_destination(rooms, self._rng)
             if room is not None:
-                return self.find_engine(room.name)
+                return self._find_engine(room.name)
         return None
 
     def choose_backup(
@@ -81,7 +81,7 @@
             tokens: Length of its answer so far, in tokens.
             engines: Engines that may take it.
         """
-        run = self.describe_run(request, tokens)
+        run = self._describe_run(request, tokens)
         if run is None or not isinstance(source, core.EngineTarget):
             return None
         rooms = [
@@ -92,7 +92,7 @@
                 * source.copy_seconds
                 * (1.0 if room.near else CROSS_CENTRE_COPY_FACTOR),
             )
-            for room in self.measure_rooms(run, source, engines)
+            for room in self._measure_rooms(run, source, engines)
         ]
         at_risk = self._describe_risk(request, source, tokens, run.remaining)
         decision = targets.decide_backup(at_risk, rooms, self._rng)
@@ -108,7 +108,7 @@
         )
         match decision:
             case targets.BackUp(name=name):
-                return self.find_engine(name)
+                return self._find_engine(name)
             case targets.NoBackup():
                 return None
             case _:
@@ -136,7 +136,7 @@
             view.hazards.estimate(source.name, self._state.clock.now()),
         )
 
-    def describe_run(
+    def _describe_run(
         self, request: relay.RelayRequest, tokens: int
     ) -> targets.CopiedRun | None:
         """Return what a copy of a run takes, or None if it is no run.
@@ -185,7 +185,7 @@
         ]
         return [keeping, engines] if len(keeping) < len(engines) else [engines]
 
-    def measure_rooms(
+    def _measure_rooms(
         self,
         run: targets.CopiedRun,
         source: core.Target,
@@ -227,7 +227,7 @@
             for engine, is_near in compared[:MAX_COMPARED]
         ]
 
-    def find_engine(self, name: str) -> core.EngineTarget | None:
+    def _find_engine(self, name: str) -> core.EngineTarget | None:
         """Return an engine by its name, or None if it is not declared."""
         state = self._state.view.find(name)
         if state is None or not isinstance(state.declared, core.EngineTarget):
--- a/packages/laburnumstep/src/laburnumstep/targets/_backups.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_backups.py
@@ -12,13 +12,12 @@
 
 import attrs
 
+from laburnumstep.targets import _cost
+from laburnumstep.targets import _destinations
+
 if typing.TYPE_CHECKING:
     import random
 
-MAX_UTILIZATION = 0.97
-"""Maximum utilization of an engine's memory with a copy, at its peak."""
-PREFILL_TOKENS_PER_SECOND = 14_000.0
-"""Rate at which an engine of speed 1 prefills a prompt, in tokens a second."""
 DEFAULT_TOKEN_SECONDS = 0.02
 """Time of one token before this VM has measured it, in seconds. Events of four
 tokens arrive every few tens of milliseconds."""
@@ -62,7 +61,7 @@
     @property
     def prefill_seconds(self) -> float:
         """Time to prefill its prompt, in seconds."""
-        return self.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        return self.prompt_tokens / _cost.PREFILL_TOKENS_PER_SECOND
 
     @property
     def work_seconds(self) -> float:
@@ -165,7 +164,7 @@
     costs = [
         (room, compute_cost(run, room, mean))
         for room in rooms
-        if room.utilization <= MAX_UTILIZATION
+        if room.utilization <= _destinations.COPY_MEMORY_FRACTION
     ]
     paying = [(room, cost) for room, cost in costs if cost < gain]
     if not paying:
--- a/packages/laburnumstep/src/laburnumstep/targets/_cost.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_cost.py
@@ -145,7 +145,7 @@
     late = _grade_first(first, objectives.first_answer_seconds)
     paused = grade_pause(
         outlook.pause_seconds, objectives.gap_seconds
-    ) * _estimate_chance(outlook.prompts_per_second, outlook.run_seconds)
+    ) * estimate_prompt_chance(outlook.prompts_per_second, outlook.run_seconds)
     miss = objectives.miss_seconds
     return PlacementCost(
         wait=wait,
@@ -188,6 +188,16 @@
     return 2.0 * LINK_SECONDS * (1.0 + queue)
 
 
+def estimate_prompt_chance(prompts_per_second: float, seconds: float) -> float:
+    """Return the chance that a prompt arrives within some seconds.
+
+    Args:
+        prompts_per_second: Prompts that an engine receives in a second.
+        seconds: The time, in seconds.
+    """
+    return 1.0 - math.exp(-prompts_per_second * seconds)
+
+
 def _grade_first(seconds: float, objective: float | None) -> float:
     if objective is None:
         return 0.0
@@ -195,11 +205,6 @@
     return _ramp(seconds, objective - margin, objective + margin)
 
 
-def _estimate_chance(prompts_per_second: float, seconds: float) -> float:
-    """Return the chance that a prompt arrives within some seconds."""
-    return 1.0 - math.exp(-prompts_per_second * seconds)
-
-
 def _estimate_harm(
     outlook: EngineOutlook, prefill: float, miss: float
 ) -> float:
@@ -212,7 +217,9 @@
     for gap_seconds, run_seconds in outlook.streams:
         paused = grade_pause(outlook.pause_seconds, gap_seconds)
         if paused > 0.0:
-            other = _estimate_chance(outlook.prompts_per_second, run_seconds)
+            other = estimate_prompt_chance(
+                outlook.prompts_per_second, run_seconds
+            )
             harm += paused * (1.0 - other) * miss
     return harm
 
--- a/packages/laburnumstep/src/laburnumstep/targets/_destinations.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_destinations.py
@@ -20,7 +20,8 @@
     from laburnumstep.targets import _states
 
 COPY_MEMORY_FRACTION = 0.97
-"""Maximum utilization of an engine's memory with a copied run."""
+"""Maximum utilization of an engine's memory with a copied run, at its
+peak."""
 
 
 @attrs.frozen
--- a/packages/laburnumstep/src/laburnumstep/targets/_placement.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_placement.py
@@ -119,12 +119,11 @@
             return None
         if self.request.suspect and state.has_suspect():
             return None
-        if self._get_link_seconds(state) is None:
+        link_seconds = self._get_link_seconds(state)
+        if link_seconds is None:
             return None
         load = state.estimate_load(self.now)
-        fraction = self.request.memory_fraction
-        if fraction is None:
-            fraction = self.policy.get_memory_fraction(self.request.priority)
+        fraction = self.policy.get_memory_fraction(self.request.priority)
         limit = fraction * state.memory
         prompt = self.request.prompt_tokens
         # An idle engine is accepted even if the expected length exceeds
@@ -148,7 +147,9 @@
         pace = self.view.estimate_pace(name)
         cached = self._count_cached(state, load)
         utilization = peak / max(1, state.memory)
-        outlook = self._forecast(state, load, pace, utilization, cached)
+        outlook = self._forecast(
+            state, load, pace, utilization, cached, link_seconds
+        )
         cost = _cost.estimate_cost(outlook, self.request.objectives)
         age = self.now - state.measured_at if state.report else math.inf
         return _Candidate(
@@ -162,6 +163,7 @@
         pace: _pace.Pace,
         utilization: float,
         cached_tokens: int,
+        link_seconds: float,
     ) -> _cost.EngineOutlook:
         """Return what is expected of an engine if it gets the request."""
         rate = pace.speed * _cost.PREFILL_TOKENS_PER_SECOND
@@ -177,7 +179,7 @@
             run_tokens=prompt + self.expected,
             runs=load.requests,
             memory_use=utilization,
-            link_seconds=self._get_link_seconds(state) or 0.0,
+            link_seconds=link_seconds,
             pause_seconds=pace.pause_seconds,
             run_seconds=self.expected * (pace.token_seconds or 0.0),
             prompts_per_second=self.prompt_rate,
--- a/packages/laburnumstep/src/laburnumstep/targets/_preferences.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_preferences.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import typing
 
 import attrs
@@ -76,7 +75,7 @@
         return None
     tokens = estimate_tokens(request, lengths, 0.5)
     rate = view.measure_prompt_rate(request.model)
-    chance = 1.0 - math.exp(-rate * tokens * usual.token_seconds)
+    chance = _cost.estimate_prompt_chance(rate, tokens * usual.token_seconds)
 
     def is_slow(name: str) -> bool:
         return not keeps_gap(view, name, objective)
--- a/packages/laburnumstep/src/laburnumstep/targets/_results.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_results.py
@@ -42,9 +42,6 @@
     """Engines that take the place of candidates without capacity, in order."""
     avoided: frozenset[str] = frozenset()
     """Targets that are chosen only if all others have much less capacity."""
-    memory_fraction: float | None = None
-    """Fraction of an engine's memory that may be in use with the request;
-    None applies the limit of the policy."""
     regions: core.Regions = core.AnyRegion()
     """Regions in which the request may run."""
     suspect: bool = False
--- a/tests/support/fleets.py
+++ b/tests/support/fleets.py
@@ -9,6 +9,8 @@
 
 MODEL = 'planner'
 KV_TOKENS = 10_000
+PREFILL_TOKENS_PER_SECOND = 14_000.0
+"""Rate at which simulated engines of speed 1 prefill, in tokens a second."""
 
 
 def make_deployment(
@@ -56,6 +58,24 @@
     )
 
 
+def make_views(
+    clock: core.Clock, deployment: core.Deployment, count: int
+) -> list[targets.FleetView]:
+    """Return the views of VMs in Lima that know the same deployment.
+
+    Args:
+        clock: Clock of the views.
+        deployment: The deployment.
+        count: Number of VMs.
+    """
+    views = []
+    for _ in range(count):
+        view = targets.FleetView(clock, 'lima-1')
+        view.apply_deployment(deployment)
+        views.append(view)
+    return views
+
+
 def make_report(
     measured_at: float,
     running: int = 0,
--- a/tests/support/pace_load.py
+++ b/tests/support/pace_load.py
@@ -22,7 +22,6 @@
 STEP_SECONDS = 0.007
 STEP_SECONDS_PER_RUN = 0.0003
 CHUNK_TOKENS = 256
-PREFILL_TOKENS_PER_SECOND = 14_000.0
 TOKENS_PER_EVENT = 4
 KV_TOKENS = 27_000
 GAP_SECONDS = 0.18
@@ -81,7 +80,7 @@
         if self.waiting:
             chunk = min(CHUNK_TOKENS, self.waiting[0].unread)
             self.waiting[0].unread -= chunk
-            seconds += chunk / PREFILL_TOKENS_PER_SECOND
+            seconds += chunk / fleets.PREFILL_TOKENS_PER_SECOND
         return seconds / self.speed
 
     def end_step(self, now: float) -> tuple[list[Run], list[Run]]:
@@ -127,12 +126,9 @@
             for number, speed in enumerate(speeds)
         }
         deployment = fleets.make_deployment(len(speeds), KV_TOKENS)
-        self._views = []
-        for _ in range(vms):
-            view = targets.FleetView(self._clock, 'lima-1')
-            view.apply_deployment(deployment)
+        self._views = fleets.make_views(self._clock, deployment, vms)
+        for view in self._views:
             view.paces.subscribe(self._make_publisher(view))
-            self._views.append(view)
         self._lengths = targets.LengthEstimator()
         self._events: list[tuple[float, int, typing.Any]] = []
         self._count = 0
--- a/tests/support/placement_load.py
+++ b/tests/support/placement_load.py
@@ -17,7 +17,6 @@
 from laburnumstep import targets
 from support import fleets
 
-PREFILL_TOKENS_PER_SECOND = 14_000.0
 KV_TOKENS = 34_467
 TOKEN_SECONDS = 0.01
 SHORT_FRACTION = 0.6
@@ -47,7 +46,7 @@
 
     def accept(self, request: SimulatedRequest, now: float) -> float:
         """Queue a request; return the delay of its first token."""
-        seconds = request.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        seconds = request.prompt_tokens / fleets.PREFILL_TOKENS_PER_SECOND
         self.free_at = max(self.free_at, now) + seconds
         request.prefilled_at = self.free_at
         request.ends_at = self.free_at + request.answer_seconds
@@ -120,11 +119,7 @@
             for number in range(engines)
         }
         deployment = fleets.make_deployment(engines)
-        self._views = []
-        for _ in range(vms):
-            view = targets.FleetView(self._clock, 'lima-1')
-            view.apply_deployment(deployment)
-            self._views.append(view)
+        self._views = fleets.make_views(self._clock, deployment, vms)
         self._lengths = targets.LengthEstimator()
         self._sent: list[tuple[float, str, int, int]] = []
         self._known: list[int] = [0] * vms
