--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -291,6 +291,8 @@
     """A sound server of a plain service."""
 
     service = 'booking'
+    queue = 24
+    """Requests that wait for a slot; further ones are rejected."""
 
     def __init__(self, name, record, store, zone='callao-a', slots=6):
         super().__init__()
@@ -302,6 +304,9 @@
         self.born = 0
         self.sequence = 0
         self.state = 'ready'
+        self.busy = 0
+        self.waiting = 0
+        self._free = asyncio.Condition()
         self.work_seconds = 0.05
         self.answer_bytes = 800
         self.extra_headers = []
@@ -313,6 +318,8 @@
     async def start(self, register=True):
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.busy = self.waiting = 0
+        self._free = asyncio.Condition()
         self.state = 'ready'
         await self.open()
         if register:
@@ -375,7 +382,27 @@
             return True
         key = request.headers.get('attempt-id', '-')
         self.arrivals.append((key, self.record.now()))
-        return await self.run(key, request, reader, writer)
+        if self.busy >= self.slots and self.waiting >= self.queue:
+            headers = [('Not-Executed', '1'), *self.own_headers(request)]
+            writer.write(encode_response(503, b'', headers))
+            await writer.drain()
+            return True
+        return await self._run_in_slot(key, request, reader, writer)
+
+    async def _run_in_slot(self, key, request, reader, writer):
+        self.waiting += 1
+        try:
+            async with self._free:
+                await self._free.wait_for(lambda: self.busy < self.slots)
+                self.busy += 1
+        finally:
+            self.waiting -= 1
+        try:
+            return await self.run(key, request, reader, writer)
+        finally:
+            async with self._free:
+                self.busy -= 1
+                self._free.notify()
 
     async def run(self, key, request, reader, writer):
         begun = self.record.now()
@@ -408,6 +435,7 @@
     """A sound model server that streams events."""
 
     service = 'planner'
+    queue = 144
 
     def __init__(self, name, record, store, zone='callao-a', slots=48):
         super().__init__(name, record, store, zone, slots)
@@ -430,7 +458,7 @@
                 'models': [{'name': 'm', 'version': 1, 'adapters': []}],
                 'busy': False,
                 'sequence': 0,
-                'queued': 0,
+                'queued': self.waiting,
                 'running': len(self.running),
                 'kvUsed': 100 * len(self.running),
                 'kvTotal': 34365,
