--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'harness-2'))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-import harness
+import harness_2 as harness
 
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+"""Whether the disruption takes place."""
 ENGINES = 7
 STREAMS = 120
 EVENTS = 150
@@ -183,4 +186,4 @@
     return bool(broken)
 
 
-harness.main(pathlib.Path(__file__).parent, play)
+harness.main(pathlib.Path(__file__).parent, play, TROUBLE)
--- a/review/harness-2/harness.py
+++ b/review/harness_2.py
@@ -21,7 +21,7 @@
 import time
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = 'desk.example'
 KEY = 'key-of-tenant-one'
 TENANT = 'tenant-one'
@@ -731,9 +731,9 @@
 class Deployment:
     """The store, servers and VMs of one case."""
 
-    def __init__(self, folder, vms=1):
+    def __init__(self, folder, trouble, vms=1):
         self.record = Record(folder)
-        self.trouble = os.environ.get('TROUBLE', '1') != '0'
+        self.trouble = trouble
         self.folder = tempfile.TemporaryDirectory()
         self.store = Store(self.record)
         self.vms = []
@@ -766,11 +766,18 @@
         self.record.close()
 
 
-def main(folder, play, vms=1):
-    """Run a case; exit with 1 if the rule was broken, 0 if not, else 2."""
+def main(folder, play, trouble, vms=1):
+    """Run a case; exit with 1 if the rule was broken, 0 if not, else 2.
+
+    Args:
+        folder: Folder of the case, for `record.txt`.
+        play: Plays the case and returns whether the rule was broken.
+        trouble: Whether the disruption takes place.
+        vms: Number of VMs.
+    """
 
     async def run():
-        deployment = Deployment(folder, vms)
+        deployment = Deployment(folder, trouble, vms)
         code = 2
         try:
             async with asyncio.timeout(110):
