Bound the time in which two engines work on one run

An engine that hung on the request held the stream for 2 s, and the draining one had gone by then.

Cause: StreamRun._dispatch ended the first run when the head of the second answer arrived. An engine sends the head with its first event, which a slow one has after 1.1 s, while the run begins with the first token. Nothing bounded the time from the request to the end of one of the two runs, and the same held for runs from a backup, started anew before a stop, and after a silence.

Change: each attempt beside an earlier run goes through Handover. A refusal leaves the run where it is. Without a reply the next engine is asked for its runs 0.1 s after the request was sent, the first one is ordered to stop the run and to send its memory to a third engine at 0.2 s, and its stream is closed at 0.3 s. If the next engine does not answer the question, its request is cancelled instead and the run stays. Once the first run has ended, the silence rules judge the next engine while its head is awaited: one that does not list the run after 1 s loses it to the saved memory, or is sent the unused copy again.

The step "does not answer for 3 seconds" of streams.feature now leaves questions unanswered too, as an engine that has crashed does; its checks are the same, and its run is delayed by 0.3 s in place of 2 s.

--- a/packages/laburnumstep/src/laburnumstep/platform/_servers.py
+++ b/packages/laburnumstep/src/laburnumstep/platform/_servers.py
@@ -94,6 +94,7 @@
         try:
             head = self._encode_head(attempt)
             sent_at = self._clock.now()
+            attempt.on_sent()
             await connection.send(head, attempt.request.body, attempt.deadline)
             response = await connection.read_head(attempt.deadline)
             if _answers.is_own_answer(attempt, connection, response):
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_attempts.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_attempts.py
@@ -5,22 +5,35 @@
 import typing
 
 import anyio
+import anyio.abc
+import attrs
 
 from laburnumstep import core
 from laburnumstep.targets import _bounds
 from laburnumstep.targets import _retry_decisions
 from laburnumstep.targets.relay import _calls
+from laburnumstep.targets.relay import _handover
 from laburnumstep.targets.relay import _placements
 from laburnumstep.targets.relay import _ports
 
 CONTINUE_TIMEOUT_SECONDS = 2.0
-"""Timeout of the answer of an engine that continues a run, in seconds. It is
-admitted first and computes few tokens; callers disconnect after longer
-pauses."""
+"""Timeout of the answer of an engine that continues a run which no engine
+works on, in seconds. It is admitted first and computes few tokens; callers
+disconnect after longer pauses."""
 MAX_ATTEMPTS = 8
 """Maximum number of attempts of one stream, at the same engine or others."""
 
 
+@attrs.frozen(eq=False)
+class EarlierRun:
+    """The run of a stream at the engine before."""
+
+    tasks: anyio.abc.TaskGroup
+    """Runs the attempt at the next engine."""
+    stop: _handover.StopRun
+    """Orders the engine to stop the run and to send its memory elsewhere."""
+
+
 class StreamAttempts:
     """Sends attempts of one stream.
 
@@ -28,6 +41,7 @@
         request: The request.
         placer: Decides on retries.
         port: Sends requests to targets.
+        handover: Sends requests while another engine works on the run.
         clock: Clock for deadlines.
     """
 
@@ -36,11 +50,13 @@
         request: _ports.RelayRequest,
         placer: _placements.RelayPlacer,
         port: _ports.TargetPort,
+        handover: _handover.Handover,
         clock: core.Clock,
     ) -> None:
         self._request = request
         self._placer = placer
         self._port = port
+        self._handover = handover
         self._clock = clock
         self._count = 0
         self._possible_runs = 0
@@ -81,6 +97,7 @@
         placement: _placements.RelayPlacement,
         start: _ports.Start,
         backup: core.EngineTarget | None,
+        earlier: EarlierRun | None,
     ) -> _ports.Reply:
         """Send the request to one target.
 
@@ -88,6 +105,8 @@
             placement: Placement on the target; released unless it streams.
             start: Where in the answer the attempt starts.
             backup: Engine that holds a growing copy of the run, if any.
+            earlier: The run at the engine before, which may still work on it;
+                None if there is none.
         """
         request = self._request
         deadline = request.deadline
@@ -100,10 +119,18 @@
         )
         reply: _ports.Reply = _ports.Lost('cancelled')
         try:
-            reply = await self._send_bounded(attempt)
+            if earlier is None:
+                reply = await self._send_bounded(attempt)
+            else:
+                reply = await self._handover.send(
+                    earlier.tasks,
+                    attempt,
+                    lambda late: self._record_late(placement, start, late),
+                    earlier.stop,
+                )
             _calls.record_failure(placement, reply)
         finally:
-            if not isinstance(reply, _ports.Streaming):
+            if not _ports.is_running(reply):
                 placement.release(complete=False)
         now = self._clock.now()
         if isinstance(reply, _ports.Held):
@@ -165,11 +192,23 @@
             if not isinstance(start, _ports.ContinuedRun):
                 self._possible_runs += 1
 
+    def _record_late(
+        self,
+        placement: _placements.RelayPlacement,
+        start: _ports.Start,
+        reply: _ports.Reply,
+    ) -> None:
+        """Record the reply to an attempt that counts as a possible run."""
+        if _calls.get_outcome(reply) is core.Outcome.NOT_RUN:
+            if not isinstance(start, _ports.ContinuedRun):
+                self._possible_runs -= 1
+        now = self._clock.now()
+        _calls.log_reply(self._request, placement, reply, self._count, now)
+
     async def _send_bounded(self, attempt: _ports.Attempt) -> _ports.Reply:
         """Send an attempt; give up one that continues a run after a while.
 
-        Events of the engine before are not read meanwhile, and an engine
-        that has crashed may never answer.
+        An engine that has crashed may never answer.
         """
         if not isinstance(attempt.start, _ports.ContinuedRun):
             return await self._port.send(attempt)
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_calls.py
@@ -205,7 +205,7 @@
             | _ports.NotReached()
         ):
             return core.Outcome.NOT_RUN
-        case _ports.Lost():
+        case _ports.Lost() | _ports.Underway():
             return core.Outcome.UNKNOWN
         case _ports.Answered() | _ports.Streaming():
             return core.Outcome.RAN
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_continuation.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_continuation.py
@@ -10,9 +10,11 @@
 
 if typing.TYPE_CHECKING:
     from laburnumstep.targets.relay import _attempts
+    from laburnumstep.targets.relay import _copies
     from laburnumstep.targets.relay import _delivery
     from laburnumstep.targets.relay import _migration
     from laburnumstep.targets.relay import _placements
+    from laburnumstep.targets.relay import _saved_memory
 
 _LOGGER = core.get_logger('relay')
 
@@ -32,6 +34,7 @@
         attempts: Attempts of the stream.
         delivery: The part of the stream that its caller has received.
         migration: Copies that are made while its engine leaves.
+        saved: Memory of the run from before the present engine.
         dispatch: Sends an attempt and switches to its stream, if any.
     """
 
@@ -43,6 +46,7 @@
         attempts: _attempts.StreamAttempts,
         delivery: _delivery.Delivery,
         migration: _migration.Migration,
+        saved: _saved_memory.SavedMemory,
         dispatch: Dispatch,
     ) -> None:
         self._request = request
@@ -51,6 +55,7 @@
         self._attempts = attempts
         self._delivery = delivery
         self._migration = migration
+        self._saved = saved
         self._dispatch = dispatch
         self._backup: core.EngineTarget | None = None
         self._not_continued: frozenset[str] = frozenset()
@@ -67,7 +72,11 @@
     @property
     def has_copy(self) -> bool:
         """Whether an engine holds a copy from which the run can go on."""
-        return self._migration.has_copy or self._find_backup() is not None
+        return (
+            self._migration.has_copy
+            or self._saved.is_there
+            or self._find_backup() is not None
+        )
 
     @property
     def may_resume(self) -> bool:
@@ -80,14 +89,9 @@
         prepared = self._migration.take()
         if prepared is None:
             return False
-        destination = prepared.placement.target.name
-        if not self._placer.is_usable(destination):
-            prepared.placement.release(complete=False)
-        elif await self.continue_from(
-            prepared.placement, prepared.reference, reason
-        ):
+        if await self._continue_from_copy(prepared, reason):
             return True
-        self._migration.record_refusal(destination)
+        self._migration.record_refusal(prepared.placement.target.name)
         return False
 
     async def continue_from_backup(self, reason: str) -> bool:
@@ -102,10 +106,24 @@
         return await self.continue_from(placement, reference, reason)
 
     async def continue_from_copies(self, reason: str) -> bool:
-        """Continue the run from its copy or backup, if there is one."""
+        """Continue the run from a copy, a backup or its saved memory."""
         if await self.continue_from_prepared(reason):
             return True
-        return await self.continue_from_backup(reason)
+        if await self.continue_from_backup(reason):
+            return True
+        saved = self._saved.take()
+        return saved is not None and await self._continue_from_copy(
+            saved, reason
+        )
+
+    async def _continue_from_copy(
+        self, copy: _copies.PreparedCopy, reason: str
+    ) -> bool:
+        """Continue the run from a copy if its engine takes new work."""
+        if not self._placer.is_usable(copy.placement.target.name):
+            copy.placement.release(complete=False)
+            return False
+        return await self.continue_from(copy.placement, copy.reference, reason)
 
     async def continue_from(
         self,
@@ -135,7 +153,7 @@
         )
         start = _ports.ContinuedRun(position, copy)
         reply = await self._dispatch(placement, start)
-        if isinstance(reply, _ports.Streaming):
+        if _ports.is_running(reply):
             return True
         self._not_continued |= {placement.target.name}
         if isinstance(reply, _ports.Lost):
@@ -170,7 +188,7 @@
         while True:
             await self._attempts.exclude_failed(placement, reply)
             placement, reply = await self.place_and_dispatch()
-            if isinstance(reply, _ports.Streaming):
+            if _ports.is_running(reply):
                 return
 
     async def place_and_dispatch(
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_ports.py
@@ -130,6 +130,11 @@
     """Deadline of this attempt, in epoch seconds."""
     backup: core.EngineTarget | None = None
     """Engine that holds a growing copy of the run's memory, if any."""
+    on_sent: typing.Callable[[], None] = attrs.field(
+        default=lambda: None, eq=False
+    )
+    """Called before the first byte is sent; from then on the target may have
+    received the request."""
 
 
 @attrs.frozen
@@ -156,6 +161,17 @@
     """Source of the events."""
 
 
+@attrs.frozen
+class Underway:
+    """The target has taken over a run, but its response has not begun.
+
+    Ports do not return it.
+    """
+
+    source: EventSource
+    """Source of the events. It breaks if the target does not stream."""
+
+
 @attrs.frozen
 class NotRun:
     """The target reported that it did not run the request."""
@@ -200,7 +216,21 @@
     """Whether the target closed or reset the connection."""
 
 
-Reply = Answered | Streaming | NotRun | Held | Barred | NotReached | Lost
+Reply = (
+    Answered
+    | Streaming
+    | Underway
+    | NotRun
+    | Held
+    | Barred
+    | NotReached
+    | Lost
+)
+
+
+def is_running(reply: Reply) -> typing.TypeGuard[Streaming | Underway]:
+    """Return whether the target of an attempt runs the stream."""
+    return isinstance(reply, Streaming | Underway)
 
 
 @attrs.frozen
@@ -228,6 +258,10 @@
         self.closed = closed
 
 
+class StreamRefused(StreamBroken):
+    """A target that was to stream a run has not run it."""
+
+
 class EventsDelayed(Exception):
     """No complete event arrived before a deadline; the stream is intact."""
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_reading.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_reading.py
@@ -64,6 +64,7 @@
         tasks: Runs the questions to the engine.
         get_options: Returns how the run could go on without its engine.
         clock: Clock for deadlines.
+        is_continued: Whether the run began from a copy.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         tasks: anyio.abc.TaskGroup,
         get_options: typing.Callable[[], Options],
         clock: core.Clock,
+        is_continued: bool,
     ) -> None:
         self._source = source
         self._target = target
@@ -83,6 +85,7 @@
         self._tasks = tasks
         self._get_options = get_options
         self._clock = clock
+        self._is_continued = is_continued
         self._patience = _silence.compute_patience(request.route)
         self._last_event_at = clock.now()
         self._begun = False
@@ -97,6 +100,11 @@
         """When the caller disconnects without an event, in epoch seconds."""
         return self._last_event_at + self._patience
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a new event has arrived."""
+        return self._begun
+
     def record_progress(self) -> None:
         """Record that a new event has arrived.
 
@@ -118,6 +126,10 @@
         """
         self._may_be_stopped = True
 
+    def record_kept(self) -> None:
+        """Record that the engine goes on with the run."""
+        self._may_be_stopped = False
+
     def interrupt(self) -> None:
         """Interrupt the read in progress, if any."""
         if self._scope is not None:
@@ -168,6 +180,7 @@
                 options.can_continue,
                 options.may_move,
                 self._move_from,
+                self._is_continued,
             )
         )
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_silence.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_silence.py
@@ -115,6 +115,8 @@
     """Whether its memory may be moved to another engine."""
     move_from: float = 0.0
     """When a refused move may be tried again, in epoch seconds."""
+    is_continued: bool = False
+    """Whether it began from a copy, so that its engine admits it first."""
 
     @property
     def disconnects_at(self) -> float:
@@ -187,6 +189,8 @@
         case Unanswered(asks=asks, refused=refused):
             if run.can_continue and (refused or asks >= UNANSWERED_ASKS):
                 return ContinueElsewhere('the engine does not answer')
+        case NotListed() if _is_lost_at_start(run):
+            return ContinueElsewhere('the engine has not begun the run')
         case NotListed() | Listed() | NoRunsKnown():
             if _is_move_due(run):
                 return StopFirst(_explain_move(run))
@@ -225,6 +229,15 @@
     return run.begun and run.may_move and run.now >= _compute_move(run)
 
 
+def _is_lost_at_start(run: SilentRun) -> bool:
+    """Return whether an engine that does not list a run will not begin it.
+
+    A run that begins from a copy does not wait in the engine's queue.
+    """
+    is_due = run.now >= run.last_event_at + UNLISTED_SECONDS
+    return not run.begun and run.is_continued and run.can_continue and is_due
+
+
 def _explain_move(run: SilentRun) -> str:
     if isinstance(run.answer, NotListed):
         return 'the engine does not list the run'
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -12,6 +12,7 @@
 from laburnumstep.targets.relay import _continuation
 from laburnumstep.targets.relay import _copies
 from laburnumstep.targets.relay import _delivery
+from laburnumstep.targets.relay import _handover
 from laburnumstep.targets.relay import _migration
 from laburnumstep.targets.relay import _moves
 from laburnumstep.targets.relay import _placements
@@ -19,6 +20,7 @@
 from laburnumstep.targets.relay import _reading
 from laburnumstep.targets.relay import _run_lists
 from laburnumstep.targets.relay import _running
+from laburnumstep.targets.relay import _saved_memory
 from laburnumstep.targets.relay import _silence
 
 SHORT_ANSWER_TOKENS = 96
@@ -66,9 +68,16 @@
         self._running = running
         self._clock = clock
         self._delivery = _delivery.Delivery(request, sink, clock)
-        self._attempts = _attempts.StreamAttempts(request, placer, port, clock)
+        self._attempts = _attempts.StreamAttempts(
+            request,
+            placer,
+            port,
+            _handover.Handover(port, lists, clock),
+            clock,
+        )
         self._mover = _moves.RunMover(request, placer, port, clock)
         self._migration = _migration.Migration(copier, self._interrupt_read)
+        self._saved = _saved_memory.SavedMemory(self._mover)
         self._continuation = _continuation.Continuation(
             request,
             placer,
@@ -76,9 +85,11 @@
             self._attempts,
             self._delivery,
             self._migration,
+            self._saved,
             self._dispatch,
         )
         self._placement: _placements.RelayPlacement | None = None
+        self._start: _ports.Start = _ports.NewRun()
         self._reader: _reading.RunReader | None = None
         self._migration_requested = False
         self._continue_from_time = 0.0
@@ -103,11 +114,15 @@
         """
         self._close_run(complete)
         self._migration.release()
+        self._saved.release()
 
-    def _close_run(self, complete: bool = False) -> None:
+    def _close_reader(self) -> None:
         if self._reader is not None:
             self._reader.close()
             self._reader = None
+
+    def _close_run(self, complete: bool = False) -> None:
+        self._close_reader()
         if self._placement is not None:
             self._running.remove(self._placement.target.name, self)
             self._placement.release(complete)
@@ -145,7 +160,7 @@
                 if not await self._relay_next():
                     return
             except _ports.StreamBroken as error:
-                await self._recover(str(error), error.closed)
+                await self._recover(error)
 
     async def _relay_next(self) -> bool:
         """Relay the next events, or act on their absence.
@@ -197,7 +212,7 @@
             placement, reply = await self._continuation.place_and_dispatch()
             sends += 1
             match reply:
-                case _ports.Streaming():
+                case _ports.Streaming() | _ports.Underway():
                     return True
                 case _ports.Answered():
                     repeatable = _calls.is_repeatable(self._request.route.kind)
@@ -214,17 +229,23 @@
     ) -> _ports.Reply:
         """Send the request to one target and switch to its stream, if any.
 
+        The run before goes on if the new engine refuses. It ends when the new
+        one has taken the run, or after a bounded time.
+
         Args:
             placement: Placement on the target; released unless it streams.
             start: Where in the answer the attempt starts.
         """
         backup = self._choose_backup(placement.target, start)
-        reply = await self._attempts.send(placement, start, backup)
-        if isinstance(reply, _ports.Streaming):
-            # Only now is the previous run ended: it would have continued if
-            # the new engine had refused.
-            self.close()
+        earlier = None
+        if self._reader is not None:
+            earlier = _attempts.EarlierRun(self._tasks, self._stop_for)
+        reply = await self._attempts.send(placement, start, backup, earlier)
+        if _ports.is_running(reply):
+            self._close_run()
+            self._migration.release()
             self._placement = placement
+            self._start = start
             self._reader = _reading.RunReader(
                 reply.source,
                 placement.target,
@@ -233,15 +254,59 @@
                 self._tasks,
                 self._list_options,
                 self._clock,
+                isinstance(start, _ports.ContinuedRun),
             )
             self._continuation.set_backup(backup)
-            self._delivery.record_reply(reply)
+            if isinstance(reply, _ports.Streaming):
+                self._saved.release()
+                self._delivery.record_reply(reply)
             self._running.add(placement.target.name, self)
             self._migration_requested = not self._placer.is_usable(
                 placement.target.name
             )
         return reply
 
+    def _stop_for(self, following: core.Target) -> None:
+        """Order the engine to stop the run, which the next one is late with.
+
+        Args:
+            following: The next engine.
+        """
+        if self._reader is None or self._placement is None:
+            return
+        if not (self._reader.has_begun and self._may_move):
+            return
+        self._reader.record_unknown_stop()
+        self._saved.start(
+            self._tasks,
+            self._placement.target,
+            self._continuation.not_continued | {following.name},
+            self._delivery.tokens,
+            self._reader.record_kept,
+        )
+
+    @property
+    def _may_move(self) -> bool:
+        """Whether the memory of the run may be moved to another engine."""
+        return (
+            not is_short(self._request)
+            and self._delivery.position is not None
+            and self._attempts.may_continue
+        )
+
+    @property
+    def _may_send_again(self) -> bool:
+        """Whether the engine may be sent the copy again that it has not used.
+
+        A copy can be used once, so the run cannot begin twice.
+        """
+        return (
+            self._reader is not None
+            and not self._reader.has_begun
+            and isinstance(self._start, _ports.ContinuedRun)
+            and self._attempts.may_continue
+        )
+
     def _choose_backup(
         self, target: core.Target, start: _ports.Start
     ) -> core.EngineTarget | None:
@@ -272,6 +337,7 @@
         new, has_progress = await self._delivery.send(events)
         if has_progress:
             reader.record_progress()
+            self._saved.release()
         if self._placement is not None and new:
             self._placement.record_tokens(
                 sum(event.tokens for event in new),
@@ -283,10 +349,12 @@
         may_continue = self._clock.now() >= self._continue_from_time
         return _reading.Options(
             may_continue
-            and (self._continuation.has_copy or self._continuation.may_resume),
-            not is_short(self._request)
-            and self._delivery.position is not None
-            and self._attempts.may_continue,
+            and (
+                self._continuation.has_copy
+                or self._continuation.may_resume
+                or self._may_send_again
+            ),
+            self._may_move,
         )
 
     async def _migrate(self) -> None:
@@ -359,8 +427,30 @@
         if self._continuation.may_resume:
             if await self._continuation.try_resume(reason):
                 return
+        if self._may_send_again:
+            await self._send_again(self._placement, reason)
         self._continue_from_time = self._clock.now() + RETRY_SECONDS
 
+    async def _send_again(
+        self, placement: _placements.RelayPlacement, reason: str
+    ) -> None:
+        """Send the copy once more to an engine that has not begun the run.
+
+        Raises:
+            StreamBroken: The engine does not continue it.
+        """
+        assert isinstance(self._start, _ports.ContinuedRun)
+        assert self._reader is not None
+        # The first request ends here, so that the engine has only one.
+        self._reader.close()
+        again = self._placer.place_on(
+            self._request, placement.target.name, self._delivery.tokens
+        )
+        if not await self._continuation.continue_from(
+            again, self._start.copy, reason
+        ):
+            raise _ports.StreamBroken('the engine does not continue the run')
+
     async def _move_silent(
         self, reader: _reading.RunReader, reason: str
     ) -> None:
@@ -382,6 +472,7 @@
         )
         match outcome:
             case _moves.Movable(placement=placement, copy=copy):
+                self._close_reader()
                 if not await self._continuation.continue_from(
                     placement, copy, reason
                 ):
@@ -397,21 +488,22 @@
             case _:
                 typing.assert_never(outcome)
 
-    async def _recover(self, reason: str, closed: bool) -> None:
+    async def _recover(self, error: _ports.StreamBroken) -> None:
         """Continue the stream on another engine after its engine failed.
 
         Args:
-            reason: How the stream ended.
-            closed: Whether the engine closed the connection.
+            error: How the stream ended.
 
         Raises:
             CodedError: The stream cannot be continued.
         """
+        reason = str(error)
         placement = self._placement
         if placement is not None:
             self._log_end('stream broke', placement, reason)
-            placement.record_failure(crashed=True)
-            if closed:
+            if not isinstance(error, _ports.StreamRefused):
+                placement.record_failure(crashed=True)
+            if error.closed:
                 placement.record_break()
             self._attempts.exclude(placement.target.name)
         self._close_run()
--- a/tests/laburnumstep/platform/answers.feature
+++ b/tests/laburnumstep/platform/answers.feature
@@ -95,3 +95,17 @@
       | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nCold-Ms: 1e3\r\nContent-Length: 0\r\n\r\n | nothing |
       | HTTP/1.1 503 Busy\r\n{own}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n | none |
       | HTTP/1.1 503 Busy\r\n{other}Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n | none |
+
+  # Guards against a hand-over that counts its time from a request that was not
+  # sent, or never, and against one that counts it too late.
+  Scenario: A request is reported as sent before its server can receive it
+    Given a server that sends "HTTP/1.1 200 OK\r\n{own}{mac}{sse}\r\nid: 1\n\n" and closes
+    When a "plan" request is sent to it
+    Then the reply is events 1 and the end
+    And it was reported as sent 1 times, before it arrived
+
+  Scenario: A request without a connection is not reported as sent
+    Given a server that accepts no connections
+    When a "plan" request is sent to it
+    Then the reply is NotReached
+    And it was reported as sent 0 times, before it arrived
--- a/tests/laburnumstep/platform/steps/answers_steps.py
+++ b/tests/laburnumstep/platform/steps/answers_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import typing
 
 import anyio
@@ -79,8 +80,18 @@
     kind: str,
     keys: list[str],
     words: list[targets.SelfReport],
+    sent: list[int],
 ) -> str:
-    """Send requests one after the other and describe the last reply."""
+    """Send requests one after the other and describe the last reply.
+
+    Args:
+        server: The server.
+        kind: Kind of the route.
+        keys: Request keys.
+        words: Receives what the answers say about the server.
+        sent: Receives the number of requests that the server has received
+            whenever one is reported as sent.
+    """
     clock = core.SystemClock()
     client = _servers.ServerClient(
         clock,
@@ -97,7 +108,11 @@
             headers=[(b'host', b'app.example')],
         )
         attempt = relay.Attempt(
-            request, target, relay.NewRun(), request.deadline
+            request,
+            target,
+            relay.NewRun(),
+            request.deadline,
+            on_sent=lambda: sent.append(server.requests),
         )
         reply = await client.send(attempt)
         description = type(reply).__name__
@@ -120,15 +135,28 @@
 @behave.when('a "{kind}" request is sent to it')
 def step_send(context: typing.Any, kind: str) -> None:
     context.words = []
+    context.sent = []
     context.reply = clocks.run_bounded(
-        context, send_requests, context.server, kind, ['key-1'], context.words
+        context,
+        send_requests,
+        context.server,
+        kind,
+        ['key-1'],
+        context.words,
+        context.sent,
     )
 
 
 @behave.when('two "{kind}" requests are sent over one connection')
 def step_send_two(context: typing.Any, kind: str) -> None:
     context.reply = clocks.run_bounded(
-        context, send_requests, context.server, kind, ['key-0', 'key-1'], []
+        context,
+        send_requests,
+        context.server,
+        kind,
+        ['key-0', 'key-1'],
+        [],
+        [],
     )
     assert context.server.requests == 2, context.server.requests
 
@@ -138,6 +166,19 @@
     assert context.reply == reply, context.reply
 
 
+@behave.given('a server that accepts no connections')
+def step_closed_server(context: typing.Any) -> None:
+    context.server = scripted_server.ScriptedServer([b''], 'closes')
+    with socket.socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        context.server.address = '127.0.0.1:%d' % unused.getsockname()[1]
+
+
+@behave.then('it was reported as sent {count:d} times, before it arrived')
+def step_reported_sent(context: typing.Any, count: int) -> None:
+    assert context.sent == [0] * count, context.sent
+
+
 def describe_words(report: targets.SelfReport) -> str:
     parts = ['leaving'] if report.leaving else []
     if report.back_off_seconds is not None:
--- a/tests/laburnumstep/targets/relay/steps/relay_steps.py
+++ b/tests/laburnumstep/targets/relay/steps/relay_steps.py
@@ -31,7 +31,9 @@
 def set_up(context: typing.Any, names: list[str]) -> None:
     context.clock = core.ManualClock()
     context.placer = relay_fakes.FakePlacer(names, context.clock)
-    context.port = relay_fakes.FakeTargetPort({name: [] for name in names})
+    context.port = relay_fakes.FakeTargetPort(
+        {name: [] for name in names}, context.clock
+    )
     context.sink = relay_fakes.RecordingSink()
     context.running = relay.RunningStreams()
     context.error = None
@@ -478,8 +480,10 @@
     def count_open(attempt: relay.Attempt) -> None:
         sent = context.sources[: len(context.port.attempts) - 1]
         context.open_sources.append(sum(not source.closed for source in sent))
+        context.sent_at.append((attempt.target.name, context.clock.now()))
 
     context.open_sources = []
+    context.sent_at = []
     context.port.on_send = count_open
     source = relay_fakes.FakeEventSource(steps, context.clock)
     context.sources = [*getattr(context, 'sources', []), source]
@@ -523,6 +527,7 @@
 @behave.given('"{name}" does not answer for {seconds:d} seconds')
 def step_hangs(context: typing.Any, name: str, seconds: int) -> None:
     context.port.on_hang[name] = lambda: context.clock.advance(seconds)
+    context.port.lists[name] = [relay.NoRunList('timeout')]
 
 
 @behave.given('"{name}" refuses the copy')
--- a/tests/laburnumstep/targets/relay/streams.feature
+++ b/tests/laburnumstep/targets/relay/streams.feature
@@ -39,7 +39,7 @@
     And the request was sent to targets "a,b,c"
     And every run was closed and every placement released
 
-  Scenario: An engine that does not continue a run delays it for two seconds
+  Scenario: An engine that answers nothing delays a run for a bounded time
     Guards against a stream that waits for a crashed engine until its deadline
     although its run still goes on.
     Given a single stream of events 1 to 8
--- a/tests/support/relay_fakes.py
+++ b/tests/support/relay_fakes.py
@@ -124,7 +124,14 @@
         self._steps = list(steps)
         self._clock = clock
         self.closed = False
+        self.closed_at: float | None = None
+        """When it was first closed, in epoch seconds, by the clock."""
         self.deadlines: list[float] = []
+        self._is_stopped = False
+
+    def stop(self) -> None:
+        """End the stream without its end marker."""
+        self._is_stopped = True
 
     def replace_last_step(self, steps: list[typing.Any]) -> None:
         """Replace the last step by other steps."""
@@ -132,6 +139,8 @@
 
     async def read(self, deadline: float) -> list[relay.StreamEvent] | None:
         self.deadlines.append(deadline)
+        if self._is_stopped:
+            raise relay.StreamBroken('the run was stopped')
         if self._steps and isinstance(self._steps[0], Silence):
             await self._pass_silence(self._steps[0], deadline)
         step = self._steps.pop(0) if self._steps else None
@@ -152,6 +161,8 @@
         self._steps.pop(0)
 
     def close(self) -> None:
+        if not self.closed and self._clock is not None:
+            self.closed_at = self._clock.now()
         self.closed = True
 
 
@@ -296,15 +307,33 @@
         return placement
 
 
+_STEP_SECONDS = 0.05
+"""Steps in which time passes until a delayed reply, in seconds."""
+
+
 class FakeTargetPort:
     """Sends requests to scripted targets.
 
     Args:
         replies: Replies of each target by its name, in order.
+        clock: The clock of the scenario, if replies are delayed.
     """
 
-    def __init__(self, replies: dict[str, list[relay.Reply]]) -> None:
+    def __init__(
+        self,
+        replies: dict[str, list[relay.Reply]],
+        clock: core.ManualClock | None = None,
+    ) -> None:
         self.replies = replies
+        self.delays: dict[str, float] = {}
+        """Time until each target replies, in seconds, by name."""
+        self.later_delays: dict[str, list[float]] = {}
+        """Those of the further replies of each target, in order."""
+        self.unsent: set[str] = set()
+        """Targets that a request does not reach before their delay."""
+        self.cancelled: list[str] = []
+        """Targets whose request was cancelled before its reply."""
+        self._clock = clock
         self.attempts: list[relay.Attempt] = []
         self.copies: list[tuple[str, str]] = []
         self.copy_results: dict[str, relay.CopyResult] = {}
@@ -315,6 +344,8 @@
         self.moves: list[tuple[str, str]] = []
         self.move_results: dict[str, relay.MoveResult] = {}
         """Result of moving a run, by name of its engine."""
+        self.on_stop: typing.Callable[[], None] | None = None
+        """Called when a run is stopped because it is moved."""
         self.on_hang: dict[str, typing.Callable[[], None]] = {}
         """Called instead of an answer, by name of the target."""
         self.on_copy: typing.Callable[[], None] | None = None
@@ -325,10 +356,35 @@
         self.attempts.append(attempt)
         if self.on_send is not None:
             self.on_send(attempt)
-        if attempt.target.name in self.on_hang:
-            self.on_hang[attempt.target.name]()
+        name = attempt.target.name
+        if name not in self.unsent:
+            attempt.on_sent()
+        if name in self.on_hang:
+            self.on_hang[name]()
             await anyio.sleep_forever()
-        return self.replies[attempt.target.name].pop(0)
+        try:
+            await self._pass(self._take_delay(name))
+        except anyio.get_cancelled_exc_class():
+            self.cancelled.append(name)
+            raise
+        return self.replies[name].pop(0)
+
+    def _take_delay(self, name: str) -> float:
+        delay = self.delays.get(name, 0.0)
+        if self.later_delays.get(name):
+            self.delays[name] = self.later_delays[name].pop(0)
+        return delay
+
+    async def _pass(self, seconds: float) -> None:
+        """Let time pass in small steps, in which other tasks run."""
+        if self._clock is None or not seconds:
+            return
+        ends_at = self._clock.now() + seconds
+        while self._clock.now() < ends_at:
+            await settle()
+            left = ends_at - self._clock.now()
+            self._clock.advance(min(_STEP_SECONDS, left))
+        await settle()
 
     async def copy_run(
         self,
@@ -352,7 +408,11 @@
     ) -> relay.MoveResult:
         self.moves.append((source.name, destination.name))
         refusal = relay.NotMoved('no capacity')
-        return self.move_results.get(source.name, refusal)
+        result = self.move_results.get(source.name, refusal)
+        is_stopped = isinstance(result, relay.Moved | relay.Stopped)
+        if is_stopped and self.on_stop is not None:
+            self.on_stop()
+        return result
 
     async def list_runs(
         self, target: core.Target, deadline: float
