Explain crashes by the traits that their suspects share

Cause: explain_incidents intersected each suspect of each of 32 incidents with each suspect of all others, 6 million sets for 7 VMs. It ran again for each clearance, and a crash leaves dozens of suspects that are cleared one by one.

Change: suspects are reduced to the traits that occur in several incidents; no other trait can be in an intersection. Most suspects are then empty. A clearance of a trait that only one incident names, and that is newer than all crashes, no longer counts as new evidence, because no culprit depends on it. The hashes of traits are kept.

Evidence: two scenarios of crashes.feature fail without the change.

--- a/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_crash_ledger.py
@@ -72,6 +72,8 @@
         self._cleared: dict[_traits.Trait, float] = {}
         self._survived: dict[_traits.Trait, float] = {}
         self._open: set[_traits.Trait] = set()
+        self._shared: _traits.Traits = frozenset()
+        self._newest_crash_at = 0.0
         self._refusals: dict[_traits.Traits, _crashes.OperatorRefusal] = {}
         self._culprits: list[Culprit] = []
         self._is_outdated = False
@@ -125,6 +127,7 @@
 
     def merge(self, evidence: _crashes.CrashEvidence) -> None:
         """Add evidence that a sibling has observed."""
+        is_relevant = True
         match evidence:
             case _crashes.CrashReport():
                 if evidence.crashed_at + EVIDENCE_SECONDS <= self._clock.now():
@@ -135,6 +138,10 @@
             case _crashes.Clearance(trait, cleared_at):
                 known = self._cleared.get(trait, 0.0)
                 self._cleared[trait] = max(known, cleared_at)
+                is_relevant = (
+                    trait in self._shared
+                    or cleared_at <= self._newest_crash_at
+                )
                 # Several VMs may observe it; one line is enough.
                 if trait in self._open:
                     self._open.discard(trait)
@@ -151,7 +158,9 @@
                     self._refusals[traits] = evidence
             case _:
                 typing.assert_never(evidence)
-        self._is_outdated = True
+        # A crash leaves many suspects that share no trait with those of other
+        # crashes. They are cleared one by one, and no culprit depends on it.
+        self._is_outdated |= is_relevant
         for listener in self._change_listeners:
             listener()
 
@@ -256,6 +265,10 @@
         self._is_outdated = False
         self._drop_expired()
         incidents = _culprits.group_incidents(self._reports, self._cleared)
+        self._shared = _culprits.list_shared_traits(incidents)
+        self._newest_crash_at = max(
+            (report.crashed_at for report in self._reports), default=0.0
+        )
         known = {culprit.traits: culprit for culprit in self._culprits}
         self._culprits = [
             self._update_culprit(
--- a/packages/laburnumstep/src/laburnumstep/targets/_culprits.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_culprits.py
@@ -161,6 +161,20 @@
         remaining = [item for item in remaining if item not in explained]
 
 
+def list_shared_traits(incidents: list[Incident]) -> _traits.Traits:
+    """Return the traits that suspects of several incidents have.
+
+    Only these can be part of an explanation.
+    """
+    seen: set[_traits.Trait] = set()
+    shared: set[_traits.Trait] = set()
+    for incident in incidents:
+        traits = frozenset().union(*incident.requests)
+        shared |= seen & traits
+        seen |= traits
+    return frozenset(shared)
+
+
 def _count_common_traits(
     incidents: list[Incident], familiar: _traits.Traits
 ) -> dict[_traits.Traits, int]:
@@ -168,13 +182,17 @@
 
     Sets in too few incidents are left out.
     """
+    # Most suspects share nothing with those of other incidents. Comparing all
+    # of them in pairs would take a second for 32 incidents of 7 VMs.
+    involved = _index_suspects(incidents)
     common = {
         first & second
-        for one, other in itertools.combinations(incidents, 2)
-        for first, second in itertools.product(one.requests, other.requests)
+        for first, second in itertools.combinations(involved, 2)
+        if len(involved[first] | involved[second]) > 1
     }
+    common |= {traits for traits, found in involved.items() if len(found) > 1}
     counts = {
-        traits: sum(item.involves(traits) for item in incidents)
+        traits: len(_list_involved(traits, involved))
         for traits in common
         if traits
     }
@@ -185,6 +203,29 @@
     }
 
 
+def _index_suspects(
+    incidents: list[Incident],
+) -> dict[_traits.Traits, set[int]]:
+    """Return the incidents in which each set of shared traits is a suspect."""
+    shared = list_shared_traits(incidents)
+    involved: dict[_traits.Traits, set[int]] = {}
+    for index, incident in enumerate(incidents):
+        for request in incident.requests:
+            traits = request & shared
+            if traits:
+                involved.setdefault(traits, set()).add(index)
+    return involved
+
+
+def _list_involved(
+    traits: _traits.Traits, involved: dict[_traits.Traits, set[int]]
+) -> set[int]:
+    """Return the incidents that have a suspect with all of the traits."""
+    return set().union(
+        *(found for suspect, found in involved.items() if traits <= suspect)
+    )
+
+
 def _get_min_incidents(
     traits: _traits.Traits, familiar: _traits.Traits
 ) -> int:
--- a/packages/laburnumstep/src/laburnumstep/targets/_traits.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_traits.py
@@ -16,7 +16,7 @@
 it is stored and sent to siblings."""
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class PromptPart:
     """A part that the prompts of several requests share."""
 
@@ -26,7 +26,7 @@
     """Identifier of the part."""
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class WholeRequest:
     """One request with all of its content, whoever sends it again."""
 
--- a/tests/laburnumstep/targets/crashes.feature
+++ b/tests/laburnumstep/targets/crashes.feature
@@ -173,3 +173,18 @@
     Given requests "f dead" and "g" on target "e1"
     When both observe that the target breaks off, and it refuses connections
     Then one crash is reported with "f dead / g"
+
+  # Guards against VMs that stand still for seconds because each suspect of a
+  # crash is compared with each suspect of all others (review/6).
+  Scenario: The work to explain crashes grows with their suspects
+    Given 32 incidents with 50 suspects each, of which one has the part "dead"
+    When the incidents are explained
+    Then the part "dead" explains 32 of them
+    And at most 2 comparisons were made for each suspect
+
+  Scenario: Suspects of one crash are cleared without comparing all crashes
+    Given 8 targets crash every 3 s with "f" and other parts
+    And a target survives "f" at 30 s
+    When a target survives each of the other parts
+    Then the crashes were explained at most 1 times meanwhile
+    And requests "f, f o1, f o8" are accepted
--- a/tests/laburnumstep/targets/steps/crashes_steps.py
+++ b/tests/laburnumstep/targets/steps/crashes_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import typing
+import unittest.mock
 
 import anyio
 import behave
@@ -11,6 +12,7 @@
 from laburnumstep import fleet
 from laburnumstep import siblings
 from laburnumstep import targets
+from laburnumstep.targets import _culprits
 from support import clocks
 
 MODEL = 'm'
@@ -318,3 +320,74 @@
     (report,) = context.reported
     expected = [make_traits(parts) for parts in requests.split('/')]
     assert list(report.requests) == expected, report
+
+
+class CountedTraits(frozenset):
+    """Traits of a suspect; counts how often they are compared."""
+
+    comparisons = 0
+
+    def __and__(self, other: typing.Any) -> typing.Any:
+        CountedTraits.comparisons += 1
+        return frozenset.__and__(self, other)
+
+
+@behave.given(
+    '{count:d} incidents with {suspects:d} suspects each, of which one has the'
+    ' part "{part}"'
+)
+def step_incidents(
+    context: typing.Any, count: int, suspects: int, part: str
+) -> None:
+    CountedTraits.comparisons = 0
+    context.incidents = []
+    for number in range(count):
+        requests = {
+            CountedTraits(make_traits(f'#{number}-{other}'))
+            for other in range(1, suspects)
+        }
+        requests.add(CountedTraits(make_traits(f'{part} #{number}-0')))
+        context.incidents.append(
+            _culprits.Incident(
+                float(number), frozenset(['e']), frozenset(requests)
+            )
+        )
+
+
+@behave.when('the incidents are explained')
+def step_explain(context: typing.Any) -> None:
+    context.explanations = _culprits.explain_incidents(context.incidents)
+
+
+@behave.then('the part "{part}" explains {count:d} of them')
+def step_explained(context: typing.Any, part: str, count: int) -> None:
+    found = [(item.traits, item.incidents) for item in context.explanations]
+    assert found == [(make_traits(part), count)], found
+
+
+@behave.then('at most {count:d} comparisons were made for each suspect')
+def step_comparisons(context: typing.Any, count: int) -> None:
+    suspects = sum(len(item.requests) for item in context.incidents)
+    assert CountedTraits.comparisons <= count * suspects, (
+        CountedTraits.comparisons
+    )
+
+
+@behave.when('a target survives each of the other parts')
+def step_survivals(context: typing.Any) -> None:
+    explain = _culprits.explain_incidents
+    context.explained = 0
+
+    def count(*arguments: typing.Any) -> typing.Any:
+        context.explained += 1
+        return explain(*arguments)
+
+    with unittest.mock.patch.object(_culprits, 'explain_incidents', count):
+        for number in range(len(context.reports)):
+            step_survival(context, f'o{number + 1}', 31 + number)
+            assert is_accepted(context.ledger, f'o{number + 1}')
+
+
+@behave.then('the crashes were explained at most {count:d} times meanwhile')
+def step_explained_times(context: typing.Any, count: int) -> None:
+    assert context.explained <= count, context.explained
