Keep removed entries only until targets have renewed theirs

Cause: for 6 s after a failed read a removed entry was taken for one that had lapsed in the outage, and kept for 2 s from its removal. The last failed read may end 2.3 s after the store is back, so a planned removal more than 4 s later was kept as well.

Change: such an entry is kept until 3 s after the last failure at most. Live targets renew theirs within about 2 s after the store is back. The 6 s still hold for how often health is checked.

--- a/packages/laburnumstep/src/laburnumstep/targets/_registry.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_registry.py
@@ -9,19 +9,21 @@
 from laburnumstep import core
 
 EXPIRY_GRACE_SECONDS = 2.0
-"""How long a missing entry is retained, in seconds. If the registry was
-unreliable, the target is used meanwhile. Live targets renew their entries
-within this time."""
+"""How long a missing entry is retained, in seconds. Shortly after a failure of
+the registry the target is used meanwhile, as it may be alive."""
 DEFERRED_SECONDS = 5.0
 """After which time the old entry of a target that had left is applied, in
 seconds. The entry of one that is gone lapses earlier, after three missed
 renewals."""
+RENEWAL_SECONDS = 3.0
+"""Time after the last failure within which live targets have renewed an entry
+that lapsed, in seconds: 2 s for the targets and 1 s until the registry is
+read again."""
 MAX_REMEMBERED = 10_000
 """Most targets whose last entry is remembered."""
 UNRELIABLE_SECONDS = 6.0
 """How long the registry counts as unreliable after a failure, in seconds.
-During this time an entry can expire only because its target could not renew
-it."""
+During this time entries may be older than what targets have written."""
 
 _LOGGER = core.get_logger('targets')
 
@@ -81,6 +83,7 @@
         self._last: dict[str, Registration] = {}
         self._deferred: dict[str, tuple[Registration, float]] = {}
         self._reliable_at = 0.0
+        self._renewed_at = 0.0
         self._loaded = False
 
     @property
@@ -109,7 +112,9 @@
 
     def record_failure(self) -> None:
         """Record that the registry could not be read."""
-        self._reliable_at = self._clock.now() + UNRELIABLE_SECONDS
+        now = self._clock.now()
+        self._reliable_at = now + UNRELIABLE_SECONDS
+        self._renewed_at = now + RENEWAL_SECONDS
 
     def replace(self, registrations: dict[str, Registration]) -> None:
         """Replace all entries, except by what they have said before.
@@ -234,12 +239,14 @@
         if entry is None or entry.expires_at is not None:
             return False
         now = self._clock.now()
-        entry.expires_at = now + EXPIRY_GRACE_SECONDS
-        kept = not self.reliable and not entry.target.leaving
+        kept = now < self._renewed_at and not entry.target.leaving
         _LOGGER.info(
             'entry removed; target=%s kept=%s', name, 'yes' if kept else 'no'
         )
-        if not kept:
+        entry.expires_at = now + EXPIRY_GRACE_SECONDS
+        if kept:
+            entry.expires_at = min(entry.expires_at, self._renewed_at)
+        else:
             entry.target = attrs.evolve(entry.target, leaving=True)
         return not kept
 
--- a/tests/laburnumstep/targets/registry.feature
+++ b/tests/laburnumstep/targets/registry.feature
@@ -2,6 +2,9 @@
   Guards against new work on a target that has left, and against targets
   that are dropped because the registry was unavailable.
 
+  # The rows of 2 and 3 s guard against new work on a target that has left
+  # after the registry is back; live targets renew their entries earlier
+  # (review/10).
   Scenario Outline: Entries decide which targets are usable
     Given target "a" is registered
     When the registry sees that <event>
@@ -18,6 +21,9 @@
       | the registry fails, its entry is removed and 2.5 s pass | unknown |
       | the registry fails, its entry is removed, 1.5 s pass and it comes back | usable |
       | the registry fails, 7 s pass and its entry is removed | leaving |
+      | the registry fails, 2 s pass and its entry is removed | usable |
+      | the registry fails, 2 s pass, its entry is removed and 1.1 s pass | unknown |
+      | the registry fails, 3 s pass and its entry is removed | leaving |
       | all entries are read anew without it             | leaving |
       | an entry of an older start says that it leaves   | usable  |
       | an entry of a newer start comes after its leaving | usable |
