--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_handover.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_handover.py
@@ -45,13 +45,14 @@
 
 @attrs.define
 class _Question:
-    """What the next engine has answered to the question for its runs."""
+    """The question to the next engine for its runs."""
 
     answer: _silence.EngineAnswer = attrs.field(factory=_silence.NotAsked)
+    """What the engine has answered so far."""
 
     @property
     def is_reached(self) -> bool:
-        """Whether it may work on the run as far as is known."""
+        """Whether the engine has answered, so that it may work on the run."""
         match self.answer:
             case _silence.NotAsked() | _silence.Unanswered():
                 return False
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_moves.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_moves.py
@@ -1,6 +1,7 @@
-"""Moves a silent run from an engine that still answers.
+"""Moves a run from an engine that still answers.
 
-The engine stops the run with the move, so that no two engines work on it. An
+The run is silent, or was sent to another engine that is late with it. The
+engine stops the run with the move, so that no two engines work on it. An
 engine that refuses the move goes on with the run.
 """
 
@@ -17,7 +18,7 @@
     from laburnumstep.targets.relay import _placements
 
 MOVE_SECONDS = 1.0
-"""Timeout of the move of a silent run, in seconds. Moves within a region take
+"""Timeout of the move of a run, in seconds. Moves within a region take
 up to 0.7 s."""
 
 _LOGGER = core.get_logger('relay')
@@ -110,7 +111,7 @@
             if not isinstance(result, _ports.Moved):
                 reserved.release(complete=False)
         _LOGGER.info(
-            'moving silent run; request=%s target=%s destination=%s reason=%s'
+            'moving run; request=%s target=%s destination=%s reason=%s'
             ' outcome=%s detail=%s',
             self._request.key,
             source.name,
