--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -95,6 +95,28 @@
         self._continue_from_time = 0.0
         self._resume_from_time = 0.0
 
+    @property
+    def _may_move(self) -> bool:
+        """Whether the memory of the run may be moved to another engine."""
+        return (
+            not is_short(self._request)
+            and self._delivery.position is not None
+            and self._attempts.may_continue
+        )
+
+    @property
+    def _may_send_again(self) -> bool:
+        """Whether the engine may be sent the copy again that it has not used.
+
+        A copy can be used once, so the run cannot begin twice.
+        """
+        return (
+            self._reader is not None
+            and not self._reader.has_begun
+            and isinstance(self._start, _ports.ContinuedRun)
+            and self._attempts.may_continue
+        )
+
     def request_migration(self) -> None:
         """Migrate the stream as soon as another engine can continue it."""
         if is_short(self._request):
@@ -239,7 +261,7 @@
         backup = self._choose_backup(placement.target, start)
         earlier = None
         if self._reader is not None:
-            earlier = _attempts.EarlierRun(self._tasks, self._stop_for)
+            earlier = _attempts.EarlierRun(self._tasks, self._order_stop)
         reply = await self._attempts.send(placement, start, backup, earlier)
         if _ports.is_running(reply):
             self._close_run()
@@ -266,11 +288,11 @@
             )
         return reply
 
-    def _stop_for(self, following: core.Target) -> None:
-        """Order the engine to stop the run, which the next one is late with.
+    def _order_stop(self, next_target: core.Target) -> None:
+        """Order the engine to stop the run and to send its memory elsewhere.
 
         Args:
-            following: The next engine.
+            next_target: The next engine, which is late with the run.
         """
         if self._reader is None or self._placement is None:
             return
@@ -280,33 +302,11 @@
         self._saved.start(
             self._tasks,
             self._placement.target,
-            self._continuation.not_continued | {following.name},
+            self._continuation.not_continued | {next_target.name},
             self._delivery.tokens,
             self._reader.record_kept,
         )
 
-    @property
-    def _may_move(self) -> bool:
-        """Whether the memory of the run may be moved to another engine."""
-        return (
-            not is_short(self._request)
-            and self._delivery.position is not None
-            and self._attempts.may_continue
-        )
-
-    @property
-    def _may_send_again(self) -> bool:
-        """Whether the engine may be sent the copy again that it has not used.
-
-        A copy can be used once, so the run cannot begin twice.
-        """
-        return (
-            self._reader is not None
-            and not self._reader.has_begun
-            and isinstance(self._start, _ports.ContinuedRun)
-            and self._attempts.may_continue
-        )
-
     def _choose_backup(
         self, target: core.Target, start: _ports.Start
     ) -> core.EngineTarget | None:
