Wait for an event until a time through one function

Cause: wrote in relay/_pending.py a sixth copy of the task group that waits for an event and is cancelled at a deadline; claims, the topic cache, the lease keeper, the load follower and the permit exchange had one each.

Ruled out: the other uses of cancel_at. They bound a call or a series of calls, not one event, and keep their own results.

Change: core.wait_until, next to cancel_at, serves all six. Behaviour stays: the same tasks run in the same order.

--- a/packages/laburnumstep/src/laburnumstep/core/__init__.py
+++ b/packages/laburnumstep/src/laburnumstep/core/__init__.py
@@ -10,6 +10,7 @@
 from laburnumstep.core._clock import ManualClock
 from laburnumstep.core._clock import SteadyClock
 from laburnumstep.core._clock import SystemClock
+from laburnumstep.core._clock import wait_until
 from laburnumstep.core._deployment import Deployment
 from laburnumstep.core._deployment import digest_secret
 from laburnumstep.core._deployment import DocumentObject
@@ -138,4 +139,5 @@
     'rank_by_rendezvous',
     'stable_hash',
     'update_digest',
+    'wait_until',
 ]
--- a/packages/laburnumstep/src/laburnumstep/core/_clock.py
+++ b/packages/laburnumstep/src/laburnumstep/core/_clock.py
@@ -37,6 +37,22 @@
     scope.cancel()
 
 
+async def wait_until(
+    clock: Clock, event: anyio.Event, deadline: float
+) -> None:
+    """Wait for an event, or until a deadline passes.
+
+    Args:
+        clock: Measures the deadline.
+        event: The event.
+        deadline: When to give up, in epoch seconds.
+    """
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cancel_at, clock, deadline, tasks.cancel_scope)
+        await event.wait()
+        tasks.cancel_scope.cancel()
+
+
 class SystemClock:
     """The wall clock, including adjustments of the system time."""
 
--- a/packages/laburnumstep/src/laburnumstep/fleet/_permit_exchange.py
+++ b/packages/laburnumstep/src/laburnumstep/fleet/_permit_exchange.py
@@ -192,15 +192,11 @@
             ),
         )
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(
-                    core.cancel_at,
-                    self._clock,
-                    self._clock.now() + ASK_SECONDS,
-                    tasks.cancel_scope,
-                )
-                await question.answered.wait()
-                tasks.cancel_scope.cancel()
+            await core.wait_until(
+                self._clock,
+                question.answered,
+                self._clock.now() + ASK_SECONDS,
+            )
         finally:
             del self._questions[sequence]
         return question.reply
--- a/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_claims_partition.py
@@ -162,12 +162,7 @@
         if due is None:
             await self._changed.wait()
             return
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                core.cancel_at, self._clock, due, tasks.cancel_scope
-            )
-            await self._changed.wait()
-            tasks.cancel_scope.cancel()
+        await core.wait_until(self._clock, self._changed, due)
 
     async def _append_and_read(self) -> None:
         """Append a batch and read the stream until its claims are answered."""
--- a/packages/laburnumstep/src/laburnumstep/log/_lease_keeper.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_lease_keeper.py
@@ -179,12 +179,7 @@
     async def _cancel_when_due(
         self, due: float, scope: anyio.CancelScope
     ) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                core.cancel_at, self._clock, due, tasks.cancel_scope
-            )
-            await self._changed.wait()
-            tasks.cancel_scope.cancel()
+        await core.wait_until(self._clock, self._changed, due)
         scope.cancel()
 
     def _apply(self, stored: _records.LogRecord) -> None:
--- a/packages/laburnumstep/src/laburnumstep/log/_topic_cache.py
+++ b/packages/laburnumstep/src/laburnumstep/log/_topic_cache.py
@@ -163,12 +163,7 @@
         return page
 
     async def _wait_for_change(self, wait_until: float) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                core.cancel_at, self._clock, wait_until, tasks.cancel_scope
-            )
-            await self._changed.wait()
-            tasks.cancel_scope.cancel()
+        await core.wait_until(self._clock, self._changed, wait_until)
 
     def _read_recent(
         self, start: _keyed_follower.TopicPosition
--- a/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/_load_follower.py
@@ -263,7 +263,8 @@
             wait_seconds = max(
                 MIN_WAIT_SECONDS, WAIT_SECONDS_PER_ENGINE * len(self._engines)
             )
-            await self._wait_for_request(engine, min(due, now + wait_seconds))
+            until = min(due, now + wait_seconds)
+            await core.wait_until(self._clock, engine.requested, until)
 
     def _compute_due_time(self, name: str, polled_at: float) -> float:
         """Return when an engine is polled next, in epoch seconds."""
@@ -279,16 +280,6 @@
         measured_at = state.measured_at if state is not None else 0.0
         return max(polled_at, measured_at) + interval
 
-    async def _wait_for_request(
-        self, engine: _EngineTask, until: float
-    ) -> None:
-        async with anyio.create_task_group() as group:
-            group.start_soon(
-                core.cancel_at, self._clock, until, group.cancel_scope
-            )
-            await engine.requested.wait()
-            group.cancel_scope.cancel()
-
     async def _poll(
         self,
         name: str,
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_pending.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_pending.py
@@ -68,22 +68,14 @@
             When the target may first have received it, in epoch seconds;
             None if it was not sent.
         """
-        await self._wait(self._progress, until)
+        await core.wait_until(self._clock, self._progress, until)
         return self._sent_at
 
     async def wait_reply(self, until: float) -> _ports.Reply | None:
         """Return the reply, or None if none has arrived by a time."""
-        await self._wait(self._done, until)
+        await core.wait_until(self._clock, self._done, until)
         return self.reply
 
-    async def _wait(self, event: anyio.Event, until: float) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                core.cancel_at, self._clock, until, tasks.cancel_scope
-            )
-            await event.wait()
-            tasks.cancel_scope.cancel()
-
     def take(self) -> _ports.Underway:
         """Make the attempt the run of its stream before its reply is there."""
         self._is_taken = True
