Hold the copies of a run through one class

Cause: SavedMemory repeated has_copy, take and release of Migration, one of them under another name.

Change: both are a CopyHolder of relay/_copies.py; SavedMemory.release only adds that a memory under way is no longer wanted. Behaviour stays.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_continuation.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_continuation.py
@@ -74,7 +74,7 @@
         """Whether an engine holds a copy from which the run can go on."""
         return (
             self._migration.has_copy
-            or self._saved.is_there
+            or self._saved.has_copy
             or self._find_backup() is not None
         )
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_copies.py
@@ -38,6 +38,29 @@
     """Reference of the copy, as targets understand it."""
 
 
+class CopyHolder:
+    """Holds one copy of a run until it is used or released."""
+
+    def __init__(self) -> None:
+        self._prepared: PreparedCopy | None = None
+
+    @property
+    def has_copy(self) -> bool:
+        """Whether a copy is ready."""
+        return self._prepared is not None
+
+    def take(self) -> PreparedCopy | None:
+        """Return the copy, which the receiver releases or uses."""
+        prepared, self._prepared = self._prepared, None
+        return prepared
+
+    def release(self) -> None:
+        """Release the capacity reserved for a copy that is not used."""
+        prepared = self.take()
+        if prepared is not None:
+            prepared.placement.release(complete=False)
+
+
 IsRunning = typing.Callable[[], bool]
 GetTokens = typing.Callable[[], int]
 
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_migration.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_migration.py
@@ -4,14 +4,15 @@
 
 import typing
 
-import anyio.abc
+from laburnumstep.targets.relay import _copies
 
 if typing.TYPE_CHECKING:
-    from laburnumstep.targets.relay import _copies
+    import anyio.abc
+
     from laburnumstep.targets.relay import _placements
 
 
-class Migration:
+class Migration(_copies.CopyHolder):
     """Has the run of one stream copied and keeps the copy until it is used.
 
     Args:
@@ -24,17 +25,12 @@
         copier: _copies.RunCopier,
         on_ready: typing.Callable[[], None],
     ) -> None:
+        super().__init__()
         self._copier = copier
         self._on_ready = on_ready
         self._is_copying = False
-        self._prepared: _copies.PreparedCopy | None = None
         self._refused: frozenset[str] = frozenset()
 
-    @property
-    def has_copy(self) -> bool:
-        """Whether a copy is ready."""
-        return self._prepared is not None
-
     def start(
         self,
         tasks: anyio.abc.TaskGroup,
@@ -54,21 +50,10 @@
             self._is_copying = True
             tasks.start_soon(self._copy, placement, is_current, get_tokens)
 
-    def take(self) -> _copies.PreparedCopy | None:
-        """Return the copy, which the receiver releases or uses."""
-        prepared, self._prepared = self._prepared, None
-        return prepared
-
     def record_refusal(self, destination: str) -> None:
         """Copy to another engine next time; this one did not go on."""
         self._refused |= {destination}
 
-    def release(self) -> None:
-        """Release the capacity reserved for a copy that is not used."""
-        prepared = self.take()
-        if prepared is not None:
-            prepared.placement.release(complete=False)
-
     async def _copy(
         self,
         placement: _placements.RelayPlacement,
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_saved_memory.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_saved_memory.py
@@ -13,7 +13,7 @@
     from laburnumstep import core
 
 
-class SavedMemory:
+class SavedMemory(_copies.CopyHolder):
     """Has an engine stop a run and send its memory to a third engine.
 
     The run goes on from there if the next engine never streams it. Without
@@ -24,14 +24,9 @@
     """
 
     def __init__(self, mover: _moves.RunMover) -> None:
+        super().__init__()
         self._mover = mover
         self._is_wanted = False
-        self._copy: _copies.PreparedCopy | None = None
-
-    @property
-    def is_there(self) -> bool:
-        """Whether the run can go on from its memory."""
-        return self._copy is not None
 
     def start(
         self,
@@ -54,17 +49,10 @@
         self._is_wanted = True
         tasks.start_soon(self._move, source, refused, tokens, record_kept)
 
-    def take(self) -> _copies.PreparedCopy | None:
-        """Return the memory, which the receiver releases or uses."""
-        copy, self._copy = self._copy, None
-        return copy
-
     def release(self) -> None:
-        """Release the capacity reserved for the memory."""
+        """Release the memory, also if it has not arrived yet."""
         self._is_wanted = False
-        copy = self.take()
-        if copy is not None:
-            copy.placement.release(complete=False)
+        super().release()
 
     async def _move(
         self,
@@ -80,8 +68,8 @@
             case _moves.Movable(placement=placement, copy=reference):
                 if placement is None:
                     return
-                if self._is_wanted and self._copy is None:
-                    self._copy = _copies.PreparedCopy(placement, reference)
+                if self._is_wanted and not self.has_copy:
+                    self._prepared = _copies.PreparedCopy(placement, reference)
                 else:
                     placement.release(complete=False)
             case _moves.Kept() | _moves.Missing():
