Pass the earlier run of a stream on as one, and read late replies directly

Cause: EarlierRun was built in the stream, taken apart in StreamAttempts and passed to Handover as two of four arguments. PendingReply.read started a task group for each read of a stream, also long after its reply had arrived. record_kept was also called for an engine that no longer has the run.

Change: EarlierRun stands in relay/_handover.py and goes there whole. read waits for the reply only while there is none. record_kept is record_no_stop. Times, decisions and messages stay.

tests/run.py laburnumstep/targets/relay laburnumstep/platform: 541 passed, 0 failed; lint clean.

--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_attempts.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_attempts.py
@@ -5,8 +5,6 @@
 import typing
 
 import anyio
-import anyio.abc
-import attrs
 
 from laburnumstep import core
 from laburnumstep.targets import _bounds
@@ -24,16 +22,6 @@
 """Maximum number of attempts of one stream, at the same engine or others."""
 
 
-@attrs.frozen(eq=False)
-class EarlierRun:
-    """The run of a stream at the engine before."""
-
-    tasks: anyio.abc.TaskGroup
-    """Runs the attempt at the next engine."""
-    stop: _handover.StopRun
-    """Orders the engine to stop the run and to send its memory elsewhere."""
-
-
 class StreamAttempts:
     """Sends attempts of one stream.
 
@@ -97,7 +85,7 @@
         placement: _placements.RelayPlacement,
         start: _ports.Start,
         backup: core.EngineTarget | None,
-        earlier: EarlierRun | None,
+        earlier: _handover.EarlierRun | None,
     ) -> _ports.Reply:
         """Send the request to one target.
 
@@ -123,10 +111,9 @@
                 reply = await self._send_bounded(attempt)
             else:
                 reply = await self._handover.send(
-                    earlier.tasks,
                     attempt,
+                    earlier,
                     lambda late: self._record_late(placement, start, late),
-                    earlier.stop,
                 )
             _calls.record_failure(placement, reply)
         finally:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_handover.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_handover.py
@@ -37,12 +37,20 @@
 in seconds. The platform allows both engines to work on a run for 0.4 s; the
 rest is for the end to reach the engine before."""
 
-StopRun = typing.Callable[[core.Target], None]
-"""Called with the next engine of the run."""
-
 _LOGGER = core.get_logger('relay')
 
 
+@attrs.frozen(eq=False)
+class EarlierRun:
+    """The run of a stream at the engine before."""
+
+    tasks: anyio.abc.TaskGroup
+    """Runs the attempt at the next engine, as long as the stream lasts."""
+    order_stop: typing.Callable[[core.Target], None]
+    """Orders the engine to stop the run and to send its memory elsewhere, but
+    not to the next engine, with which it is called."""
+
+
 @attrs.define
 class _Question:
     """The question to the next engine for its runs."""
@@ -88,10 +96,9 @@
 
     async def send(
         self,
-        tasks: anyio.abc.TaskGroup,
         attempt: _ports.Attempt,
+        earlier: EarlierRun,
         record_late: _pending.RecordReply,
-        stop_run: StopRun,
     ) -> _ports.Reply:
         """Send an attempt and decide which engine goes on with the run.
 
@@ -99,12 +106,10 @@
         is `Streaming` or `Underway`.
 
         Args:
-            tasks: Runs the attempt.
             attempt: The attempt.
+            earlier: The run at the engine before.
             record_late: Called with a reply that arrives after `Underway`
                 was returned.
-            stop_run: Orders the engine before to stop the run and to send its
-                memory elsewhere.
 
         Returns:
             The reply, if it arrives in time; `Underway` if the target can be
@@ -113,10 +118,10 @@
         pending = _pending.PendingReply(
             self._port, attempt, record_late, self._clock
         )
-        tasks.start_soon(pending.run)
+        earlier.tasks.start_soon(pending.run)
         reply: _ports.Reply = _ports.Lost('cancelled')
         try:
-            reply = await self._await_reply(pending, attempt, stop_run)
+            reply = await self._await_reply(pending, attempt, earlier)
         finally:
             if not _ports.is_running(reply):
                 pending.close()
@@ -126,7 +131,7 @@
         self,
         pending: _pending.PendingReply,
         attempt: _ports.Attempt,
-        stop_run: StopRun,
+        earlier: EarlierRun,
     ) -> _ports.Reply:
         sent_at = await pending.wait_sent(self._clock.now() + SEND_SECONDS)
         if sent_at is None:
@@ -140,7 +145,7 @@
             reply = await pending.wait_reply(sent_at + STOP_SECONDS)
             if reply is None:
                 if question.is_reached:
-                    stop_run(attempt.target)
+                    earlier.order_stop(attempt.target)
                 reply = await pending.wait_reply(sent_at + HANDOVER_SECONDS)
             tasks.cancel_scope.cancel()
         if reply is not None:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_pending.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_pending.py
@@ -88,18 +88,21 @@
             EventsDelayed: No complete event arrived before the deadline.
             StreamBroken: The target does not stream, or no longer.
         """
-        reply = await self.wait_reply(deadline)
+        reply = self.reply
+        if reply is None:
+            reply = await self.wait_reply(deadline)
         match reply:
             case None:
                 raise _ports.EventsDelayed
-            case _ports.Streaming(source=source):
+            case (
+                _ports.Streaming(source=source)
+                | _ports.Underway(source=source)
+            ):
                 return await source.read(deadline)
             case _ports.Lost(reason=reason, closed=closed):
                 raise _ports.StreamBroken(reason, closed)
             case _ports.Answered(status=status):
                 raise _ports.StreamBroken(f'the target answered {status}')
-            case _ports.Underway(source=source):
-                return await source.read(deadline)
             case (
                 _ports.NotRun(reason=reason)
                 | _ports.Held(reason=reason)
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_reading.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_reading.py
@@ -126,8 +126,8 @@
         """
         self._may_be_stopped = True
 
-    def record_kept(self) -> None:
-        """Record that the engine goes on with the run."""
+    def record_no_stop(self) -> None:
+        """Record that the engine was not made to stop the run after all."""
         self._may_be_stopped = False
 
     def interrupt(self) -> None:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_saved_memory.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_saved_memory.py
@@ -34,7 +34,7 @@
         source: core.Target,
         refused: frozenset[str],
         tokens: int,
-        record_kept: typing.Callable[[], None],
+        record_no_stop: typing.Callable[[], None],
     ) -> None:
         """Order the engine to stop the run and to send its memory.
 
@@ -43,11 +43,11 @@
             source: Engine that runs it.
             refused: Engines that do not receive the memory.
             tokens: Length of its answer so far, in tokens.
-            record_kept: Called if the engine goes on with the run.
+            record_no_stop: Called if the order has stopped no run.
         """
         self.release()
         self._is_wanted = True
-        tasks.start_soon(self._move, source, refused, tokens, record_kept)
+        tasks.start_soon(self._move, source, refused, tokens, record_no_stop)
 
     def release(self) -> None:
         """Release the memory, also if it has not arrived yet."""
@@ -59,7 +59,7 @@
         source: core.Target,
         refused: frozenset[str],
         tokens: int,
-        record_kept: typing.Callable[[], None],
+        record_no_stop: typing.Callable[[], None],
     ) -> None:
         outcome = await self._mover.move(
             source, refused, tokens, 'the next engine is late'
@@ -73,7 +73,7 @@
                 else:
                     placement.release(complete=False)
             case _moves.Kept() | _moves.Missing():
-                record_kept()
+                record_no_stop()
             case _moves.PerhapsStopped():
                 pass
             case _:
--- a/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
+++ b/packages/laburnumstep/src/laburnumstep/targets/relay/_stream_run.py
@@ -261,7 +261,7 @@
         backup = self._choose_backup(placement.target, start)
         earlier = None
         if self._reader is not None:
-            earlier = _attempts.EarlierRun(self._tasks, self._order_stop)
+            earlier = _handover.EarlierRun(self._tasks, self._order_stop)
         reply = await self._attempts.send(placement, start, backup, earlier)
         if _ports.is_running(reply):
             self._close_run()
@@ -304,7 +304,7 @@
             self._placement.target,
             self._continuation.not_continued | {next_target.name},
             self._delivery.tokens,
-            self._reader.record_kept,
+            self._reader.record_no_stop,
         )
 
     def _choose_backup(
